feat(workspace): crates, core types, release note, thin log and state

Cause: nothing stood yet; the parts need one set of types to be built against side by side. Change: the workspace with its lints, the core (ids, outcome, release note, configuration, claims, slot grants, membership, planner's observation and action, platform and operator faces, settings checker, timer service, kernel), wire framing, a replicated state with notes and claims, a log of one replica that syncs before it answers, the experiment runner, and both users' sample fleets. Ruled out: one package with every program; the core would then depend on HTTP and the command line.

--- /dev/null
+++ b/crates/masticfield-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator command line of masticfield.
--- /dev/null
+++ b/crates/masticfield-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable state and planning process of masticfield.
--- /dev/null
+++ b/crates/masticfield-core/src/kernel/mod.rs
@@ -0,0 +1,35 @@
+//! The kernel that starts the plug-ins of a program.
+//!
+//! A plug-in registers itself with [`inventory::submit!`]; the kernel starts those of one
+//! program in the order of their stages. Plug-ins find each other's handles in the
+//! [`KernelContext`]. A plug-in's tasks end when the kernel's [`Shutdown`] is triggered.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_core::kernel::{Kernel, KernelContext, KernelError, Plugin, Program};
+//!
+//! fn start(cx: &mut KernelContext) -> Result<(), KernelError> {
+//!     cx.provide(42_u32);
+//!     Ok(())
+//! }
+//!
+//! inventory::submit! { Plugin::new("example", Program::Fake, 0, start) }
+//!
+//! # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
+//! let kernel = Kernel::start(Program::Fake, KernelContext::new())?;
+//! assert_eq!(*kernel.context().need::<u32>()?, 42);
+//! # Ok::<(), KernelError>(())
+//! # })?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod context;
+mod error;
+mod plugin;
+mod shutdown;
+
+pub use context::KernelContext;
+pub use error::KernelError;
+pub use plugin::{Kernel, Plugin, Program};
+pub use shutdown::{Shutdown, ShutdownTrigger};
--- /dev/null
+++ b/crates/masticfield-core/src/kernel/plugin.rs
@@ -0,0 +1,83 @@
+//! Plug-ins and the kernel that runs them.
+
+use super::{KernelContext, KernelError};
+
+/// The programs that have plug-ins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Program {
+    /// The entry process.
+    Entry,
+    /// The control process.
+    Control,
+    /// The stand-ins.
+    Fake,
+}
+
+/// A part of a program that registers itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Plugin {
+    name: &'static str,
+    program: Program,
+    stage: u8,
+    start: fn(&mut KernelContext) -> Result<(), KernelError>,
+}
+
+/// The running plug-ins of a program.
+#[derive(Debug)]
+pub struct Kernel {
+    cx: KernelContext,
+}
+
+inventory::collect!(Plugin);
+
+impl Plugin {
+    /// Creates a plug-in that is started at `stage`, lowest first.
+    pub const fn new(
+        name: &'static str,
+        program: Program,
+        stage: u8,
+        start: fn(&mut KernelContext) -> Result<(), KernelError>,
+    ) -> Self {
+        Self {
+            name,
+            program,
+            stage,
+            start,
+        }
+    }
+
+    /// Name of the plug-in.
+    pub const fn name(&self) -> &'static str {
+        self.name
+    }
+}
+
+impl Kernel {
+    /// Starts every registered plug-in of `program`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the error of the first plug-in that cannot start. The handles that earlier
+    /// ones provided are dropped, which ends their tasks.
+    pub fn start(program: Program, mut cx: KernelContext) -> Result<Self, KernelError> {
+        for plugin in Self::plugins(program) {
+            (plugin.start)(&mut cx)?;
+        }
+        Ok(Self { cx })
+    }
+
+    /// The registered plug-ins of `program`, in the order of their start.
+    pub fn plugins(program: Program) -> Vec<&'static Plugin> {
+        let registered = inventory::iter::<Plugin>.into_iter();
+        let mut plugins: Vec<_> = registered
+            .filter(|plugin| plugin.program == program)
+            .collect();
+        plugins.sort_by_key(|plugin| (plugin.stage, plugin.name));
+        plugins
+    }
+
+    /// The handles that the plug-ins provided.
+    pub const fn context(&self) -> &KernelContext {
+        &self.cx
+    }
+}
--- /dev/null
+++ b/crates/masticfield-core/src/note/host.rs
@@ -0,0 +1,26 @@
+//! Declaration of a host.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A host that the system may use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostSpec {
+    /// Name of the host, unique in the installation.
+    pub name: Arc<str>,
+    /// Region of the host.
+    pub region: Arc<str>,
+    /// Availability zone of the host.
+    pub zone: Arc<str>,
+    /// Rack of the host, unique within its availability zone.
+    pub rack: Arc<str>,
+    /// Processor cores.
+    pub cores: u32,
+    /// Memory in gigabytes.
+    pub memory_gb: u32,
+    /// Accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+}
--- /dev/null
+++ b/crates/masticfield-core/src/note/mod.rs
@@ -0,0 +1,40 @@
+//! The release note: what operators add, change and withdraw.
+//!
+//! A note has a number and names the number that it builds on. It is written in TOML; unknown
+//! fields are refused with their line and column.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_core::note::ReleaseNote;
+//!
+//! let text = r#"
+//! number = 1
+//! builds_on = 0
+//! summary = "The first pool"
+//!
+//! [added]
+//! pools = [{ name = "counter", hosts = 2 }]
+//! "#;
+//! let note = ReleaseNote::from_toml(text)?;
+//! assert_eq!(note.added.pools[0].name.as_ref(), "counter");
+//! # Ok::<(), masticfield_core::note::ParseNoteError>(())
+//! ```
+
+mod host;
+mod job;
+mod maintenance;
+mod parse_error;
+mod pool;
+mod release_note;
+mod service;
+mod team;
+
+pub use host::HostSpec;
+pub use job::{JobPriority, JobSpec, Resources};
+pub use maintenance::MaintenanceSpec;
+pub use parse_error::ParseNoteError;
+pub use pool::PoolSpec;
+pub use release_note::{Declared, ReleaseNote, Withdrawn};
+pub use service::{Promise, ServiceSpec};
+pub use team::TeamSpec;
--- /dev/null
+++ b/crates/masticfield-core/src/timer.rs
@@ -0,0 +1,132 @@
+//! The timer service that parts subscribe to.
+//!
+//! One task keeps every deadline of a process. A subscription ends when its receiver is
+//! dropped.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use masticfield_core::timer::Timer;
+//!
+//! # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
+//! let timer = Timer::spawn();
+//! let mut ticks = timer.every(Duration::from_millis(1));
+//! let tick = ticks.recv().await.expect("the timer runs as long as a handle exists");
+//! assert_eq!(tick.number(), 1);
+//! # });
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::time::DelayQueue;
+
+/// Handle to the timer service of a process.
+#[derive(Debug, Clone)]
+pub struct Timer {
+    tx: mpsc::UnboundedSender<Subscription>,
+}
+
+/// Notice that a subscribed moment has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tick {
+    number: u64,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct Subscription {
+    first: Duration,
+    period: Option<Duration>,
+    number: u64,
+    tx: mpsc::Sender<Tick>,
+}
+
+impl Timer {
+    /// Starts the service; it ends when the last handle is dropped and no subscription is left.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime with time enabled.
+    pub fn spawn() -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        tokio::spawn(run(rx));
+        Self { tx }
+    }
+
+    /// Subscribes to a tick each `period`, the first one a period from now.
+    ///
+    /// A tick is skipped while the one before it has not been received.
+    pub fn every(&self, period: Duration) -> mpsc::Receiver<Tick> {
+        self.subscribe(period, Some(period))
+    }
+
+    /// Subscribes to one tick `delay` from now.
+    pub fn after(&self, delay: Duration) -> mpsc::Receiver<Tick> {
+        self.subscribe(delay, None)
+    }
+
+    fn subscribe(&self, first: Duration, period: Option<Duration>) -> mpsc::Receiver<Tick> {
+        let (tx, rx) = mpsc::channel(1);
+        let subscription = Subscription {
+            first,
+            period,
+            number: 0,
+            tx,
+        };
+        // A closed service drops the sender, which the receiver sees as the end of its ticks.
+        drop(self.tx.send(subscription));
+        rx
+    }
+}
+
+impl Tick {
+    /// Number of the tick in its subscription, counted from 1.
+    pub const fn number(self) -> u64 {
+        self.number
+    }
+
+    /// When the tick was made.
+    pub const fn at(self) -> Instant {
+        self.at
+    }
+}
+
+async fn run(mut rx: mpsc::UnboundedReceiver<Subscription>) {
+    let mut queue = DelayQueue::new();
+    let mut open = true;
+    while open || !queue.is_empty() {
+        tokio::select! {
+            subscription = rx.recv(), if open => match subscription {
+                Some(subscription) => {
+                    let first = subscription.first;
+                    queue.insert(subscription, first);
+                }
+                None => open = false,
+            },
+            Some(expired) = std::future::poll_fn(|cx| queue.poll_expired(cx)), if !queue.is_empty() => {
+                if let Some((subscription, period)) = fire(expired.into_inner()) {
+                    queue.insert(subscription, period);
+                }
+            }
+        }
+    }
+}
+
+/// Sends a tick and returns the subscription if it goes on.
+fn fire(mut subscription: Subscription) -> Option<(Subscription, Duration)> {
+    subscription.number += 1;
+    let tick = Tick {
+        number: subscription.number,
+        at: Instant::now(),
+    };
+    let sent = subscription.tx.try_send(tick);
+    match (sent, subscription.period) {
+        (Err(mpsc::error::TrySendError::Closed(_)), _) | (_, None) => None,
+        (_, Some(period)) => Some((subscription, period)),
+    }
+}
--- /dev/null
+++ b/crates/masticfield-demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! All masticfield programs in one process with stand-ins on loopback.
--- /dev/null
+++ b/crates/masticfield-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request path of masticfield between callers and upstreams.
--- /dev/null
+++ b/crates/masticfield-fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for upstreams, the platform and callers.
--- /dev/null
+++ b/crates/masticfield-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Planner of pools, placement and maintenance for masticfield.
--- /dev/null
+++ b/crates/masticfield-measure/src/experiment.rs
@@ -0,0 +1,106 @@
+//! Experiments that register themselves.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use serde_json::Value;
+
+use crate::fleet_name::FleetName;
+
+/// An experiment, registered with [`inventory::submit!`].
+#[derive(Debug, Clone, Copy)]
+pub struct Experiment {
+    /// Name of the subcommand.
+    pub name: &'static str,
+    /// What it measures, in one line.
+    pub about: &'static str,
+    /// Runs it and returns the figures.
+    pub run: fn(ExperimentArgs) -> Result<Value, ExperimentError>,
+}
+
+/// Arguments of every experiment.
+#[derive(Debug, Clone, Copy)]
+pub struct ExperimentArgs {
+    /// Seed of every random choice.
+    pub seed: u64,
+    /// The fleet that it runs on.
+    pub fleet: FleetName,
+}
+
+/// Cause of a failed experiment.
+pub type ExperimentError = Box<dyn std::error::Error + Send + Sync>;
+
+inventory::collect!(Experiment);
+
+/// Runs the experiment that the command line names.
+///
+/// # Panics
+///
+/// Panics if the command line parser returns no subcommand, which is a bug.
+pub fn main() -> ExitCode {
+    let (name, matches) = command()
+        .get_matches()
+        .remove_subcommand()
+        .expect("required by clap");
+    let experiment = experiments().find(|experiment| experiment.name == name);
+    let experiment = experiment.expect("subcommands are made from experiments");
+    match (experiment.run)(read_args(&matches)) {
+        Ok(figures) => {
+            print_figures(&figures, matches.get_flag("json"));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn experiments() -> impl Iterator<Item = &'static Experiment> {
+    inventory::iter::<Experiment>.into_iter()
+}
+
+fn command() -> Command {
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
+    let seed = Arg::new("seed")
+        .long("seed")
+        .value_parser(value_parser!(u64))
+        .default_value("1");
+    let fleet = Arg::new("fleet")
+        .long("fleet")
+        .value_parser(value_parser!(FleetName));
+    let args = [
+        json.help("Print one JSON object as the last line"),
+        seed.help("Seed of every random choice"),
+        fleet
+            .default_value("vitoria")
+            .help("Sample fleet to run on"),
+    ];
+    let root = Command::new("masticfield-measure")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Experiments that measure masticfield")
+        .subcommand_required(true)
+        .arg_required_else_help(true);
+    experiments().fold(root, |root, experiment| {
+        root.subcommand(
+            Command::new(experiment.name)
+                .about(experiment.about)
+                .args(args.clone()),
+        )
+    })
+}
+
+fn read_args(matches: &ArgMatches) -> ExperimentArgs {
+    ExperimentArgs {
+        seed: *matches.get_one("seed").expect("has a default"),
+        fleet: *matches.get_one("fleet").expect("has a default"),
+    }
+}
+
+fn print_figures(figures: &Value, json: bool) {
+    if json {
+        println!("{figures}");
+    } else {
+        println!("{figures:#}");
+    }
+}
--- /dev/null
+++ b/crates/masticfield-measure/src/fleet_name.rs
@@ -0,0 +1,49 @@
+//! The sample fleets that experiments run on.
+
+use clap::ValueEnum;
+use masticfield_core::config::FleetConfig;
+use masticfield_core::note::ReleaseNote;
+
+/// A sample fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum FleetName {
+    /// Four availability zones, five services.
+    Vitoria,
+    /// Three availability zones, five services.
+    Vulpescu,
+}
+
+impl FleetName {
+    /// The release note that declares the fleet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the sample is no release note, which is a bug.
+    pub fn note(self) -> ReleaseNote {
+        let text = match self {
+            Self::Vitoria => include_str!("../../../examples/vitoria.toml"),
+            Self::Vulpescu => include_str!("../../../examples/vulpescu.toml"),
+        };
+        ReleaseNote::from_toml(text).expect("the samples are checked by a test")
+    }
+
+    /// The configuration of the fleet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the sample does not apply, which is a bug.
+    pub fn config(self) -> FleetConfig {
+        let note = self.note();
+        FleetConfig::default()
+            .apply(&note)
+            .expect("the samples are checked by a test")
+    }
+
+    /// Milliseconds between two availability zones, one way.
+    pub const fn zone_delay_ms(self) -> f64 {
+        match self {
+            Self::Vitoria => 1.5,
+            Self::Vulpescu => 0.5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-measure/src/lib.rs
@@ -0,0 +1,15 @@
+//! Experiments that measure masticfield.
+//!
+//! Each experiment registers itself with [`inventory::submit!`] and becomes a subcommand of
+//! `masticfield-measure`. With `--json` the last line of the output is one JSON object.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_measure::fleet_name::FleetName;
+//!
+//! assert_eq!(FleetName::Vitoria.config().services().len(), 5);
+//! ```
+
+pub mod experiment;
+pub mod fleet_name;
--- /dev/null
+++ b/crates/masticfield-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logging, metrics, health, tracing and shutdown for masticfield programs.
--- /dev/null
+++ b/crates/masticfield-programs/src/lib.rs
@@ -0,0 +1,1 @@
+//! The programs of masticfield and their process tests.
--- /dev/null
+++ b/crates/masticfield-replica/src/lib.rs
@@ -0,0 +1,28 @@
+//! Replicated log, election, storage and snapshots of masticfield.
+//!
+//! A [`ReplicaHandle`] proposes payloads and reports what is committed. The payloads are opaque
+//! here; the control process gives them their meaning.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use masticfield_core::ids::ReplicaId;
+//! use masticfield_replica::{ReplicaHandle, ReplicaOptions};
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let options = ReplicaOptions::new(ReplicaId::new(1), "data");
+//! let (replica, mut applied) = ReplicaHandle::open(options).await?;
+//! let index = replica.propose(b"payload".to_vec()).await?;
+//! let entry = applied.recv().await.expect("the replica runs");
+//! assert_eq!(entry.index, index);
+//! # Ok(())
+//! # }
+//! ```
+
+mod error;
+mod handle;
+mod options;
+
+pub use error::{OpenError, ProposeError};
+pub use handle::{Applied, ReplicaHandle, ReplicaStatus};
+pub use options::ReplicaOptions;
--- /dev/null
+++ b/crates/masticfield-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, slots, retries and membership decisions of masticfield.
--- /dev/null
+++ b/crates/masticfield-wire/src/lib.rs
@@ -0,0 +1,25 @@
+//! Messages and framing between masticfield processes.
+//!
+//! Over TCP, each message is one frame: a length, a version byte and a `postcard` body. Over
+//! UDP, a datagram is a version byte and a body. Sizes are bounded; a frame over its bound, of
+//! another version, or with a body that is no message ends the connection.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_wire::control::EntryToControl;
+//! use masticfield_wire::datagram;
+//!
+//! let msg = EntryToControl::Claims { sequence: 1, claims: Vec::new() };
+//! let bytes = datagram::encode(&msg)?;
+//! assert_eq!(datagram::decode::<EntryToControl>(&bytes)?, msg);
+//! # Ok::<(), masticfield_wire::WireError>(())
+//! ```
+
+pub mod control;
+pub mod datagram;
+mod error;
+mod frame;
+
+pub use error::WireError;
+pub use frame::{Connection, FrameReader, FrameWriter, MAX_FRAME_BYTES, WIRE_VERSION};
--- /dev/null
+++ b/crates/masticfield/src/lib.rs
@@ -0,0 +1,1 @@
+//! Facade of the masticfield library crates.
