--- a/crates/masticfield-cli/src/lib.rs
+++ b/crates/masticfield-cli/src/lib.rs
@@ -1,1 +1,72 @@
 //! Operator command line of masticfield.
+//!
+//! # Exit codes
+//!
+//! | code | meaning |
+//! | --- | --- |
+//! | 0 | done |
+//! | 1 | no control replica could be reached, or a file could not be read |
+//! | 2 | a flag or variable is invalid |
+//! | 3 | the request was refused and changed nothing |
+//! | 4 | the outcome is not known, or there is no quorum; send the same again |
+//! | 5 | `--wait` ran out of time; the note stays accepted |
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_cli::OutputFormat;
+//!
+//! assert_eq!("json".parse(), Ok(OutputFormat::Json));
+//! ```
+
+mod args;
+mod commands;
+mod control_client;
+mod error;
+mod output;
+mod tables;
+
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser};
+use masticfield_core::settings::InvalidSettings;
+use masticfield_node::program::chain;
+
+pub use args::{Cli, Command, ExplainKind, Settings};
+pub use control_client::ControlClient;
+pub use error::CliError;
+pub use output::{OutputFormat, ParseOutputFormatError};
+
+/// Runs the program `masticfield`.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Command::Completions { shell } = cli.command {
+        let mut command = Cli::command();
+        clap_complete::generate(shell, &mut command, "masticfield", &mut std::io::stdout());
+        return ExitCode::SUCCESS;
+    }
+    match cli.check() {
+        Ok(settings) => run(&settings, cli.command),
+        Err(error) => {
+            eprint!("masticfield: {error}");
+            ExitCode::from(InvalidSettings::EXIT_CODE)
+        }
+    }
+}
+
+fn run(settings: &Settings, command: Command) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(commands::run(settings, command)),
+        Err(source) => Err(CliError::Runtime { source }),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("masticfield: {}", chain(&error));
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-control/src/actor/plugin.rs
@@ -0,0 +1,37 @@
+//! The plug-in that opens the replica and keeps its state.
+
+use std::sync::Arc;
+
+use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use masticfield_replica::{ReplicaHandle, ReplicaOptions};
+use tokio::sync::watch;
+use xtra::Mailbox;
+
+use super::{ControlActor, ControlHandle};
+use crate::ControlSettings;
+
+inventory::submit! { Plugin::new("state", Program::Control, 0, start) }
+
+fn start(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let settings = Arc::clone(cx.need::<Arc<ControlSettings>>()?);
+        let options = ReplicaOptions::new(settings.replica, &settings.data_dir);
+        let opened = ReplicaHandle::open(options).await;
+        let (replica, mut applied) = opened.map_err(|source| KernelError::Start {
+            plugin: "state",
+            source: Box::new(source),
+        })?;
+        let (version_tx, version) = watch::channel(0);
+        let actor = xtra::spawn_tokio(ControlActor::new(version_tx), Mailbox::unbounded());
+        let handle = ControlHandle::new(replica, actor.clone(), version);
+        tokio::spawn(async move {
+            while let Some(entry) = applied.recv().await {
+                if actor.send(entry).await.is_err() {
+                    return;
+                }
+            }
+        });
+        cx.provide(handle);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/masticfield-control/src/args.rs
@@ -0,0 +1,111 @@
+//! Flags and settings of a control process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Parser;
+use masticfield_core::ids::ReplicaId;
+use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
+use masticfield_node::args::{NodeArgs, NodeSettings};
+use masticfield_node::token::Token;
+
+/// A replica of the durable state; the leader plans the fleet.
+#[derive(Debug, Clone, Parser)]
+#[command(name = "masticfield-control", version)]
+pub struct ControlArgs {
+    #[command(flatten)]
+    node: NodeArgs,
+    /// Number of this replica
+    #[arg(long, env = "MASTICFIELD_REPLICA", default_value = "1")]
+    replica: String,
+    /// Folder of the durable state
+    #[arg(long, env = "MASTICFIELD_DATA_DIR")]
+    data_dir: Option<PathBuf>,
+    /// Address for entries
+    #[arg(
+        long,
+        env = "MASTICFIELD_ENTRY_LISTEN",
+        default_value = "127.0.0.1:7410"
+    )]
+    entry_listen: String,
+    /// Address for operators
+    #[arg(
+        long,
+        env = "MASTICFIELD_OPERATOR_LISTEN",
+        default_value = "127.0.0.1:7411"
+    )]
+    operator_listen: String,
+    /// File with the operators' token
+    #[arg(long, env = "MASTICFIELD_TOKEN_FILE")]
+    token_file: Option<PathBuf>,
+    /// How long an entry may serve a configuration without a renewal
+    #[arg(long, env = "MASTICFIELD_CONFIG_LEASE", default_value = "6s")]
+    config_lease: String,
+}
+
+/// Checked settings of a control process.
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    /// Settings that every program has.
+    pub node: NodeSettings,
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Folder of the durable state.
+    pub data_dir: PathBuf,
+    /// Address for entries.
+    pub entry_listen: SocketAddr,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// The operators' token.
+    pub token: Token,
+    /// How long an entry may serve a configuration without a renewal.
+    pub config_lease: Duration,
+}
+
+impl ControlArgs {
+    /// Checks all flags together.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake.
+    pub fn check(&self) -> Result<ControlSettings, InvalidSettings> {
+        let mut checker = Checker::new();
+        let settings = self.check_with(&mut checker);
+        checker.conclude(settings)
+    }
+
+    fn check_with(&self, checker: &mut Checker) -> Option<ControlSettings> {
+        let node = self.node.check(checker);
+        let replica = checker.parse("--replica", &self.replica);
+        let data_dir = checker.require("--data-dir", self.data_dir.clone());
+        let entry_listen = checker.parse("--entry-listen", &self.entry_listen);
+        let operator_listen = checker.parse("--operator-listen", &self.operator_listen);
+        let token = check_token(self.token_file.clone(), checker);
+        let leases = Duration::from_secs(1)..=Duration::from_secs(10);
+        let config_lease = checker.duration("--config-lease", &self.config_lease, leases);
+        Some(ControlSettings {
+            node: node?,
+            replica: replica?,
+            data_dir: data_dir?,
+            entry_listen: entry_listen?,
+            operator_listen: operator_listen?,
+            token: token?,
+            config_lease: config_lease?,
+        })
+    }
+}
+
+fn check_token(path: Option<PathBuf>, checker: &mut Checker) -> Option<Token> {
+    let path = checker.require("--token-file", path)?;
+    let token = Token::read(&path);
+    token
+        .map_err(|error| {
+            let problem = SettingProblem::Unreadable {
+                value: path.display().to_string().into(),
+                cause: error.to_string().into(),
+            };
+            checker.refuse("--token-file", problem);
+        })
+        .ok()
+}
--- /dev/null
+++ b/crates/masticfield-control/src/operator/mod.rs
@@ -0,0 +1,5 @@
+//! The HTTP face for operators.
+
+mod plugin;
+mod reports;
+mod routes;
--- /dev/null
+++ b/crates/masticfield-control/src/operator/plugin.rs
@@ -0,0 +1,41 @@
+//! The plug-in that answers operators.
+
+use std::sync::Arc;
+
+use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use masticfield_node::addresses::Addresses;
+use masticfield_node::http::Server;
+use tokio_util::task::TaskTracker;
+
+use super::routes::Routes;
+use crate::entries::EntryRegistry;
+use crate::{ControlHandle, ControlSettings};
+
+inventory::submit! { Plugin::new("operator", Program::Control, 2, start) }
+
+fn start(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let settings = Arc::clone(cx.need::<Arc<ControlSettings>>()?);
+        let limits = settings.node.http;
+        let bound = Server::bind("--operator-listen", settings.operator_listen, limits).await;
+        let server = bound.map_err(|source| KernelError::Start {
+            plugin: "operator",
+            source: Box::new(source),
+        })?;
+        let routes = Routes {
+            control: cx.need::<ControlHandle>()?.clone(),
+            registry: cx.need::<EntryRegistry>()?.clone(),
+            token: settings.token.clone(),
+            body_timeout: limits.body(),
+        };
+        let address = server.address();
+        let tasks = cx.need::<TaskTracker>()?.clone();
+        tasks.spawn(server.serve(cx.shutdown(), move |req, peer| {
+            let routes = routes.clone();
+            async move { routes.answer(req, peer).await }
+        }));
+        let addresses = cx.need::<Addresses>()?.clone().with("operator", address);
+        cx.provide(addresses);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -0,0 +1,167 @@
+//! The routes of the operators' face.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use masticfield_core::note::ReleaseNote;
+use masticfield_core::operator::{NoteAccepted, Problem};
+use masticfield_node::http::{BodyError, Reply as HttpReply, json_reply, read_body};
+use masticfield_node::program::chain;
+use masticfield_node::token::Token;
+use masticfield_replica::ProposeError;
+use masticfield_state::{Command, Reply};
+use serde::Serialize;
+
+use super::reports;
+use crate::entries::EntryRegistry;
+use crate::{ControlHandle, ProposalError};
+
+/// Answers operators' requests.
+#[derive(Debug, Clone)]
+pub(super) struct Routes {
+    pub control: ControlHandle,
+    pub registry: EntryRegistry,
+    pub token: Token,
+    pub body_timeout: Duration,
+}
+
+impl Routes {
+    /// Answers one request; whatever goes wrong is a [`Problem`].
+    pub(super) async fn answer(&self, req: Request<Incoming>, peer: SocketAddr) -> HttpReply {
+        if !self.token.permits(req.headers()) {
+            log::warn!(peer:%, path = req.uri().path(); "an operator's token was refused");
+            return problem_reply(&Problem::BadToken);
+        }
+        match self.route(req).await {
+            Ok(reply) => reply,
+            Err(problem) => problem_reply(&problem),
+        }
+    }
+
+    async fn route(&self, req: Request<Incoming>) -> Result<HttpReply, Problem> {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let query = req.uri().query().unwrap_or_default().to_owned();
+        let segments: Vec<_> = path.split('/').skip(1).collect();
+        let reply = match (&method, segments.as_slice()) {
+            (&Method::POST, ["v1", "notes"]) => ok(&self.apply(req).await?),
+            (&Method::POST, ["v1", "plan"]) => {
+                let note = self.read_note(req).await?;
+                ok(&self
+                    .query(move |state| reports::preview(state, &note))
+                    .await??)
+            }
+            (&Method::GET, ["v1", "notes", number]) => ok(&self.rollout(number).await?),
+            (&Method::GET, ["v1", "status"]) => ok(&self.status().await?),
+            (&Method::GET, ["v1", "hosts"]) => ok(&self.query(reports::hosts).await?),
+            (&Method::GET, ["v1", "upstreams"]) => ok(&self.registry.upstream_rows()),
+            (&Method::GET, ["v1", "jobs"]) => ok(&self.query(reports::jobs).await?),
+            (&Method::GET, ["v1", "history"]) => {
+                let since = reports::since(&query);
+                ok(&self
+                    .query(move |state| reports::history(state, since))
+                    .await?)
+            }
+            _ => return Err(Problem::NoSuchOperation),
+        };
+        Ok(reply)
+    }
+
+    async fn apply(&self, req: Request<Incoming>) -> Result<NoteAccepted, Problem> {
+        let note = self.read_note(req).await?;
+        let number = note.number;
+        let reply = self.control.propose(Command::Note(Box::new(note))).await;
+        match reply.map_err(|error| Self::problem(&error))? {
+            Reply::Note(result) => {
+                let accepted = result?;
+                log::info!(number, repeated = accepted.repeated; "a release note was accepted");
+                self.registry.accepted(number);
+                Ok(accepted)
+            }
+            _ => Err(Problem::Undecided),
+        }
+    }
+
+    async fn read_note(&self, req: Request<Incoming>) -> Result<ReleaseNote, Problem> {
+        let body = read_body(req.into_body(), ReleaseNote::MAX_BYTES, self.body_timeout).await;
+        let body: Bytes = body.map_err(|error| match error {
+            BodyError::TooLarge { limit } => Problem::TooLarge {
+                limit: limit as u64,
+            },
+            other => Problem::UnreadableNote {
+                message: chain(&other).into(),
+            },
+        })?;
+        ReleaseNote::from_bytes(&body).map_err(|error| Problem::UnreadableNote {
+            message: error.to_string().into(),
+        })
+    }
+
+    async fn rollout(
+        &self,
+        number: &str,
+    ) -> Result<masticfield_core::operator::RolloutStatus, Problem> {
+        let not_found = || Problem::NotFound {
+            kind: "note".into(),
+            name: number.into(),
+        };
+        let wanted: u64 = number.parse().map_err(|_not_a_number| not_found())?;
+        let latest = self.query(|state| state.config().version()).await?;
+        if wanted == 0 || wanted > latest {
+            return Err(not_found());
+        }
+        Ok(self.registry.rollout(wanted))
+    }
+
+    async fn status(&self) -> Result<masticfield_core::operator::FleetStatus, Problem> {
+        let replica = self.control.replica_status();
+        let upstreams = self.registry.upstream_rows();
+        let mut status = self
+            .query(move |state| reports::status(state, replica, &upstreams))
+            .await?;
+        status.entries = self.registry.entry_rows();
+        status.in_force = self.registry.rollout(status.version).in_force;
+        Ok(status)
+    }
+
+    async fn query<R: Send + 'static>(
+        &self,
+        read: impl FnOnce(&masticfield_state::State) -> R + Send + 'static,
+    ) -> Result<R, Problem> {
+        self.control
+            .query(read)
+            .await
+            .map_err(|error| Self::problem(&error))
+    }
+
+    fn problem(error: &ProposalError) -> Problem {
+        let error_chain = chain(error);
+        log::warn!(error = error_chain; "an operator's request was not carried out");
+        match error {
+            ProposalError::Propose {
+                source: ProposeError::NotLeader { .. },
+            } => Problem::NotLeader { leader: None },
+            ProposalError::Propose {
+                source: ProposeError::Stopped,
+            } => Problem::NoQuorum,
+            _ => Problem::Undecided,
+        }
+    }
+}
+
+fn ok(body: &impl Serialize) -> HttpReply {
+    json_reply(StatusCode::OK, body)
+}
+
+fn problem_reply(problem: &Problem) -> HttpReply {
+    let status = StatusCode::from_u16(problem.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let mut reply = json_reply(status, problem);
+    let problem_json = http::HeaderValue::from_static("application/problem+json");
+    reply
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, problem_json);
+    reply
+}
--- a/crates/masticfield-core/src/kernel/mod.rs
+++ b/crates/masticfield-core/src/kernel/mod.rs
@@ -7,17 +7,21 @@
 //! # Examples
 //!
 //! ```
-//! use masticfield_core::kernel::{Kernel, KernelContext, KernelError, Plugin, Program};
+//! use masticfield_core::kernel::{
+//!     Kernel, KernelContext, KernelError, Plugin, Program, StartFuture,
+//! };
 //!
-//! fn start(cx: &mut KernelContext) -> Result<(), KernelError> {
-//!     cx.provide(42_u32);
-//!     Ok(())
+//! fn start(cx: &mut KernelContext) -> StartFuture<'_> {
+//!     Box::pin(async {
+//!         cx.provide(42_u32);
+//!         Ok(())
+//!     })
 //! }
 //!
 //! inventory::submit! { Plugin::new("example", Program::Fake, 0, start) }
 //!
 //! # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
-//! let kernel = Kernel::start(Program::Fake, KernelContext::new())?;
+//! let kernel = Kernel::start(Program::Fake, KernelContext::new()).await?;
 //! assert_eq!(*kernel.context().need::<u32>()?, 42);
 //! # Ok::<(), KernelError>(())
 //! # })?;
@@ -31,5 +35,5 @@
 
 pub use context::KernelContext;
 pub use error::KernelError;
-pub use plugin::{Kernel, Plugin, Program};
+pub use plugin::{Kernel, Plugin, Program, StartFuture};
 pub use shutdown::{Shutdown, ShutdownTrigger};
--- a/crates/masticfield-core/src/kernel/plugin.rs
+++ b/crates/masticfield-core/src/kernel/plugin.rs
@@ -1,7 +1,12 @@
 //! Plug-ins and the kernel that runs them.
 
+use std::pin::Pin;
+
 use super::{KernelContext, KernelError};
 
+/// The start of a plug-in.
+pub type StartFuture<'a> = Pin<Box<dyn Future<Output = Result<(), KernelError>> + Send + 'a>>;
+
 /// The programs that have plug-ins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Program {
@@ -19,7 +24,7 @@
     name: &'static str,
     program: Program,
     stage: u8,
-    start: fn(&mut KernelContext) -> Result<(), KernelError>,
+    start: for<'a> fn(&'a mut KernelContext) -> StartFuture<'a>,
 }
 
 /// The running plug-ins of a program.
@@ -36,7 +41,7 @@
         name: &'static str,
         program: Program,
         stage: u8,
-        start: fn(&mut KernelContext) -> Result<(), KernelError>,
+        start: for<'a> fn(&'a mut KernelContext) -> StartFuture<'a>,
     ) -> Self {
         Self {
             name,
@@ -59,9 +64,9 @@
     ///
     /// Fails with the error of the first plug-in that cannot start. The handles that earlier
     /// ones provided are dropped, which ends their tasks.
-    pub fn start(program: Program, mut cx: KernelContext) -> Result<Self, KernelError> {
+    pub async fn start(program: Program, mut cx: KernelContext) -> Result<Self, KernelError> {
         for plugin in Self::plugins(program) {
-            (plugin.start)(&mut cx)?;
+            (plugin.start)(&mut cx).await?;
         }
         Ok(Self { cx })
     }
--- a/crates/masticfield-core/src/settings.rs
+++ b/crates/masticfield-core/src/settings.rs
@@ -175,6 +175,20 @@
         self.mistakes.push(Mistake { flag, problem });
     }
 
+    /// Ends the check and hands out the settings that were read.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake if there was one.
+    ///
+    /// # Panics
+    ///
+    /// Panics if settings are missing although no mistake was found, which is a bug.
+    pub fn conclude<T>(self, settings: Option<T>) -> Result<T, InvalidSettings> {
+        self.finish()?;
+        Ok(settings.expect("a setting is missing only after a mistake"))
+    }
+
     /// Ends the check.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/masticfield-entry/src/args.rs
@@ -0,0 +1,107 @@
+//! Flags and settings of an entry process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::Parser;
+use masticfield_core::ids::EntryId;
+use masticfield_core::settings::{Checker, InvalidSettings};
+use masticfield_node::args::{NodeArgs, NodeSettings};
+
+/// Answers callers over HTTP and sends their requests to upstreams.
+#[derive(Debug, Clone, Parser)]
+#[command(name = "masticfield-entry", version)]
+pub struct EntryArgs {
+    #[command(flatten)]
+    node: NodeArgs,
+    /// Number of this entry, unique in the installation
+    #[arg(long, env = "MASTICFIELD_ENTRY")]
+    entry: Option<String>,
+    /// Availability zone of this host
+    #[arg(long, env = "MASTICFIELD_ZONE")]
+    zone: Option<String>,
+    /// Address for callers
+    #[arg(
+        long,
+        env = "MASTICFIELD_CALLER_LISTEN",
+        default_value = "127.0.0.1:7400"
+    )]
+    caller_listen: String,
+    /// Address for the announcements of upstreams
+    #[arg(
+        long,
+        env = "MASTICFIELD_UPSTREAM_LISTEN",
+        default_value = "127.0.0.1:7401"
+    )]
+    upstream_listen: String,
+    /// Addresses where the control replicas listen to entries, separated by commas
+    #[arg(long, env = "MASTICFIELD_CONTROL", default_value = "127.0.0.1:7410")]
+    control: String,
+    /// Time after which an upstream that does not announce itself again is forgotten
+    #[arg(long, env = "MASTICFIELD_UPSTREAM_TTL", default_value = "10s")]
+    upstream_ttl: String,
+    /// Time between two renewals of the configuration lease
+    #[arg(long, env = "MASTICFIELD_LEASE_RENEWAL", default_value = "1s")]
+    lease_renewal: String,
+}
+
+/// Checked settings of an entry process.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Settings that every program has.
+    pub node: NodeSettings,
+    /// The entry.
+    pub entry: EntryId,
+    /// Availability zone of the host.
+    pub zone: Arc<str>,
+    /// Address for callers.
+    pub caller_listen: SocketAddr,
+    /// Address for the announcements of upstreams.
+    pub upstream_listen: SocketAddr,
+    /// Where the control replicas listen to entries.
+    pub control: Vec<SocketAddr>,
+    /// Time after which an upstream that does not announce itself again is forgotten.
+    pub upstream_ttl: Duration,
+    /// Time between two renewals of the configuration lease.
+    pub lease_renewal: Duration,
+}
+
+impl EntryArgs {
+    /// Checks all flags together.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake.
+    pub fn check(&self) -> Result<EntrySettings, InvalidSettings> {
+        let mut checker = Checker::new();
+        let settings = self.check_with(&mut checker);
+        checker.conclude(settings)
+    }
+
+    fn check_with(&self, checker: &mut Checker) -> Option<EntrySettings> {
+        let node = self.node.check(checker);
+        let entry = checker
+            .require("--entry", self.entry.as_deref())
+            .and_then(|text| checker.parse("--entry", text));
+        let zone = checker.require("--zone", self.zone.as_deref());
+        let caller_listen = checker.parse("--caller-listen", &self.caller_listen);
+        let upstream_listen = checker.parse("--upstream-listen", &self.upstream_listen);
+        let control = checker.parse_list("--control", &self.control);
+        let control = checker.require("--control", Some(control).filter(|list| !list.is_empty()));
+        let ttl = Duration::from_secs(1)..=Duration::from_mins(5);
+        let upstream_ttl = checker.duration("--upstream-ttl", &self.upstream_ttl, ttl);
+        let renewals = Duration::from_millis(50)..=Duration::from_secs(3);
+        let lease_renewal = checker.duration("--lease-renewal", &self.lease_renewal, renewals);
+        Some(EntrySettings {
+            node: node?,
+            entry: entry?,
+            zone: zone?.into(),
+            caller_listen: caller_listen?,
+            upstream_listen: upstream_listen?,
+            control: control?,
+            upstream_ttl: upstream_ttl?,
+            lease_renewal: lease_renewal?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/masticfield-entry/src/callers/exchange.rs
@@ -0,0 +1,139 @@
+//! One exchange with an upstream.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use masticfield_core::ids::RequestId;
+use masticfield_core::outcome::{Outcome, UnknownReason};
+use masticfield_node::http::{BodyError, Reply, read_body};
+use masticfield_node::trace::Hop;
+
+use super::headers::{OUTCOME, REQUEST_ID, strip_hop_by_hop};
+use super::request::CallerRequest;
+use crate::router::Slot;
+
+/// Time within which an upstream must accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which an unused connection to an upstream is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Sends requests to upstreams over kept connections.
+#[derive(Debug, Clone)]
+pub(super) struct Exchange {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub(super) enum Exchanged {
+    /// The whole answer to this request.
+    Answered(Reply),
+    /// Proof that the request did not run.
+    NotRun,
+    /// No proof either way.
+    Unknown(UnknownReason),
+}
+
+impl Exchange {
+    /// Creates a client without connections.
+    pub(super) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends `req` to the executor of `slot` and waits for its whole answer.
+    pub(super) async fn run(
+        &self,
+        req: &CallerRequest,
+        slot: &Slot,
+        id: RequestId,
+        hop: &Hop,
+    ) -> Exchanged {
+        let left = req.deadline.saturating_duration_since(Instant::now());
+        let Some(outgoing) = outgoing(req, slot, id, hop) else {
+            return Exchanged::NotRun;
+        };
+        let answered = tokio::time::timeout(left, self.client.request(outgoing)).await;
+        match answered {
+            Err(_elapsed) => Exchanged::Unknown(UnknownReason::TimedOut),
+            Ok(Err(error)) => broken(&error),
+            Ok(Ok(answer)) => receive(answer, req, id).await,
+        }
+    }
+}
+
+/// The request as the upstream sees it; nothing if a value is no valid header or path.
+fn outgoing(
+    req: &CallerRequest,
+    slot: &Slot,
+    id: RequestId,
+    hop: &Hop,
+) -> Option<Request<Full<Bytes>>> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(slot.address.to_string())
+        .path_and_query(req.path.as_str())
+        .build()
+        .ok()?;
+    let mut outgoing = Request::new(Full::new(req.body.clone()));
+    *outgoing.method_mut() = req.method.clone();
+    *outgoing.uri_mut() = uri;
+    let mut headers: HeaderMap = req.headers.clone();
+    strip_hop_by_hop(&mut headers);
+    headers.insert(REQUEST_ID, HeaderValue::try_from(id.to_string()).ok()?);
+    hop.inject(&mut headers);
+    *outgoing.headers_mut() = headers;
+    Some(outgoing)
+}
+
+/// An error before the head of an answer.
+fn broken(error: &Error) -> Exchanged {
+    if error.is_connect() {
+        Exchanged::NotRun
+    } else {
+        Exchanged::Unknown(UnknownReason::ConnectionLost)
+    }
+}
+
+async fn receive(answer: Response<Incoming>, req: &CallerRequest, id: RequestId) -> Exchanged {
+    let (mut head, body) = answer.into_parts();
+    let echoed = head
+        .headers
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok());
+    if echoed.and_then(|value| value.parse().ok()) != Some(id) {
+        return Exchanged::Unknown(UnknownReason::CrossedAnswer);
+    }
+    if head
+        .headers
+        .get(OUTCOME)
+        .is_some_and(|value| value == "not-run")
+    {
+        return Exchanged::NotRun;
+    }
+    let left = req.deadline.saturating_duration_since(Instant::now());
+    match read_body(body, req.max_answer_bytes, left).await {
+        Ok(body) => {
+            strip_hop_by_hop(&mut head.headers);
+            head.headers
+                .insert(OUTCOME, HeaderValue::from_static(Outcome::Answered.label()));
+            Exchanged::Answered(Response::from_parts(head, Full::new(body)))
+        }
+        Err(BodyError::TooLarge { .. }) => Exchanged::Unknown(UnknownReason::OverlongAnswer),
+        Err(BodyError::TooSlow { .. }) => Exchanged::Unknown(UnknownReason::TimedOut),
+        Err(BodyError::Torn { .. }) => Exchanged::Unknown(UnknownReason::TornAnswer),
+    }
+}
--- /dev/null
+++ b/crates/masticfield-entry/src/callers/mod.rs
@@ -0,0 +1,10 @@
+//! The HTTP face for callers.
+//!
+//! The first segment of a path names the service; the rest goes to the upstream.
+
+mod exchange;
+mod front;
+mod headers;
+mod plugin;
+mod problem;
+mod request;
--- /dev/null
+++ b/crates/masticfield-entry/src/callers/plugin.rs
@@ -0,0 +1,53 @@
+//! The plug-in that answers callers.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use masticfield_node::addresses::Addresses;
+use masticfield_node::http::Server;
+use masticfield_node::trace::Tracing;
+use tokio_util::task::TaskTracker;
+use xtra::Address;
+
+use super::exchange::Exchange;
+use super::front::Front;
+use crate::EntrySettings;
+use crate::control::ControlLink;
+use crate::metrics::Metrics;
+use crate::router::RouterActor;
+
+inventory::submit! { Plugin::new("callers", Program::Entry, 4, start) }
+
+fn start(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let settings = Arc::clone(cx.need::<Arc<EntrySettings>>()?);
+        let limits = settings.node.http;
+        let bound = Server::bind("--caller-listen", settings.caller_listen, limits).await;
+        let server = bound.map_err(|source| KernelError::Start {
+            plugin: "callers",
+            source: Box::new(source),
+        })?;
+        let front = Front {
+            entry: settings.entry,
+            zone: Arc::clone(&settings.zone),
+            router: cx.need::<Address<RouterActor>>()?.clone(),
+            control: cx.need::<ControlLink>()?.clone(),
+            exchange: Exchange::new(),
+            metrics: cx.need::<Metrics>()?.clone(),
+            tracing: cx.need::<Tracing>()?.clone(),
+            shutdown: cx.shutdown(),
+            body_timeout: limits.body(),
+            sequence: Arc::new(AtomicU64::new(u64::from(rand::random::<u32>()) << 32)),
+        };
+        let address = server.address();
+        let tasks = cx.need::<TaskTracker>()?.clone();
+        tasks.spawn(server.serve(cx.shutdown(), move |req, _peer| {
+            let front = front.clone();
+            async move { front.answer(req).await }
+        }));
+        let addresses = cx.need::<Addresses>()?.clone().with("caller", address);
+        cx.provide(addresses);
+        Ok(())
+    })
+}
--- a/crates/masticfield-entry/src/lib.rs
+++ b/crates/masticfield-entry/src/lib.rs
@@ -1,1 +1,30 @@
 //! Request path of masticfield between callers and upstreams.
+//!
+//! An entry process answers callers over HTTP, takes the announcements of upstreams, and sends
+//! each request to an executor of its service. It serves only while it holds a lease on the
+//! configuration. Its parts are plug-ins of the kernel.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use clap::Parser;
+//! use masticfield_entry::{EntryArgs, RunningEntry};
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = EntryArgs::parse().check()?;
+//! let entry = RunningEntry::start(settings).await?;
+//! entry.wait().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod args;
+mod callers;
+mod control;
+mod metrics;
+mod router;
+mod running;
+mod upstreams;
+
+pub use args::{EntryArgs, EntrySettings};
+pub use running::{RunningEntry, StartEntryError, main};
--- /dev/null
+++ b/crates/masticfield-entry/src/metrics.rs
@@ -0,0 +1,85 @@
+//! Metrics of an entry process.
+
+use masticfield_core::outcome::Outcome;
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use snafu::{ResultExt, Snafu};
+
+/// Counters, gauges and histograms of the request path.
+#[derive(Debug, Clone)]
+pub(crate) struct Metrics {
+    outcomes: IntCounterVec,
+    seconds: Histogram,
+    in_flight: IntGauge,
+    config_version: IntGauge,
+}
+
+/// A metric cannot be registered.
+#[derive(Debug, Snafu)]
+#[snafu(display("a metric cannot be registered"))]
+pub(crate) struct RegisterError {
+    source: prometheus::Error,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    pub(crate) fn register(registry: &Registry) -> Result<Self, RegisterError> {
+        Self::new(registry).context(RegisterSnafu)
+    }
+
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let outcomes = Opts::new(
+            "masticfield_requests_total",
+            "Requests by service and outcome",
+        );
+        let outcomes = IntCounterVec::new(outcomes, &["service", "outcome", "reason"])?;
+        let seconds = HistogramOpts::new(
+            "masticfield_request_seconds",
+            "Time from the head of a request to its final answer",
+        )
+        .buckets(prometheus::exponential_buckets(0.000_5, 2.0, 16)?);
+        let seconds = Histogram::with_opts(seconds)?;
+        let in_flight = IntGauge::new(
+            "masticfield_requests_in_flight",
+            "Requests without a final answer",
+        )?;
+        let config_version = IntGauge::new(
+            "masticfield_config_version",
+            "Version of the configuration served",
+        )?;
+        registry.register(Box::new(outcomes.clone()))?;
+        registry.register(Box::new(seconds.clone()))?;
+        registry.register(Box::new(in_flight.clone()))?;
+        registry.register(Box::new(config_version.clone()))?;
+        Ok(Self {
+            outcomes,
+            seconds,
+            in_flight,
+            config_version,
+        })
+    }
+
+    /// Notes the beginning of a request.
+    pub(crate) fn begin(&self) {
+        self.in_flight.inc();
+    }
+
+    /// Notes the final answer to a request after `seconds`.
+    pub(crate) fn end(&self, service: &str, outcome: Outcome, seconds: f64) {
+        let reason = match outcome {
+            Outcome::Answered => "",
+            Outcome::NotRun { reason, .. } => reason.label(),
+            Outcome::Unknown { reason } => reason.label(),
+        };
+        self.outcomes
+            .with_label_values(&[service, outcome.label(), reason])
+            .inc();
+        self.seconds.observe(seconds);
+        self.in_flight.dec();
+    }
+
+    /// Notes the version of the configuration that is served.
+    pub(crate) fn serve_version(&self, version: u64) {
+        self.config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/crates/masticfield-entry/src/upstreams/plugin.rs
@@ -0,0 +1,43 @@
+//! The plug-in that listens to upstreams.
+
+use std::sync::Arc;
+
+use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use masticfield_node::addresses::Addresses;
+use masticfield_node::http::Server;
+use tokio_util::task::TaskTracker;
+use xtra::Address;
+
+use super::routes::Routes;
+use crate::EntrySettings;
+use crate::control::ControlLink;
+use crate::router::RouterActor;
+
+inventory::submit! { Plugin::new("upstreams", Program::Entry, 3, start) }
+
+fn start(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let settings = Arc::clone(cx.need::<Arc<EntrySettings>>()?);
+        let limits = settings.node.http;
+        let bound = Server::bind("--upstream-listen", settings.upstream_listen, limits).await;
+        let server = bound.map_err(|source| KernelError::Start {
+            plugin: "upstreams",
+            source: Box::new(source),
+        })?;
+        let routes = Routes {
+            router: cx.need::<Address<RouterActor>>()?.clone(),
+            control: cx.need::<ControlLink>()?.clone(),
+            body_timeout: limits.body(),
+            ttl: settings.upstream_ttl,
+        };
+        let address = server.address();
+        let tasks = cx.need::<TaskTracker>()?.clone();
+        tasks.spawn(server.serve(cx.shutdown(), move |req, _peer| {
+            let routes = routes.clone();
+            async move { routes.answer(req).await }
+        }));
+        let addresses = cx.need::<Addresses>()?.clone().with("upstream", address);
+        cx.provide(addresses);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/masticfield-fake/src/upstream/args.rs
@@ -0,0 +1,125 @@
+//! The subcommand `upstream`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Args;
+use masticfield_core::kernel::ShutdownTrigger;
+use masticfield_core::settings::{Checker, InvalidSettings};
+use masticfield_node::addresses::{Addresses, WriteAddressesError};
+use masticfield_node::args::{NodeArgs, NodeSettings};
+use masticfield_node::{program, signals};
+use snafu::{ResultExt, Snafu};
+
+use super::{FakeUpstream, Runs, StartUpstreamError, UpstreamOptions};
+
+/// Flags of the subcommand.
+#[derive(Debug, Clone, Args)]
+pub struct UpstreamArgs {
+    #[command(flatten)]
+    node: NodeArgs,
+    /// Identifier of the upstream, unique in the installation
+    #[arg(long, env = "MASTICFIELD_UPSTREAM")]
+    id: Option<String>,
+    /// Service that it runs
+    #[arg(long, env = "MASTICFIELD_SERVICE")]
+    service: Option<String>,
+    /// Name of its host
+    #[arg(long, env = "MASTICFIELD_HOST", default_value = "host-1")]
+    host: String,
+    /// Availability zone of its host
+    #[arg(long, env = "MASTICFIELD_ZONE", default_value = "zone-1")]
+    zone: String,
+    /// Address for requests
+    #[arg(long, env = "MASTICFIELD_LISTEN", default_value = "127.0.0.1:0")]
+    listen: String,
+    /// Entries' addresses for upstreams, separated by commas
+    #[arg(long, env = "MASTICFIELD_ENTRIES", default_value = "127.0.0.1:7401")]
+    entries: String,
+    /// Requests that it runs at once
+    #[arg(long, env = "MASTICFIELD_SLOTS", default_value = "8")]
+    slots: String,
+    /// Time that a request takes
+    #[arg(long, env = "MASTICFIELD_LATENCY", default_value = "5ms")]
+    latency: String,
+}
+
+/// The stand-in ended with a failure.
+#[derive(Debug, Snafu)]
+enum UpstreamError {
+    /// It could not start.
+    #[snafu(display("the upstream cannot start"))]
+    Start {
+        /// The cause.
+        source: StartUpstreamError,
+    },
+    /// The address file cannot be written.
+    #[snafu(display("the upstream cannot tell its address"))]
+    TellAddress {
+        /// The cause.
+        source: WriteAddressesError,
+    },
+    /// The system lets no signal be received.
+    #[snafu(display("the upstream cannot receive signals"))]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+impl UpstreamArgs {
+    fn check(&self) -> Result<(NodeSettings, UpstreamOptions), InvalidSettings> {
+        let mut checker = Checker::new();
+        let settings = self.check_with(&mut checker);
+        checker.conclude(settings)
+    }
+
+    fn check_with(&self, checker: &mut Checker) -> Option<(NodeSettings, UpstreamOptions)> {
+        let node = self.node.check(checker);
+        let id = checker.require("--id", self.id.as_deref());
+        let service = checker.require("--service", self.service.as_deref());
+        let listen = checker.parse("--listen", &self.listen);
+        let entries: Vec<SocketAddr> = checker.parse_list("--entries", &self.entries);
+        let slots = checker.parse("--slots", &self.slots);
+        let slots = slots.and_then(|slots| checker.within("--slots", slots, 1..=64));
+        let latencies = Duration::ZERO..=Duration::from_mins(1);
+        let latency = checker.duration("--latency", &self.latency, latencies);
+        let options = UpstreamOptions::new(id?, service?)
+            .place(&*self.host, &*self.zone)
+            .listen(listen?)
+            .entries(entries)
+            .slots(slots?)
+            .latency(latency?);
+        Some((node?, options))
+    }
+}
+
+/// Runs the subcommand `upstream`.
+pub fn main(args: &UpstreamArgs) -> ExitCode {
+    program::run("masticfield-fake", args.check(), |(node, _)| node, run)
+}
+
+async fn run((node, options): (NodeSettings, UpstreamOptions)) -> Result<(), UpstreamError> {
+    let upstream = FakeUpstream::start(options, Runs::new())
+        .await
+        .context(StartSnafu)?;
+    tell_address(upstream.address(), node.address_file)?;
+    let trigger = ShutdownTrigger::new();
+    signals::end_on_signal(trigger.clone()).context(SignalsSnafu)?;
+    trigger.subscribe().begun().await;
+    let runs = upstream.runs().clone();
+    upstream.stop().await;
+    let (requests, over_slots) = (runs.requests(), runs.over_slots());
+    log::info!(requests, over_slots; "the upstream has left");
+    Ok(())
+}
+
+fn tell_address(address: SocketAddr, file: Option<PathBuf>) -> Result<(), UpstreamError> {
+    let Some(path) = file else { return Ok(()) };
+    Addresses::new()
+        .with("upstream", address)
+        .write(&path)
+        .context(TellAddressSnafu)
+}
--- /dev/null
+++ b/crates/masticfield-node/src/addresses.rs
@@ -0,0 +1,62 @@
+//! The file that tells which addresses a program listens on.
+//!
+//! With port 0 the system chooses a port; other programs learn it from this file.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use snafu::{ResultExt, Snafu};
+
+/// Addresses that a program listens on, by the name of their flag.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Addresses {
+    by_name: BTreeMap<&'static str, SocketAddr>,
+}
+
+/// The address file cannot be written.
+#[derive(Debug, Snafu)]
+#[snafu(display("{} cannot be written", path.display()))]
+pub struct WriteAddressesError {
+    path: PathBuf,
+    source: io::Error,
+}
+
+impl Addresses {
+    /// Creates an empty list.
+    pub const fn new() -> Self {
+        Self {
+            by_name: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an address.
+    #[must_use]
+    pub fn with(mut self, name: &'static str, address: SocketAddr) -> Self {
+        self.by_name.insert(name, address);
+        self
+    }
+
+    /// The address of a name.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Writes the list as a JSON object; the file appears whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder of the file cannot be written.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an address cannot be written as text, which is a bug.
+    pub fn write(&self, path: &Path) -> Result<(), WriteAddressesError> {
+        let json = serde_json::to_vec(&self.by_name).expect("names and addresses are text");
+        let partial = path.with_extension("partial");
+        std::fs::write(&partial, json)
+            .and_then(|()| std::fs::rename(&partial, path))
+            .context(WriteAddressesSnafu { path })
+    }
+}
--- /dev/null
+++ b/crates/masticfield-node/src/args.rs
@@ -0,0 +1,132 @@
+//! Flags and environment variables that every long-running program has.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Args;
+use log::LevelFilter;
+use masticfield_core::settings::Checker;
+
+use crate::http::HttpLimits;
+use crate::log_setup::LogFormat;
+
+/// Common flags, as text.
+#[derive(Debug, Clone, Args)]
+pub struct NodeArgs {
+    /// Address for metrics, health and readiness
+    #[arg(long, env = "MASTICFIELD_ADMIN_LISTEN", default_value = "127.0.0.1:0")]
+    pub admin_listen: String,
+    /// File that the addresses are written to once all of them are bound
+    #[arg(long, env = "MASTICFIELD_ADDRESS_FILE")]
+    pub address_file: Option<PathBuf>,
+    /// Log level: off, error, warn, info, debug or trace
+    #[arg(long, env = "MASTICFIELD_LOG_LEVEL", default_value = "info")]
+    pub log_level: String,
+    /// Log format: text or json
+    #[arg(long, env = "MASTICFIELD_LOG_FORMAT", default_value = "text")]
+    pub log_format: String,
+    /// Time for which connections are still accepted when stopping
+    #[arg(long, env = "MASTICFIELD_STOP_LINGER", default_value = "1s")]
+    pub stop_linger: String,
+    /// Longest wait for requests in flight when stopping
+    #[arg(long, env = "MASTICFIELD_DRAIN_TIMEOUT", default_value = "20s")]
+    pub drain_timeout: String,
+    /// Connections that one listener accepts at the same time
+    #[arg(long, env = "MASTICFIELD_MAX_CONNECTIONS", default_value = "4096")]
+    pub max_connections: String,
+    /// Time within which the head of a request must arrive; also the idle time of a connection
+    #[arg(long, env = "MASTICFIELD_HEADER_TIMEOUT", default_value = "30s")]
+    pub header_timeout: String,
+    /// Time within which the body of a request must arrive
+    #[arg(long, env = "MASTICFIELD_BODY_TIMEOUT", default_value = "10s")]
+    pub body_timeout: String,
+    /// Largest head of a request, in bytes
+    #[arg(long, env = "MASTICFIELD_MAX_HEADER_BYTES", default_value = "16384")]
+    pub max_header_bytes: String,
+    /// Collector that spans are sent to as OTLP over HTTP, such as `http://10.0.0.9:4318/v1/traces`
+    #[arg(long, env = "MASTICFIELD_TRACE_ENDPOINT")]
+    pub trace_endpoint: Option<String>,
+    /// Share of traces that are recorded, unless the caller decided
+    #[arg(long, env = "MASTICFIELD_TRACE_RATIO", default_value = "0.01")]
+    pub trace_ratio: String,
+}
+
+/// Common settings, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeSettings {
+    /// Address for metrics, health and readiness.
+    pub admin_listen: SocketAddr,
+    /// File that the addresses are written to.
+    pub address_file: Option<PathBuf>,
+    /// Log level.
+    pub log_level: LevelFilter,
+    /// Log format.
+    pub log_format: LogFormat,
+    /// Bounds of HTTP servers.
+    pub http: HttpLimits,
+    /// Collector of spans.
+    pub trace_endpoint: Option<String>,
+    /// Share of traces that are recorded.
+    pub trace_ratio: f64,
+}
+
+impl NodeArgs {
+    /// Checks the flags; mistakes go to `checker`.
+    pub fn check(&self, checker: &mut Checker) -> Option<NodeSettings> {
+        let admin_listen = checker.parse("--admin-listen", &self.admin_listen);
+        let log_level = checker.parse("--log-level", &self.log_level);
+        let log_format = checker.parse("--log-format", &self.log_format);
+        let http = self.check_http(checker);
+        let trace_ratio = checker
+            .parse("--trace-ratio", &self.trace_ratio)
+            .and_then(|ratio| checker.within("--trace-ratio", ratio, 0.0..=1.0));
+        if let Some(endpoint) = &self.trace_endpoint {
+            checker.parse::<http::Uri>("--trace-endpoint", endpoint);
+        }
+        Some(NodeSettings {
+            admin_listen: admin_listen?,
+            address_file: self.address_file.clone(),
+            log_level: log_level?,
+            log_format: log_format?,
+            http: http?,
+            trace_endpoint: self.trace_endpoint.clone(),
+            trace_ratio: trace_ratio?,
+        })
+    }
+
+    fn check_http(&self, checker: &mut Checker) -> Option<HttpLimits> {
+        let times = Duration::from_millis(10)..=Duration::from_mins(10);
+        let lingers = Duration::ZERO..=Duration::from_mins(1);
+        let linger = checker.duration("--stop-linger", &self.stop_linger, lingers);
+        let drain = checker.duration("--drain-timeout", &self.drain_timeout, times.clone());
+        let head = checker.duration("--header-timeout", &self.header_timeout, times.clone());
+        let body = checker.duration("--body-timeout", &self.body_timeout, times);
+        let connections = checker
+            .parse("--max-connections", &self.max_connections)
+            .and_then(|count| checker.within("--max-connections", count, 1..=100_000));
+        let head_bytes = checker
+            .parse("--max-header-bytes", &self.max_header_bytes)
+            .and_then(|bytes| checker.within("--max-header-bytes", bytes, 8_192..=1_048_576));
+        Some(
+            HttpLimits::new()
+                .linger(linger?)
+                .drain_timeout(drain?)
+                .header_timeout(head?)
+                .body_timeout(body?)
+                .max_connections(connections?)
+                .max_header_bytes(head_bytes?),
+        )
+    }
+}
+
+impl Default for NodeArgs {
+    fn default() -> Self {
+        #[derive(Debug, clap::Parser)]
+        struct Defaults {
+            #[command(flatten)]
+            node: NodeArgs,
+        }
+        <Defaults as clap::Parser>::parse_from(["defaults"]).node
+    }
+}
--- /dev/null
+++ b/crates/masticfield-node/src/http/limits.rs
@@ -0,0 +1,114 @@
+//! Bounds of HTTP servers.
+
+use std::time::Duration;
+
+/// Bounds that keep one client from holding up the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HttpLimits {
+    linger: Duration,
+    drain_timeout: Duration,
+    header_timeout: Duration,
+    body_timeout: Duration,
+    max_connections: usize,
+    max_header_bytes: usize,
+    max_headers: usize,
+}
+
+impl HttpLimits {
+    /// Creates the default bounds.
+    pub const fn new() -> Self {
+        Self {
+            linger: Duration::ZERO,
+            drain_timeout: Duration::from_secs(20),
+            header_timeout: Duration::from_secs(30),
+            body_timeout: Duration::from_secs(10),
+            max_connections: 4_096,
+            max_header_bytes: 16 * 1024,
+            max_headers: 100,
+        }
+    }
+
+    /// Sets how long connections are still accepted when stopping, so that a balancer learns of
+    /// it before they are refused.
+    #[must_use]
+    pub const fn linger(mut self, time: Duration) -> Self {
+        self.linger = time;
+        self
+    }
+
+    /// Sets the longest wait for requests in flight when stopping.
+    #[must_use]
+    pub const fn drain_timeout(mut self, timeout: Duration) -> Self {
+        self.drain_timeout = timeout;
+        self
+    }
+
+    /// Sets the time within which the head of a request must arrive.
+    #[must_use]
+    pub const fn header_timeout(mut self, timeout: Duration) -> Self {
+        self.header_timeout = timeout;
+        self
+    }
+
+    /// Sets the time within which the body of a request must arrive.
+    #[must_use]
+    pub const fn body_timeout(mut self, timeout: Duration) -> Self {
+        self.body_timeout = timeout;
+        self
+    }
+
+    /// Sets how many connections are accepted at the same time.
+    #[must_use]
+    pub const fn max_connections(mut self, connections: usize) -> Self {
+        self.max_connections = connections;
+        self
+    }
+
+    /// Sets the largest head of a request, in bytes; at least 8,192.
+    #[must_use]
+    pub const fn max_header_bytes(mut self, bytes: usize) -> Self {
+        self.max_header_bytes = bytes;
+        self
+    }
+
+    /// How long connections are still accepted when stopping.
+    pub const fn linger_time(&self) -> Duration {
+        self.linger
+    }
+
+    /// The longest wait for requests in flight when stopping.
+    pub const fn drain(&self) -> Duration {
+        self.drain_timeout
+    }
+
+    /// The time within which the head of a request must arrive.
+    pub const fn header(&self) -> Duration {
+        self.header_timeout
+    }
+
+    /// The time within which the body of a request must arrive.
+    pub const fn body(&self) -> Duration {
+        self.body_timeout
+    }
+
+    /// How many connections are accepted at the same time.
+    pub const fn connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// The largest head of a request, in bytes.
+    pub const fn header_bytes(&self) -> usize {
+        self.max_header_bytes
+    }
+
+    /// The largest number of headers of a request.
+    pub const fn max_headers(&self) -> usize {
+        self.max_headers
+    }
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/masticfield-node/src/http/server.rs
@@ -0,0 +1,175 @@
+//! A bounded HTTP server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use masticfield_core::kernel::Shutdown;
+use serde::Serialize;
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use super::error::BindSnafu;
+use super::{BindError, HttpLimits};
+
+/// A whole response.
+pub type Reply = Response<Full<Bytes>>;
+
+/// A bound listener with its limits.
+#[derive(Debug)]
+pub struct Server {
+    name: &'static str,
+    listener: TcpListener,
+    limits: HttpLimits,
+}
+
+impl Server {
+    /// Binds a listener; `flag` names the setting in errors and logs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is taken or not on this host.
+    pub async fn bind(
+        flag: &'static str,
+        address: SocketAddr,
+        limits: HttpLimits,
+    ) -> Result<Self, BindError> {
+        let bound = TcpListener::bind(address).await;
+        let listener = bound.context(BindSnafu { flag, address })?;
+        Ok(Self {
+            name: flag,
+            listener,
+            limits,
+        })
+    }
+
+    /// The address that is listened on.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system does not know the address of a bound listener.
+    pub fn address(&self) -> SocketAddr {
+        self.listener
+            .local_addr()
+            .expect("a bound listener has an address")
+    }
+
+    /// Serves until the shutdown begins and the requests in flight are done.
+    ///
+    /// Connections are accepted for the linger time of the limits after that, and those that
+    /// wait to be accepted then are served. Requests in flight have the drain time; then they
+    /// are cut.
+    pub async fn serve<F>(
+        self,
+        mut shutdown: Shutdown,
+        answer: impl Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    ) where
+        F: Future<Output = Reply> + Send + 'static,
+    {
+        let permits = Arc::new(Semaphore::new(self.limits.connections()));
+        let graceful = GracefulShutdown::new();
+        let linger = async {
+            shutdown.begun().await;
+            tokio::time::sleep(self.limits.linger_time()).await;
+        };
+        tokio::pin!(linger);
+        let mut closing = false;
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                accepted = self.accept(&permits) => accepted,
+                () = std::future::ready(()), if closing => break,
+                () = &mut linger, if !closing => {
+                    closing = true;
+                    continue;
+                }
+            };
+            let Some((stream, peer, permit)) = accepted else {
+                continue;
+            };
+            let answer = answer.clone();
+            let respond = service_fn(move |req| {
+                let reply = answer(req, peer);
+                async move { Ok::<_, std::convert::Infallible>(reply.await) }
+            });
+            let connection = self
+                .protocol()
+                .serve_connection(TokioIo::new(stream), respond);
+            let watched = graceful.watch(connection);
+            tokio::spawn(async move {
+                // A client that breaks its connection concerns nobody else.
+                drop(watched.await);
+                drop(permit);
+            });
+        }
+        drop(self.listener);
+        if tokio::time::timeout(self.limits.drain(), graceful.shutdown())
+            .await
+            .is_err()
+        {
+            log::warn!(listener = self.name; "requests in flight were cut after the drain timeout");
+        }
+    }
+
+    async fn accept(
+        &self,
+        permits: &Arc<Semaphore>,
+    ) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+        let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+        match self.listener.accept().await {
+            Ok((stream, peer)) => {
+                // Without it answers are only slower.
+                drop(stream.set_nodelay(true));
+                Some((stream, peer, permit))
+            }
+            Err(error) => {
+                log::warn!(listener = self.name, error:%; "a connection was not accepted");
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                None
+            }
+        }
+    }
+
+    fn protocol(&self) -> http1::Builder {
+        let mut protocol = http1::Builder::new();
+        protocol
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.header())
+            .max_buf_size(self.limits.header_bytes())
+            .max_headers(self.limits.max_headers());
+        protocol
+    }
+}
+
+/// A response with a JSON body.
+///
+/// # Panics
+///
+/// Panics if `body` cannot be written as JSON, which is a bug of its type.
+pub fn json_reply(status: StatusCode, body: &impl Serialize) -> Reply {
+    let json = serde_json::to_vec(body).expect("replies are plain data");
+    reply(status, "application/json", json)
+}
+
+/// A response with a text body.
+pub fn text_reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    reply(status, "text/plain; charset=utf-8", body)
+}
+
+fn reply(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(body.into()));
+    *reply.status_mut() = status;
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    reply
+}
--- /dev/null
+++ b/crates/masticfield-node/src/log_setup.rs
@@ -0,0 +1,97 @@
+//! Structured logs.
+
+use std::fmt::Write as _;
+use std::str::FromStr;
+use std::time::SystemTime;
+
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::{Map, json};
+use snafu::Snafu;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// The text names no log format.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("a log format is \"text\" or \"json\""))]
+pub struct ParseLogFormatError;
+
+impl FromStr for LogFormat {
+    type Err = ParseLogFormatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(ParseLogFormatError),
+        }
+    }
+}
+
+/// Writes logs of `program` to standard error from now on.
+///
+/// A second call in the same process changes nothing.
+pub fn init(program: &'static str, level: LevelFilter, format: LogFormat) {
+    let dispatch = fern::Dispatch::new()
+        .level(level)
+        .level_for("hyper", LevelFilter::Warn)
+        .level_for("opentelemetry", LevelFilter::Warn)
+        .level_for("opentelemetry_sdk", LevelFilter::Warn)
+        .format(move |out, message, record| {
+            let line = match format {
+                LogFormat::Text => text_line(program, &message.to_string(), record),
+                LogFormat::Json => json_line(program, &message.to_string(), record),
+            };
+            out.finish(format_args!("{line}"));
+        })
+        .chain(std::io::stderr());
+    // Programs that share a process, as in the demo, share its first logger.
+    drop(dispatch.apply());
+}
+
+fn text_line(program: &str, message: &str, record: &Record<'_>) -> String {
+    let at = humantime::format_rfc3339_millis(SystemTime::now());
+    let mut line = format!("{at} {:5} {program} {message}", record.level());
+    for (key, value) in fields(record) {
+        write!(line, " {key}={value}").expect("writing into a string does not fail");
+    }
+    line
+}
+
+fn json_line(program: &str, message: &str, record: &Record<'_>) -> String {
+    let mut object = fields(record);
+    let at = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
+    object.insert("at".into(), json!(at));
+    object.insert("level".into(), json!(record.level().as_str()));
+    object.insert("program".into(), json!(program));
+    object.insert("module".into(), json!(record.target()));
+    object.insert("message".into(), json!(message));
+    serde_json::Value::Object(object).to_string()
+}
+
+fn fields(record: &Record<'_>) -> Map<String, serde_json::Value> {
+    let mut fields = Fields(Map::new());
+    // The visitor itself does not fail, so nothing is lost here.
+    drop(record.key_values().visit(&mut fields));
+    fields.0
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = value
+            .to_u64()
+            .map_or_else(|| json!(value.to_string()), |value| json!(value));
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/masticfield-node/src/signals.rs
@@ -0,0 +1,23 @@
+//! The graceful end on a signal.
+
+use masticfield_core::kernel::ShutdownTrigger;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Pulls the trigger on the first SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails if the system lets no signal be received.
+pub fn end_on_signal(trigger: ShutdownTrigger) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        let name = tokio::select! {
+            _ = terminate.recv() => "SIGTERM",
+            _ = interrupt.recv() => "SIGINT",
+        };
+        log::info!(signal = name; "stopping");
+        trigger.pull();
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/masticfield-node/src/token.rs
@@ -0,0 +1,84 @@
+//! Operators' tokens.
+
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use http::header::{AUTHORIZATION, HeaderMap};
+use snafu::{ResultExt, Snafu, ensure};
+use subtle::ConstantTimeEq;
+
+/// A bearer token, kept out of logs.
+#[derive(Clone)]
+pub struct Token(Arc<str>);
+
+/// A token cannot be read from its file.
+#[derive(Debug, Snafu)]
+pub enum ReadTokenError {
+    /// The file cannot be read.
+    #[snafu(display("{} cannot be read", path.display()))]
+    Unreadable {
+        /// The path.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The token is too short to be secret, or has blanks.
+    #[snafu(display("{} holds no token of {min} or more characters without blanks", path.display()))]
+    Unusable {
+        /// The path.
+        path: PathBuf,
+        /// Smallest length.
+        min: usize,
+    },
+}
+
+impl Token {
+    /// Smallest length of a token, in bytes.
+    pub const MIN_BYTES: usize = 16;
+
+    /// Creates a token from its text.
+    pub fn new(text: impl Into<Arc<str>>) -> Self {
+        Self(text.into())
+    }
+
+    /// Reads a token from a file; blanks around it are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or holds no usable token.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, ReadTokenError> {
+        let path = path.as_ref();
+        let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        let text = text.trim();
+        let usable = text.len() >= Self::MIN_BYTES && !text.contains(char::is_whitespace);
+        ensure!(
+            usable,
+            UnusableSnafu {
+                path,
+                min: Self::MIN_BYTES
+            }
+        );
+        Ok(Self::new(text))
+    }
+
+    /// The value of the `Authorization` header that carries the token.
+    pub fn authorization(&self) -> String {
+        format!("Bearer {}", self.0)
+    }
+
+    /// Whether the headers carry this token.
+    pub fn permits(&self, headers: &HeaderMap) -> bool {
+        let value = headers
+            .get(AUTHORIZATION)
+            .map_or(&b""[..], |value| value.as_bytes());
+        value.ct_eq(self.authorization().as_bytes()).into()
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token(redacted)")
+    }
+}
--- /dev/null
+++ b/crates/masticfield-node/src/trace.rs
@@ -0,0 +1,142 @@
+//! Traces with a span for each hop, in the W3C trace context.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry::trace::{SpanKind, Status, TraceContextExt, Tracer, TracerProvider};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_http::{HeaderExtractor, HeaderInjector};
+use opentelemetry_otlp::{SpanExporter, WithExportConfig, WithHttpConfig};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::runtime::Tokio;
+use opentelemetry_sdk::trace::span_processor_with_async_runtime::BatchSpanProcessor;
+use opentelemetry_sdk::trace::{Sampler, SdkTracer, SdkTracerProvider};
+use snafu::{ResultExt, Snafu};
+
+/// Time within which the collector must take a batch of spans.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Makes the spans of one program.
+#[derive(Debug, Clone)]
+pub struct Tracing {
+    provider: SdkTracerProvider,
+    tracer: Arc<SdkTracer>,
+    propagator: Arc<TraceContextPropagator>,
+}
+
+/// One hop of a request; it ends when it is dropped.
+#[derive(Debug, Clone)]
+pub struct Hop {
+    cx: Context,
+    tracing: Tracing,
+}
+
+/// Spans cannot be exported.
+#[derive(Debug, Snafu)]
+#[snafu(display("spans cannot be sent to {endpoint}"))]
+pub struct TraceSetupError {
+    endpoint: String,
+    source: opentelemetry_otlp::ExporterBuildError,
+}
+
+impl Tracing {
+    /// Creates the tracing of `program`; spans are exported if an endpoint is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint is unusable.
+    pub fn new(
+        program: &'static str,
+        endpoint: Option<&str>,
+        ratio: f64,
+    ) -> Result<Self, TraceSetupError> {
+        let sampler = Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(ratio)));
+        let resource = Resource::builder_empty().with_service_name(program).build();
+        let mut builder = SdkTracerProvider::builder()
+            .with_sampler(sampler)
+            .with_resource(resource);
+        if let Some(endpoint) = endpoint {
+            let exporter = exporter(endpoint)?;
+            let processor = BatchSpanProcessor::builder(exporter, Tokio).build();
+            builder = builder.with_span_processor(processor);
+        }
+        let provider = builder.build();
+        let tracer = Arc::new(provider.tracer(program));
+        Ok(Self {
+            provider,
+            tracer,
+            propagator: Arc::new(TraceContextPropagator::new()),
+        })
+    }
+
+    /// Starts the span of a request that arrived with `headers`.
+    pub fn arrive(&self, name: &'static str, headers: &HeaderMap) -> Hop {
+        let parent = self.propagator.extract(&HeaderExtractor(headers));
+        self.start(name, SpanKind::Server, &parent)
+    }
+
+    /// Sends what spans are left.
+    pub fn flush(&self) {
+        if let Err(error) = self.provider.shutdown() {
+            log::debug!(error:%; "spans were lost at the end");
+        }
+    }
+
+    fn start(&self, name: &'static str, kind: SpanKind, parent: &Context) -> Hop {
+        let span = self.tracer.span_builder(name).with_kind(kind);
+        let span = span.start_with_context(&*self.tracer, parent);
+        Hop {
+            cx: parent.with_span(span),
+            tracing: self.clone(),
+        }
+    }
+}
+
+impl Hop {
+    /// Starts the span of a step within this hop.
+    #[must_use]
+    pub fn step(&self, name: &'static str) -> Self {
+        self.tracing.start(name, SpanKind::Internal, &self.cx)
+    }
+
+    /// Starts the span of a call to another process.
+    #[must_use]
+    pub fn call(&self, name: &'static str) -> Self {
+        self.tracing.start(name, SpanKind::Client, &self.cx)
+    }
+
+    /// Writes the trace context into the headers of a call or an answer.
+    pub fn inject(&self, headers: &mut HeaderMap) {
+        self.tracing
+            .propagator
+            .inject_context(&self.cx, &mut HeaderInjector(headers));
+    }
+
+    /// Notes a fact on the span.
+    pub fn note(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
+        let span = self.cx.span();
+        if span.is_recording() {
+            span.set_attribute(KeyValue::new(key, value));
+        }
+    }
+
+    /// Marks the span as failed.
+    pub fn fail(&self, what: &'static str) {
+        self.cx.span().set_status(Status::error(what));
+    }
+}
+
+fn exporter(endpoint: &str) -> Result<SpanExporter, TraceSetupError> {
+    let client =
+        opentelemetry_http::hyper::HyperClient::with_default_connector(EXPORT_TIMEOUT, None);
+    SpanExporter::builder()
+        .with_http()
+        .with_http_client(client)
+        .with_endpoint(endpoint)
+        .with_timeout(EXPORT_TIMEOUT)
+        .build()
+        .context(TraceSetupSnafu { endpoint })
+}
--- /dev/null
+++ b/crates/masticfield-programs/src/bin/masticfield-fake.rs
@@ -0,0 +1,12 @@
+//! The program `masticfield-fake`.
+
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    masticfield_fake::main()
+}
--- /dev/null
+++ b/crates/masticfield-programs/tests/processes/main.rs
@@ -0,0 +1,4 @@
+//! The programs as separate processes, with ports from the system.
+
+mod support;
+mod whole_path;
--- /dev/null
+++ b/crates/masticfield-programs/tests/processes/support/installation.rs
@@ -0,0 +1,181 @@
+//! A small installation of processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use serde_json::Value;
+use tempfile::TempDir;
+
+use super::Process;
+use super::process::wait_for;
+
+const CONTROL: &str = env!("CARGO_BIN_EXE_masticfield-control");
+const ENTRY: &str = env!("CARGO_BIN_EXE_masticfield-entry");
+const FAKE: &str = env!("CARGO_BIN_EXE_masticfield-fake");
+const CLI: &str = env!("CARGO_BIN_EXE_masticfield");
+
+/// One control process in a folder of its own, and what is started beside it.
+#[derive(Debug)]
+pub struct Installation {
+    dir: TempDir,
+    control: Option<Process>,
+}
+
+impl Installation {
+    /// Starts a control process.
+    pub fn start() -> Self {
+        let dir = TempDir::new().unwrap();
+        std::fs::write(dir.path().join("token"), "a-token-for-tests-0123").unwrap();
+        let mut installation = Self { dir, control: None };
+        installation.control = Some(installation.start_control());
+        installation
+    }
+
+    /// The control process.
+    pub fn control(&self) -> &Process {
+        self.control.as_ref().unwrap()
+    }
+
+    /// Ends the control process with SIGKILL and starts it again on the same folder and ports.
+    pub fn restart_control(&mut self) {
+        let control = self.control.take().unwrap();
+        let ports = ["entry", "operator"].map(|name| control.address(name).to_string());
+        drop(control);
+        self.control = Some(self.start_control_at(&ports[0], &ports[1]));
+    }
+
+    /// Starts an entry process.
+    pub fn start_entry(&self, number: u16, zone: &str) -> Process {
+        let control = self.control().address("entry").to_string();
+        let args = [
+            "--entry",
+            &number.to_string(),
+            "--zone",
+            zone,
+            "--control",
+            &control,
+            "--caller-listen",
+            "127.0.0.1:0",
+            "--upstream-listen",
+            "127.0.0.1:0",
+            "--lease-renewal",
+            "100ms",
+            "--trace-ratio",
+            "1",
+            "--stop-linger",
+            "300ms",
+        ];
+        Process::start(ENTRY, &format!("entry-{number}"), self.dir.path(), &args)
+    }
+
+    /// Starts a stand-in for an upstream that announces itself to `entries`.
+    pub fn start_upstream(&self, id: &str, service: &str, entries: &[&Process]) -> Process {
+        let entries: Vec<_> = entries
+            .iter()
+            .map(|entry| entry.address("upstream").to_string())
+            .collect();
+        let entries = entries.join(",");
+        let args = [
+            "upstream",
+            "--id",
+            id,
+            "--service",
+            service,
+            "--entries",
+            &entries,
+            "--latency",
+            "20ms",
+        ];
+        Process::start(FAKE, id, self.dir.path(), &args)
+    }
+
+    /// Sends requests and returns what came of them.
+    pub fn call(entries: &[&Process], service: &str, requests: u32, keyed: u32) -> Value {
+        let entries: Vec<_> = entries
+            .iter()
+            .map(|entry| entry.address("caller").to_string())
+            .collect();
+        let output = Command::new(FAKE)
+            .args([
+                "caller",
+                "--entries",
+                &entries.join(","),
+                "--service",
+                service,
+            ])
+            .args([
+                "--requests",
+                &requests.to_string(),
+                "--keyed-share",
+                &keyed.to_string(),
+            ])
+            .output()
+            .unwrap();
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    /// Runs the command line.
+    pub fn masticfield(&self, args: &[&str]) -> Output {
+        let operator = self.control().address("operator").to_string();
+        Command::new(CLI)
+            .args(["--control", &operator, "--output", "json", "--token-file"])
+            .arg(self.dir.path().join("token"))
+            .args(args)
+            .output()
+            .unwrap()
+    }
+
+    /// Runs the command line, which must succeed, and returns what it printed.
+    pub fn report(&self, args: &[&str]) -> Value {
+        let output = self.masticfield(args);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{args:?}: {errors}");
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    /// The log of a process.
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap()
+    }
+
+    /// Waits until a report satisfies a condition.
+    pub fn wait_until(&self, args: &[&str], holds: impl Fn(&Value) -> bool) -> Value {
+        wait_for(|| Some(self.report(args)).filter(|report| holds(report)))
+    }
+
+    fn start_control(&self) -> Process {
+        self.start_control_at("127.0.0.1:0", "127.0.0.1:0")
+    }
+
+    fn start_control_at(&self, entry: &str, operator: &str) -> Process {
+        let data: PathBuf = self.dir.path().join("data");
+        let token = self.dir.path().join("token");
+        let args = [
+            "--data-dir",
+            data.to_str().unwrap(),
+            "--token-file",
+            token.to_str().unwrap(),
+            "--entry-listen",
+            entry,
+            "--operator-listen",
+            operator,
+        ];
+        Process::start(CONTROL, "control", self.dir.path(), &args)
+    }
+}
+
+/// Gets a path over HTTP and returns the head and the body.
+pub fn get(address: SocketAddr, path: &str) -> String {
+    use std::io::{Read, Write};
+
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n"
+    )
+    .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
