--- a/crates/masticfield-state/src/command.rs
+++ b/crates/masticfield-state/src/command.rs
@@ -1,11 +1,15 @@
-//! Commands to the replicated state and their replies.
+//! Commands to the replicated state.
 
-use masticfield_core::claim::{Claim, ClaimEnd, ClaimKey, ClaimVerdict};
-use masticfield_core::ids::RequestId;
+use std::sync::Arc;
+
+use masticfield_core::claim::{Claim, ClaimEnd, ClaimKey};
+use masticfield_core::fleet::{Generation, Planned};
+use masticfield_core::ids::{EntryId, Incarnation, RequestId};
 use masticfield_core::note::ReleaseNote;
-use masticfield_core::operator::{NoteAccepted, Problem};
 use serde::{Deserialize, Serialize};
 
+use crate::TaskEnd;
+
 /// A command with the time at which the leader proposed it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
@@ -14,6 +18,8 @@
 }
 
 /// A change of the replicated state.
+///
+/// New variants go to the end, so that older log entries keep their meaning.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Nothing; a new leader commits it to learn what is committed.
@@ -24,17 +30,62 @@
     Claims(Vec<Claim>),
     /// Records how claimed requests ended.
     Ends(Vec<(ClaimKey, RequestId, ClaimEnd)>),
-}
-
-/// What a command came to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Reply {
-    /// It has no result.
-    Nothing,
-    /// Whether the note was accepted.
-    Note(Result<NoteAccepted, Problem>),
-    /// The verdicts, in the order of the claims.
-    Claims(Vec<ClaimVerdict>),
+    /// Carries out what the planner decided.
+    Actions(Vec<Planned>),
+    /// A host said that no lease of the generation is left on it.
+    HostReport {
+        /// The host.
+        host: Arc<str>,
+        /// The generation that has drained.
+        drained: Generation,
+    },
+    /// The leader has waited out every lease on a host.
+    LeasesEnded {
+        /// The host.
+        host: Arc<str>,
+        /// The generation whose leases have run out.
+        generation: Generation,
+        /// The term of the leader that waited.
+        term: u64,
+    },
+    /// Tasks ended.
+    TasksEnded(Vec<TaskEnd>),
+    /// An operator drains a host and keeps it.
+    Drain {
+        /// The host.
+        host: Arc<str>,
+    },
+    /// An operator gives a host back.
+    Undrain {
+        /// The host.
+        host: Arc<str>,
+    },
+    /// A replica leads; its first command, before it grants a lease.
+    Lead {
+        /// Its term.
+        term: u64,
+    },
+    /// An entry asks for leases under a new incarnation.
+    EntryUp {
+        /// The entry.
+        entry: EntryId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+    },
+    /// Every lease of an entry has run out.
+    EntryGone {
+        /// The entry.
+        entry: EntryId,
+        /// The incarnation whose leases ran out.
+        incarnation: Incarnation,
+        /// The term of the leader that waited.
+        term: u64,
+    },
+    /// Every entry serves the version or a later one, or holds no lease.
+    InForce {
+        /// The version.
+        version: u64,
+    },
 }
 
 impl Envelope {
--- /dev/null
+++ b/crates/masticfield-state/src/hosts/record.rs
@@ -0,0 +1,220 @@
+//! What is stored of a host.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use masticfield_core::fleet::{Generation, Ownership};
+use serde::{Deserialize, Serialize};
+
+use super::HostStep;
+use crate::{Guard, Guards, Refusal, Verdict};
+
+/// The durable state of one host.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct HostRecord {
+    ownership: Ownership,
+    last_pool: Option<Arc<str>>,
+    cleared: Option<Cleared>,
+    rebooting: Option<Arc<str>>,
+    maintained: BTreeMap<Arc<str>, u64>,
+    quarantined_until_ms: u64,
+    kept_by_operator: bool,
+}
+
+/// How it is known that a draining host holds no lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Cleared {
+    /// The host said so.
+    HostWord,
+    /// The leader has waited out every lease.
+    LeasesEnded,
+}
+
+impl HostRecord {
+    /// Creates the record of a host that was never owned.
+    pub const fn new() -> Self {
+        Self {
+            ownership: Ownership::Released {
+                generation: Generation::new(0),
+            },
+            last_pool: None,
+            cleared: None,
+            rebooting: None,
+            maintained: BTreeMap::new(),
+            quarantined_until_ms: 0,
+            kept_by_operator: false,
+        }
+    }
+
+    /// Which pool owns the host.
+    pub const fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
+    /// The pool that owns or owned the host last.
+    pub const fn last_pool(&self) -> Option<&Arc<str>> {
+        self.last_pool.as_ref()
+    }
+
+    /// How it is known that the draining host holds no lease, if it is known.
+    pub const fn cleared(&self) -> Option<Cleared> {
+        self.cleared
+    }
+
+    /// The maintenance programme whose reboot was ordered.
+    pub const fn rebooting(&self) -> Option<&Arc<str>> {
+        self.rebooting.as_ref()
+    }
+
+    /// When each maintenance programme was last done, in milliseconds since the Unix epoch.
+    pub const fn maintained(&self) -> &BTreeMap<Arc<str>, u64> {
+        &self.maintained
+    }
+
+    /// Until when the host gets no tasks, in milliseconds since the Unix epoch.
+    pub const fn quarantined_until_ms(&self) -> u64 {
+        self.quarantined_until_ms
+    }
+
+    /// Whether an operator drained the host and has not given it back.
+    pub const fn is_kept_by_operator(&self) -> bool {
+        self.kept_by_operator
+    }
+
+    pub(super) const fn set_quarantine(&mut self, until_ms: u64) {
+        self.quarantined_until_ms = until_ms;
+    }
+
+    pub(super) const fn set_kept(&mut self, kept: bool) {
+        self.kept_by_operator = kept;
+    }
+
+    /// Takes a step at `now_ms`.
+    pub(super) fn step(&mut self, now_ms: u64, step: &HostStep, guards: Guards) -> Verdict {
+        if let HostStep::Own { pool, generation } = step {
+            return self.own(pool, *generation, guards);
+        }
+        let (named, current) = (step.generation(), self.ownership.generation());
+        if named != current && guards.holds(Guard::Generation) {
+            return Verdict::Refused(Refusal::Stale { named, current });
+        }
+        match step {
+            HostStep::Own { .. } => unreachable!("handled above"),
+            HostStep::Drain { .. } => self.drain(),
+            HostStep::HostWord { .. } => self.clear(Cleared::HostWord),
+            HostStep::LeasesEnded { .. } => self.clear(Cleared::LeasesEnded),
+            HostStep::Release { .. } => self.release(now_ms, guards),
+            HostStep::Resume { .. } => self.resume(now_ms, guards),
+            HostStep::Reboot { programme, .. } => self.reboot(programme.as_ref()),
+        }
+    }
+
+    fn own(&mut self, pool: &Arc<str>, named: Generation, guards: Guards) -> Verdict {
+        let current = self.ownership.generation();
+        let next = Ownership::Owned {
+            pool: Arc::clone(pool),
+            generation: named,
+        };
+        if self.ownership == next {
+            return Verdict::Repeated;
+        }
+        if named != current.next() && guards.holds(Guard::Generation) {
+            return Verdict::Refused(Refusal::Stale { named, current });
+        }
+        if let Some(pool) = self.ownership.pool() {
+            let pool = Arc::clone(pool);
+            return Verdict::Refused(Refusal::NotReleased { pool });
+        }
+        self.ownership = next;
+        self.last_pool = Some(Arc::clone(pool));
+        Verdict::Done
+    }
+
+    fn drain(&mut self) -> Verdict {
+        match &self.ownership {
+            Ownership::Owned { pool, generation } => {
+                self.ownership = Ownership::Draining {
+                    pool: Arc::clone(pool),
+                    generation: *generation,
+                };
+                Verdict::Done
+            }
+            Ownership::Draining { .. } => Verdict::Repeated,
+            Ownership::Released { .. } => Verdict::Refused(Refusal::NotOwned),
+        }
+    }
+
+    fn clear(&mut self, cleared: Cleared) -> Verdict {
+        if !matches!(self.ownership, Ownership::Draining { .. }) {
+            return Verdict::Refused(Refusal::NotDraining);
+        }
+        if self.cleared.is_some() {
+            return Verdict::Repeated;
+        }
+        self.cleared = Some(cleared);
+        Verdict::Done
+    }
+
+    fn release(&mut self, now_ms: u64, guards: Guards) -> Verdict {
+        match &self.ownership {
+            Ownership::Owned { .. } => Verdict::Refused(Refusal::NotDraining),
+            Ownership::Released { .. } => Verdict::Repeated,
+            Ownership::Draining { .. }
+                if self.cleared.is_none() && guards.holds(Guard::Release) =>
+            {
+                Verdict::Refused(Refusal::LeasesLeft)
+            }
+            Ownership::Draining { generation, .. } => {
+                let generation = *generation;
+                self.ownership = Ownership::Released { generation };
+                self.end_drain(now_ms);
+                Verdict::Done
+            }
+        }
+    }
+
+    fn resume(&mut self, now_ms: u64, guards: Guards) -> Verdict {
+        let Ownership::Draining { pool, generation } = &self.ownership else {
+            return Verdict::Refused(Refusal::NotDraining);
+        };
+        let next = if guards.holds(Guard::ResumeGeneration) {
+            generation.next()
+        } else {
+            *generation
+        };
+        self.ownership = Ownership::Owned {
+            pool: Arc::clone(pool),
+            generation: next,
+        };
+        self.end_drain(now_ms);
+        Verdict::Done
+    }
+
+    fn reboot(&mut self, programme: Option<&Arc<str>>) -> Verdict {
+        if !matches!(self.ownership, Ownership::Draining { .. }) {
+            return Verdict::Refused(Refusal::NotDraining);
+        }
+        if self.cleared.is_none() {
+            return Verdict::Refused(Refusal::LeasesLeft);
+        }
+        if self.rebooting.is_some() && self.rebooting.as_ref() == programme {
+            return Verdict::Repeated;
+        }
+        self.rebooting = programme.cloned();
+        Verdict::Done
+    }
+
+    /// Forgets the drain that ends, and notes the maintenance that was done in it.
+    fn end_drain(&mut self, now_ms: u64) {
+        self.cleared = None;
+        if let Some(programme) = self.rebooting.take() {
+            self.maintained.insert(programme, now_ms);
+        }
+    }
+}
+
+impl Default for HostRecord {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/masticfield-state/src/lib.rs
+++ b/crates/masticfield-state/src/lib.rs
@@ -15,16 +15,37 @@
 //! let reply = state.apply(1, &Envelope::new(0, Command::Note(Box::new(note))));
 //! assert!(matches!(reply, Reply::Note(Ok(_))));
 //! assert_eq!(state.config().version(), 1);
+//!
+//! let restored = State::from_snapshot(&state.to_snapshot()?)?;
+//! assert_eq!(restored, state);
+//! # Ok::<(), masticfield_state::SnapshotError>(())
 //! ```
 
+mod actions;
 mod claims;
 mod command;
+mod entries;
+mod guard;
 mod history;
+mod hosts;
 mod notes;
+mod refusal;
+mod reply;
+mod snapshot;
 mod state;
+mod tasks;
+mod verdict;
 
 pub use claims::ClaimTable;
-pub use command::{Command, Envelope, Reply};
-pub use history::History;
-pub use notes::NoteLog;
+pub use command::{Command, Envelope};
+pub use entries::EntryRoster;
+pub use guard::{Guard, Guards};
+pub use history::{History, ParseSubjectError, Subject};
+pub use hosts::{Cleared, HostRecord, HostStep, HostTable};
+pub use notes::{NoteLog, NoteRecord};
+pub use refusal::Refusal;
+pub use reply::Reply;
+pub use snapshot::SnapshotError;
 pub use state::State;
+pub use tasks::{Placement, PlacementState, TaskEnd, TaskKey, TaskTable};
+pub use verdict::Verdict;
--- a/crates/masticfield-state/src/state.rs
+++ b/crates/masticfield-state/src/state.rs
@@ -1,15 +1,28 @@
 //! The replicated state as a whole.
 
+use std::sync::Arc;
+
+use masticfield_core::claim::ClaimVerdict;
 use masticfield_core::config::FleetConfig;
+use masticfield_core::ids::{EntryId, Incarnation};
+use masticfield_core::note::ReleaseNote;
+use masticfield_core::operator::{HistoryRow, NoteAccepted, Problem};
 use serde::{Deserialize, Serialize};
 
-use crate::{ClaimTable, Command, Envelope, History, NoteLog, Reply};
+use crate::{
+    ClaimTable, Command, EntryRoster, Envelope, Guards, History, HostTable, NoteLog, Refusal,
+    Reply, Subject, TaskTable, Verdict,
+};
 
 /// The state that every control replica holds.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     applied: u64,
-    notes: NoteLog,
+    term: u64,
+    pub(crate) notes: NoteLog,
+    pub(crate) hosts: HostTable,
+    pub(crate) tasks: TaskTable,
+    entries: EntryRoster,
     claims: ClaimTable,
     history: History,
 }
@@ -20,11 +33,25 @@
         Self::default()
     }
 
+    /// Creates the state before the first command, in which only `guards` hold. For checks.
+    pub fn with_guards(guards: Guards) -> Self {
+        Self {
+            hosts: HostTable::with_guards(guards),
+            claims: ClaimTable::with_guards(guards),
+            ..Self::default()
+        }
+    }
+
     /// Index of the last command applied.
     pub const fn applied(&self) -> u64 {
         self.applied
     }
 
+    /// Term of the latest leader that said so with [`Command::Lead`].
+    pub const fn term(&self) -> u64 {
+        self.term
+    }
+
     /// The configuration of the latest accepted note.
     pub const fn config(&self) -> &FleetConfig {
         self.notes.config()
@@ -35,6 +62,21 @@
         &self.notes
     }
 
+    /// Ownership and maintenance of the hosts.
+    pub const fn hosts(&self) -> &HostTable {
+        &self.hosts
+    }
+
+    /// The placements of tasks.
+    pub const fn tasks(&self) -> &TaskTable {
+        &self.tasks
+    }
+
+    /// The entries that may hold a configuration lease.
+    pub const fn entries(&self) -> &EntryRoster {
+        &self.entries
+    }
+
     /// The claims.
     pub const fn claims(&self) -> &ClaimTable {
         &self.claims
@@ -45,6 +87,11 @@
         &self.history
     }
 
+    /// The chain of what was done to one thing and why, oldest first.
+    pub fn explain(&self, subject: Subject, name: &str) -> Vec<HistoryRow> {
+        self.history.about(subject, name).cloned().collect()
+    }
+
     /// Applies the command at `index`.
     ///
     /// A command at an index that was applied before changes nothing.
@@ -53,34 +100,185 @@
             return Reply::Nothing;
         }
         self.applied = index;
+        let at_ms = envelope.at_ms();
         match envelope.command() {
             Command::Nothing => Reply::Nothing,
-            Command::Note(note) => {
-                let reply = self.notes.accept(note);
-                if let Ok(accepted) = &reply
-                    && !accepted.repeated
-                {
-                    let event = format!("note {} accepted", note.number);
-                    self.history
-                        .record(index, envelope.at_ms(), &event, &note.summary);
-                }
-                Reply::Note(reply)
-            }
-            Command::Claims(claims) => {
-                let now_s = envelope.at_ms() / 1_000;
-                Reply::Claims(
-                    claims
-                        .iter()
-                        .map(|claim| self.claims.claim(now_s, claim))
-                        .collect(),
-                )
-            }
+            Command::Note(note) => Reply::Note(self.accept_note(at_ms, note)),
+            Command::Claims(claims) => Reply::Claims(self.claim(at_ms, claims)),
             Command::Ends(ends) => {
                 for (key, request, end) in ends {
                     self.claims.end(*key, *request, *end);
                 }
                 Reply::Nothing
             }
+            Command::Actions(actions) => {
+                let verdicts = actions.iter().map(|action| self.act(at_ms, action));
+                Reply::Actions(verdicts.collect())
+            }
+            Command::HostReport { host, drained } => {
+                Reply::Verdict(self.host_drained(at_ms, host, *drained))
+            }
+            Command::LeasesEnded {
+                host,
+                generation,
+                term,
+            } => Reply::Verdict(self.leases_ended(at_ms, host, *generation, *term)),
+            Command::TasksEnded(ends) => {
+                self.end_tasks(at_ms, ends);
+                Reply::Nothing
+            }
+            Command::Drain { host } => Reply::Drain(self.drain_host(at_ms, host)),
+            Command::Undrain { host } => Reply::Verdict(self.undrain_host(at_ms, host)),
+            Command::Lead { term } => Reply::Verdict(self.lead(*term)),
+            Command::EntryUp { entry, incarnation } => {
+                Reply::Verdict(self.register(at_ms, *entry, *incarnation))
+            }
+            Command::EntryGone {
+                entry,
+                incarnation,
+                term,
+            } => Reply::Verdict(self.remove(at_ms, *entry, *incarnation, *term)),
+            Command::InForce { version } => Reply::Verdict(self.in_force(at_ms, *version)),
+        }
+    }
+
+    /// Adds a line to the history.
+    pub(crate) fn record(
+        &mut self,
+        at_ms: u64,
+        event: impl Into<Arc<str>>,
+        reason: impl Into<Arc<str>>,
+        subjects: Vec<(Subject, Arc<str>)>,
+    ) {
+        let row = HistoryRow {
+            index: self.applied,
+            at_ms,
+            event: event.into(),
+            reason: reason.into(),
+        };
+        self.history.record(row, subjects);
+    }
+
+    /// Refuses a command of a leader whose term is over.
+    pub(crate) const fn check_term(&self, term: u64) -> Result<(), Refusal> {
+        if term == self.term {
+            Ok(())
+        } else {
+            Err(Refusal::OtherTerm { term: self.term })
         }
     }
+
+    fn accept_note(&mut self, at_ms: u64, note: &ReleaseNote) -> Result<NoteAccepted, Problem> {
+        let accepted = self.notes.accept(at_ms, note)?;
+        if accepted.repeated {
+            return Ok(accepted);
+        }
+        let config = self.notes.config();
+        self.tasks
+            .retain_jobs(|job| config.jobs().contains_key(job));
+        for job in note.added.jobs.iter().chain(&note.changed.jobs) {
+            self.tasks.allow_job(&job.name);
+        }
+        let event = format!("note {} accepted", note.number);
+        let subjects = note_subjects(note);
+        self.record(at_ms, event, Arc::clone(&note.summary), subjects);
+        Ok(accepted)
+    }
+
+    fn claim(
+        &mut self,
+        at_ms: u64,
+        claims: &[masticfield_core::claim::Claim],
+    ) -> Vec<ClaimVerdict> {
+        let now_s = at_ms / 1_000;
+        let verdicts = claims.iter().map(|claim| self.claims.claim(now_s, claim));
+        verdicts.collect()
+    }
+
+    fn lead(&mut self, term: u64) -> Verdict {
+        if term < self.term {
+            let term = self.term;
+            return Verdict::Refused(Refusal::OtherTerm { term });
+        }
+        if term == self.term {
+            return Verdict::Repeated;
+        }
+        self.term = term;
+        Verdict::Done
+    }
+
+    fn register(&mut self, at_ms: u64, entry: EntryId, incarnation: Incarnation) -> Verdict {
+        if !self.entries.register(entry, incarnation) {
+            return Verdict::Repeated;
+        }
+        self.claims.fence(entry);
+        let reason = format!("incarnation {incarnation} asked for a lease");
+        self.record(at_ms, format!("entry {entry} joined"), reason, Vec::new());
+        Verdict::Done
+    }
+
+    fn remove(
+        &mut self,
+        at_ms: u64,
+        entry: EntryId,
+        incarnation: Incarnation,
+        term: u64,
+    ) -> Verdict {
+        if let Err(refusal) = self.check_term(term) {
+            return Verdict::Refused(refusal);
+        }
+        if !self.entries.remove(entry, incarnation) {
+            return Verdict::Repeated;
+        }
+        self.claims.fence(entry);
+        let event = format!("entry {entry} gone");
+        self.record(at_ms, event, "its lease has run out", Vec::new());
+        Verdict::Done
+    }
+
+    fn in_force(&mut self, at_ms: u64, version: u64) -> Verdict {
+        let buffer_hosts = self.buffer_hosts();
+        if !self.notes.in_force(at_ms, version, buffer_hosts) {
+            return Verdict::Repeated;
+        }
+        let event = format!("note {version} in force");
+        let reason = "every entry serves it or holds no lease";
+        let name = version.to_string().into();
+        self.record(at_ms, event, reason, vec![(Subject::Note, name)]);
+        Verdict::Done
+    }
+}
+
+/// What a note is about.
+fn note_subjects(note: &ReleaseNote) -> Vec<(Subject, Arc<str>)> {
+    let mut subjects = vec![(Subject::Note, note.number.to_string().into())];
+    let mut add = |kind, name: &Arc<str>| subjects.push((kind, Arc::clone(name)));
+    for section in [&note.added, &note.changed] {
+        section
+            .hosts
+            .iter()
+            .for_each(|host| add(Subject::Host, &host.name));
+        section
+            .pools
+            .iter()
+            .for_each(|pool| add(Subject::Pool, &pool.name));
+        section
+            .jobs
+            .iter()
+            .for_each(|job| add(Subject::Job, &job.name));
+    }
+    let withdrawn = &note.withdrawn;
+    withdrawn
+        .hosts
+        .iter()
+        .for_each(|name| add(Subject::Host, name));
+    withdrawn
+        .pools
+        .iter()
+        .for_each(|name| add(Subject::Pool, name));
+    withdrawn
+        .jobs
+        .iter()
+        .for_each(|name| add(Subject::Job, name));
+    subjects
 }
