--- a/crates/masticfield-replica/src/error.rs
+++ b/crates/masticfield-replica/src/error.rs
@@ -9,6 +9,7 @@
 /// A replica could not open its data folder.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
+#[non_exhaustive]
 pub enum OpenError {
     /// A file or folder cannot be read or written.
     #[snafu(display("{} cannot be used", path.display()))]
@@ -32,6 +33,38 @@
         /// Offset of the first damaged byte.
         offset: u64,
     },
+    /// The folder was written by another version of the format.
+    #[snafu(display("{} has format {theirs}; this program reads {ours}", path.display()))]
+    Format {
+        /// The path.
+        path: PathBuf,
+        /// Version of the folder.
+        theirs: u16,
+        /// Version of this program.
+        ours: u16,
+    },
+    /// The folder belongs to another replica.
+    #[snafu(display("{} belongs to replica {theirs}, not {ours}", path.display()))]
+    OtherReplica {
+        /// The path.
+        path: PathBuf,
+        /// Replica that the folder belongs to.
+        theirs: ReplicaId,
+        /// Replica that was to open it.
+        ours: ReplicaId,
+    },
+    /// The folder holds no state.
+    #[snafu(display("{} holds no state", path.display()))]
+    Empty {
+        /// The path.
+        path: PathBuf,
+    },
+    /// The replica cannot listen to its peers.
+    #[snafu(display("cannot listen to peers"))]
+    Listen {
+        /// The cause.
+        source: io::Error,
+    },
 }
 
 /// A payload was not committed, as far as is known.
--- a/crates/masticfield-replica/src/lib.rs
+++ b/crates/masticfield-replica/src/lib.rs
@@ -19,10 +19,17 @@
 //! # }
 //! ```
 
+mod entry;
 mod error;
 mod handle;
+mod identity;
+mod membership;
 mod options;
+pub mod storage;
 
+pub use entry::{Entry, EntryBody, HardState, Snapshot, Stored, Write};
 pub use error::{OpenError, ProposeError};
 pub use handle::{Applied, ReplicaHandle, ReplicaStatus};
+pub use identity::Identity;
+pub use membership::Membership;
 pub use options::ReplicaOptions;
--- /dev/null
+++ b/crates/masticfield-replica/src/membership.rs
@@ -0,0 +1,95 @@
+//! The members of a group.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use masticfield_core::ids::ReplicaId;
+use serde::{Deserialize, Serialize};
+
+use crate::Identity;
+
+/// The voters and learners of a group, with their addresses.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Membership {
+    voters: BTreeMap<Identity, SocketAddr>,
+    learners: BTreeMap<Identity, SocketAddr>,
+}
+
+impl Membership {
+    /// Most voters of a group.
+    pub const MAX_VOTERS: usize = 7;
+
+    /// Creates a membership of voters only.
+    pub fn new(voters: impl IntoIterator<Item = (Identity, SocketAddr)>) -> Self {
+        Self {
+            voters: voters.into_iter().collect(),
+            learners: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a learner.
+    #[must_use]
+    pub fn with_learner(mut self, identity: Identity, address: SocketAddr) -> Self {
+        self.learners.insert(identity, address);
+        self
+    }
+
+    /// Makes a learner a voter.
+    #[must_use]
+    pub fn with_promoted(mut self, identity: Identity) -> Self {
+        if let Some(address) = self.learners.remove(&identity) {
+            self.voters.insert(identity, address);
+        }
+        self
+    }
+
+    /// Removes a member.
+    #[must_use]
+    pub fn without(mut self, identity: Identity) -> Self {
+        self.voters.remove(&identity);
+        self.learners.remove(&identity);
+        self
+    }
+
+    /// The voters, in order.
+    pub fn voters(&self) -> impl Iterator<Item = Identity> {
+        self.voters.keys().copied()
+    }
+
+    /// Voters and learners with their addresses.
+    pub fn members(&self) -> impl Iterator<Item = (Identity, SocketAddr)> {
+        let all = self.voters.iter().chain(&self.learners);
+        all.map(|(identity, address)| (*identity, *address))
+    }
+
+    /// The member that has this replica identifier.
+    pub fn find(&self, id: ReplicaId) -> Option<Identity> {
+        let mut all = self.members().map(|(identity, _)| identity);
+        all.find(|identity| identity.id() == id)
+    }
+
+    /// Number of voters.
+    pub fn voter_count(&self) -> usize {
+        self.voters.len()
+    }
+
+    /// Voters that make a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether the replica votes.
+    pub fn is_voter(&self, identity: Identity) -> bool {
+        self.voters.contains_key(&identity)
+    }
+
+    /// Whether the replica learns without a vote.
+    pub fn is_learner(&self, identity: Identity) -> bool {
+        self.learners.contains_key(&identity)
+    }
+
+    /// Whether the replica belongs to the group.
+    pub fn contains(&self, identity: Identity) -> bool {
+        self.is_voter(identity) || self.is_learner(identity)
+    }
+}
