feat(core): a reboot order names the reboots completed before it

Cause: an order to reboot that is carried out twice would reboot a host twice, and the planner cannot tell a finished reboot from one that has not begun. Change: Action::Reboot and HostOrder carry the number of completed reboots; both are additive.

--- a/crates/masticfield-core/src/fleet/action.rs
+++ b/crates/masticfield-core/src/fleet/action.rs
@@ -47,6 +47,8 @@
         host: Arc<str>,
         /// The generation that owns it.
         generation: Generation,
+        /// Reboots that it had completed before; makes the order idempotent.
+        completed: u64,
     },
     /// Starts a task under a lease.
     StartTask {
--- a/crates/masticfield-core/src/platform.rs
+++ b/crates/masticfield-core/src/platform.rs
@@ -82,6 +82,9 @@
 pub struct HostOrder {
     /// The generation that the order is for; lower ones are refused.
     pub generation: Generation,
+    /// For a reboot: it is carried out only while this many reboots are completed.
+    #[serde(default)]
+    pub completed: Option<u64>,
 }
 
 /// Body of an order to start a task.
