feat(fleet): planner of hosts with reserve, moves, maintenance and preview

Cause: pools need healthy hosts through failures, withdrawals and maintenance. Ruled out: a plan from scratch each time; kept as the baseline MovePolicy::FirstFit. Change: plan(view, now) drains failed and withdrawn hosts, mends shortages by promise from free hosts, surplus and the spare pool, rolls maintenance through the pools with one covering host, and previews a note with its shortfalls. Conclusion: 9 focused tests pass; no action on a fleet that matches (cargo test -p masticfield-fleet).

--- /dev/null
+++ b/crates/masticfield-fleet/src/health/mod.rs
@@ -0,0 +1,15 @@
+//! What the system makes of reports about health.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_fleet::health::FlapDamper;
+//!
+//! assert_eq!(FlapDamper::new().flapping().count(), 0);
+//! ```
+
+mod flap_damper;
+mod ledger;
+
+pub use flap_damper::FlapDamper;
+pub use ledger::AvailabilityLedger;
--- /dev/null
+++ b/crates/masticfield-fleet/src/index/fleet_index.rs
@@ -0,0 +1,237 @@
+//! Hosts and pools under small keys.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::fleet::Reason;
+use slotmap::SlotMap;
+
+use super::{Host, HostKey, Pool, PoolKey, Standing};
+use crate::reserve;
+use crate::reserve::ReservePolicy;
+use crate::view::FleetView;
+
+/// An index over a [`FleetView`] at a moment.
+#[derive(Debug, Clone)]
+pub struct FleetIndex<'a> {
+    view: FleetView<'a>,
+    now: Duration,
+    hosts: SlotMap<HostKey, Host<'a>>,
+    pools: SlotMap<PoolKey, Pool<'a>>,
+    host_keys: BTreeMap<&'a str, HostKey>,
+    pool_keys: BTreeMap<&'a str, PoolKey>,
+}
+
+impl<'a> FleetIndex<'a> {
+    /// Builds the index.
+    pub fn new(view: &FleetView<'a>, now: Duration, policy: ReservePolicy) -> Self {
+        let mut index = Self {
+            view: *view,
+            now,
+            hosts: SlotMap::with_key(),
+            pools: SlotMap::with_key(),
+            host_keys: BTreeMap::new(),
+            pool_keys: BTreeMap::new(),
+        };
+        index.add_pools();
+        index.add_hosts();
+        index.count();
+        index.set_promises();
+        index.set_targets(policy);
+        index
+    }
+
+    /// The view that it was built from.
+    pub const fn view(&self) -> &FleetView<'a> {
+        &self.view
+    }
+
+    /// The moment, since the Unix epoch.
+    pub const fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The hosts by name.
+    pub fn hosts(&self) -> impl Iterator<Item = (HostKey, &Host<'a>)> {
+        self.host_keys.values().map(|key| (*key, &self.hosts[*key]))
+    }
+
+    /// The pools by name.
+    pub fn pools(&self) -> impl Iterator<Item = (PoolKey, &Pool<'a>)> {
+        self.pool_keys.values().map(|key| (*key, &self.pools[*key]))
+    }
+
+    /// A host.
+    pub fn host(&self, key: HostKey) -> &Host<'a> {
+        &self.hosts[key]
+    }
+
+    /// A pool.
+    pub fn pool(&self, key: PoolKey) -> &Pool<'a> {
+        &self.pools[key]
+    }
+
+    /// A pool, to count a planned action in.
+    pub fn pool_mut(&mut self, key: PoolKey) -> &mut Pool<'a> {
+        &mut self.pools[key]
+    }
+
+    /// The key of a host.
+    pub fn host_key(&self, name: &str) -> Option<HostKey> {
+        self.host_keys.get(name).copied()
+    }
+
+    /// The key of a pool.
+    pub fn pool_key(&self, name: &str) -> Option<PoolKey> {
+        self.pool_keys.get(name).copied()
+    }
+
+    /// Keys of the pools in the order in which shortages are mended.
+    ///
+    /// The highest promise goes first, then the smallest budget; spare pools come last.
+    pub fn by_promise(&self) -> Vec<PoolKey> {
+        let mut keys: Vec<_> = self.pools().map(|(key, _)| key).collect();
+        keys.sort_by(|a, b| {
+            let (a, b) = (&self.pools[*a], &self.pools[*b]);
+            let spare = a.is_spare().cmp(&b.is_spare());
+            let promise = b.promise.total_cmp(&a.promise);
+            spare
+                .then(promise)
+                .then(a.budget_left.cmp(&b.budget_left))
+                .then(a.name.cmp(b.name))
+        });
+        keys
+    }
+
+    fn add_pools(&mut self) {
+        let view = self.view;
+        for (name, spec) in view.config.pools() {
+            let key = self.pools.insert(Pool::new(name, Some(spec)));
+            self.pool_keys.insert(name, key);
+        }
+        for (_, record) in view.hosts.iter() {
+            let Some(name) = record.ownership.pool() else {
+                continue;
+            };
+            if !self.pool_keys.contains_key(&**name) {
+                let key = self.pools.insert(Pool::new(name, None));
+                self.pool_keys.insert(name, key);
+            }
+        }
+    }
+
+    fn add_hosts(&mut self) {
+        let view = self.view;
+        for (name, spec) in view.config.hosts() {
+            self.add_host(
+                name,
+                Host {
+                    spec: Some(spec),
+                    ..unknown(name)
+                },
+            );
+        }
+        for (name, record) in view.hosts.iter() {
+            let key = match self.host_keys.get(&**name) {
+                Some(key) => *key,
+                None => self.add_host(name, unknown(name)),
+            };
+            let pool = record.ownership.pool();
+            let pool = pool.and_then(|pool| self.pool_keys.get(&**pool).copied());
+            let host = &mut self.hosts[key];
+            host.record = Some(record);
+            host.pool = pool;
+        }
+        for seen in &view.observation.hosts {
+            if let Some(key) = self.host_keys.get(&*seen.host) {
+                self.hosts[*key].seen = Some(seen);
+            }
+        }
+    }
+
+    fn add_host(&mut self, name: &'a Arc<str>, host: Host<'a>) -> HostKey {
+        let key = self.hosts.insert(host);
+        self.host_keys.insert(name, key);
+        key
+    }
+
+    fn count(&mut self) {
+        for key in self.host_keys.values() {
+            let host = &self.hosts[*key];
+            if let Some(Reason::PoolSurplus { to, .. }) = host.drained_for()
+                && host.standing() == Standing::Draining
+                && !host.is_failed()
+                && let Some(to) = self.pool_keys.get(&**to)
+            {
+                self.pools[*to].coming += 1;
+            }
+            let Some(pool) = host.pool else {
+                continue;
+            };
+            if host.is_serving() {
+                self.pools[pool].serving.push(*key);
+            } else if host.is_in_maintenance() && !self.has_not_returned(host) {
+                self.pools[pool].out += 1;
+            }
+        }
+    }
+
+    fn set_promises(&mut self) {
+        let view = self.view;
+        for service in view.config.services().values() {
+            let Some(key) = self.pool_keys.get(&*service.pool) else {
+                continue;
+            };
+            let left = view.budgets.get(&service.name).copied();
+            let left = left.unwrap_or_else(|| service.promise.budget());
+            let pool = &mut self.pools[*key];
+            pool.promise = pool.promise.max(service.promise.availability);
+            pool.budget_left = pool.budget_left.min(left);
+        }
+    }
+
+    fn set_targets(&mut self, policy: ReservePolicy) {
+        let targets: Vec<_> = self
+            .pools()
+            .map(|(key, _)| (key, reserve::target(self, key, policy)))
+            .collect();
+        for (key, target) in targets {
+            self.pools[key].target = target;
+        }
+    }
+
+    /// Whether a host was told to reboot and stays away for much longer than expected.
+    pub fn has_not_returned(&self, host: &Host<'_>) -> bool {
+        let Some(order) = host.record.and_then(|record| record.reboot) else {
+            return false;
+        };
+        let outage = match host.drained_for() {
+            Some(Reason::MaintenanceDue { programme }) => {
+                let programme = self.view.config.maintenance().get(programme);
+                programme.map_or(DEFAULT_OUTAGE, |programme| programme.expected_outage)
+            }
+            _ => DEFAULT_OUTAGE,
+        };
+        let returned = host
+            .seen
+            .is_some_and(|seen| seen.reboots > order.completed && host.is_healthy());
+        !returned && self.now > order.at + outage * LATE_FACTOR
+    }
+}
+
+/// Outage expected of a reboot whose programme is gone.
+const DEFAULT_OUTAGE: Duration = Duration::from_mins(10);
+
+/// How many expected outages a reboot may take before the host counts as failed.
+const LATE_FACTOR: u32 = 3;
+
+const fn unknown(name: &Arc<str>) -> Host<'_> {
+    Host {
+        name,
+        spec: None,
+        record: None,
+        seen: None,
+        pool: None,
+    }
+}
--- /dev/null
+++ b/crates/masticfield-fleet/src/index/host.rs
@@ -0,0 +1,120 @@
+//! A host as the planner sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::fleet::{Generation, HostHealth, HostObservation, Ownership, Reason};
+use masticfield_core::note::HostSpec;
+use slotmap::new_key_type;
+
+use super::PoolKey;
+use crate::view::HostRecord;
+
+new_key_type! {
+    /// Key of a host within an index.
+    pub struct HostKey;
+}
+
+/// Everything known of a host.
+#[derive(Debug, Clone)]
+pub struct Host<'a> {
+    /// Its name.
+    pub name: &'a Arc<str>,
+    /// Its declaration; none once it is withdrawn.
+    pub spec: Option<&'a HostSpec>,
+    /// Its durable record; none before it is owned for the first time.
+    pub record: Option<&'a HostRecord>,
+    /// Its latest report; none before the first.
+    pub seen: Option<&'a HostObservation>,
+    /// The pool that it belongs to.
+    pub pool: Option<PoolKey>,
+}
+
+/// Where a host is in the course of its ownership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// No pool has owned it yet.
+    New,
+    /// A pool owns it.
+    Owned,
+    /// It takes no new work.
+    Draining,
+    /// It belongs to no pool.
+    Released,
+}
+
+impl Host<'_> {
+    /// Where the host is in the course of its ownership.
+    pub fn standing(&self) -> Standing {
+        match self.record.map(|record| &record.ownership) {
+            None => Standing::New,
+            Some(Ownership::Owned { .. }) => Standing::Owned,
+            Some(Ownership::Draining { .. }) => Standing::Draining,
+            Some(Ownership::Released { .. }) => Standing::Released,
+        }
+    }
+
+    /// The generation of its current or last owner; 0 for a new host.
+    pub fn generation(&self) -> Generation {
+        self.record.map_or(Generation::default(), |record| {
+            record.ownership.generation()
+        })
+    }
+
+    /// Whether the host reports that it works.
+    pub fn is_healthy(&self) -> bool {
+        self.seen
+            .is_some_and(|seen| seen.health == HostHealth::Healthy)
+    }
+
+    /// Whether the host is known to have failed; an unseen host is not.
+    pub fn is_failed(&self) -> bool {
+        self.seen
+            .is_some_and(|seen| seen.health == HostHealth::Failed)
+    }
+
+    /// Whether a pool may own the host next.
+    pub fn is_free(&self) -> bool {
+        let free = matches!(self.standing(), Standing::New | Standing::Released);
+        free && self.spec.is_some() && self.is_healthy()
+    }
+
+    /// Whether the host carries work of its pool.
+    pub fn is_serving(&self) -> bool {
+        self.standing() == Standing::Owned && self.spec.is_some() && !self.is_failed()
+    }
+
+    /// Whether the host has said that no lease of its generation is left on it.
+    pub fn is_drained(&self) -> bool {
+        let drained = self.seen.and_then(|seen| seen.drained);
+        drained.is_some_and(|drained| drained >= self.generation())
+    }
+
+    /// Why the host drains, if it does.
+    pub fn drained_for(&self) -> Option<&Reason> {
+        self.record.and_then(|record| record.drained_for.as_ref())
+    }
+
+    /// Whether the host is out for maintenance.
+    pub fn is_in_maintenance(&self) -> bool {
+        let due = matches!(self.drained_for(), Some(Reason::MaintenanceDue { .. }));
+        due && self.standing() == Standing::Draining
+    }
+
+    /// Time since the last report.
+    pub fn silent_for(&self) -> Duration {
+        self.seen.map_or(Duration::ZERO, |seen| seen.silent_for)
+    }
+
+    /// Time since the last maintenance; none if there was none.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        let at = self.record.and_then(|record| record.maintained_at)?;
+        Some(now.saturating_sub(at))
+    }
+
+    /// Region, availability zone and rack.
+    pub fn place(&self) -> Option<(&str, &str, &str)> {
+        self.spec
+            .map(|spec| (&*spec.region, &*spec.zone, &*spec.rack))
+    }
+}
--- /dev/null
+++ b/crates/masticfield-fleet/src/plan/failures.rs
@@ -0,0 +1,69 @@
+//! Failed hosts leave their pools, and hosts that come back rejoin them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::fleet::Reason;
+
+use super::Draft;
+use crate::index::{Host, HostKey, Standing};
+
+/// Silence after which every lease on a host has run out, clock margin included.
+pub const LEASES_END: Duration = Duration::from_mins(1);
+
+/// Plans for hosts that failed, came back, or did not come back from a reboot.
+pub fn plan(draft: &mut Draft<'_>) {
+    for key in draft.untaken(Host::is_failed) {
+        if draft.host(key).standing() == Standing::Owned {
+            draft.drain(key, Reason::HostFailed);
+        }
+    }
+    for key in draft.untaken(|host| host.standing() == Standing::Draining) {
+        step(draft, key);
+    }
+}
+
+fn step(draft: &mut Draft<'_>, key: HostKey) {
+    let host = draft.host(key);
+    if host.is_in_maintenance() && draft.index().has_not_returned(host) {
+        return draft.release(key, Reason::LeasesEnded);
+    }
+    if host.record.is_some_and(|record| record.reboot.is_some()) {
+        return;
+    }
+    if host.is_failed() {
+        return release_failed(draft, key);
+    }
+    if host.drained_for() == Some(&Reason::HostFailed) && host.is_healthy() {
+        rejoin(draft, key);
+    }
+}
+
+fn release_failed(draft: &mut Draft<'_>, key: HostKey) {
+    let host = draft.host(key);
+    if host.is_drained() {
+        draft.release(key, Reason::Drained);
+    } else if host.silent_for() >= LEASES_END || !draft.guards().release_needs_proof {
+        draft.release(key, Reason::LeasesEnded);
+    }
+}
+
+/// Resumes a host that works again if its pool still lacks it, and else lets it go.
+fn rejoin(draft: &mut Draft<'_>, key: HostKey) {
+    let host = draft.host(key);
+    let Some(pool) = host.pool.filter(|_| host.spec.is_some()) else {
+        return;
+    };
+    let (drained, expected) = (host.is_drained(), draft.expected(pool));
+    let pool = draft.pool(pool);
+    if pool.spec.is_some() && expected < pool.target {
+        let reason = Reason::PoolShort {
+            pool: Arc::clone(pool.name),
+            healthy: pool.healthy(),
+            needed: pool.needed,
+        };
+        draft.resume(key, reason);
+    } else if drained {
+        draft.release(key, Reason::Drained);
+    }
+}
--- /dev/null
+++ b/crates/masticfield-fleet/src/plan/first_fit.rs
@@ -0,0 +1,49 @@
+//! The baseline: all hosts are matched to pools anew in each plan.
+
+use std::sync::Arc;
+
+use masticfield_core::fleet::Reason;
+
+use super::Draft;
+use crate::index::{Host, HostKey, PoolKey};
+
+/// Matches usable hosts to pools, both in the order of their names, and moves what differs.
+pub fn plan(draft: &mut Draft<'_>) {
+    let mut usable = draft
+        .untaken(|host| host.is_free() || is_kept(host))
+        .into_iter();
+    let pools: Vec<_> = draft.index().pools().map(|(key, _)| key).collect();
+    for pool in pools {
+        let wanted = draft.pool(pool).target.saturating_sub(draft.pool(pool).out);
+        for host in usable.by_ref().take(wanted as usize) {
+            settle(draft, host, pool);
+        }
+    }
+}
+
+fn is_kept(host: &Host<'_>) -> bool {
+    host.is_serving() && host.is_healthy()
+}
+
+fn settle(draft: &mut Draft<'_>, key: HostKey, pool: PoolKey) {
+    let host = draft.host(key);
+    if host.is_free() {
+        let to = draft.pool(pool);
+        let reason = Reason::PoolShort {
+            pool: Arc::clone(to.name),
+            healthy: to.healthy(),
+            needed: to.needed,
+        };
+        return draft.own(key, pool, reason);
+    }
+    let Some(from) = host.pool.filter(|from| *from != pool) else {
+        return;
+    };
+    if draft.may_move() {
+        let reason = Reason::PoolSurplus {
+            from: Arc::clone(draft.pool(from).name),
+            to: Arc::clone(draft.pool(pool).name),
+        };
+        draft.drain(key, reason);
+    }
+}
--- /dev/null
+++ b/crates/masticfield-fleet/src/view/task_record.rs
@@ -0,0 +1,142 @@
+//! The durable record of a job's tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::fleet::{Action, Planned, TaskObservation};
+use masticfield_core::note::Resources;
+use serde::{Deserialize, Serialize};
+
+/// A task of a job: its name and the task's number within it.
+pub type TaskKey = (Arc<str>, u32);
+
+/// The latest attempt at a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Host that it was placed on.
+    pub host: Arc<str>,
+    /// What was set aside for it.
+    pub size: Resources,
+    /// When it was placed, since the Unix epoch.
+    pub placed_at: Duration,
+    /// The order that was given to end or slow it.
+    pub order: Option<TaskOrderKind>,
+}
+
+/// An order to a running task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum TaskOrderKind {
+    /// It was told to run at a reduced rate.
+    Throttle,
+    /// It was told to save and end.
+    Checkpoint,
+    /// It was told to end.
+    Stop,
+}
+
+/// What the replicated state keeps of a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The latest attempt at each task.
+    pub tasks: BTreeMap<u32, TaskRecord>,
+    /// Whether the system gave up on the job.
+    pub stopped: bool,
+}
+
+/// The records of jobs by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobRecords {
+    records: BTreeMap<Arc<str>, JobRecord>,
+}
+
+impl JobRecords {
+    /// The record of a job.
+    pub fn get(&self, job: &str) -> Option<&JobRecord> {
+        self.records.get(job)
+    }
+
+    /// All records by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &JobRecord)> {
+        self.records.iter()
+    }
+
+    /// Whether an observed task is the latest attempt at its task.
+    pub fn is_latest(&self, task: &TaskObservation) -> bool {
+        let record = self
+            .get(&task.job)
+            .and_then(|job| job.tasks.get(&task.index));
+        record.is_some_and(|record| record.attempt == task.attempt)
+    }
+
+    /// Applies an action committed at `now`; returns whether it changed anything.
+    pub fn apply(&mut self, planned: &Planned, now: Duration) -> bool {
+        match &planned.action {
+            Action::StartTask { .. } => self.start(&planned.action, now),
+            Action::ThrottleTask {
+                job,
+                index,
+                attempt,
+            } => self.order((job, *index, *attempt), TaskOrderKind::Throttle),
+            Action::CheckpointTask {
+                job,
+                index,
+                attempt,
+            } => self.order((job, *index, *attempt), TaskOrderKind::Checkpoint),
+            Action::StopTask {
+                job,
+                index,
+                attempt,
+            } => self.order((job, *index, *attempt), TaskOrderKind::Stop),
+            Action::StopJob { job } => {
+                let record = self.records.entry(Arc::clone(job)).or_default();
+                !std::mem::replace(&mut record.stopped, true)
+            }
+            _ => false,
+        }
+    }
+
+    fn start(&mut self, action: &Action, now: Duration) -> bool {
+        let Action::StartTask {
+            job,
+            index,
+            attempt,
+            host,
+            size,
+            ..
+        } = action
+        else {
+            return false;
+        };
+        let record = self.records.entry(Arc::clone(job)).or_default();
+        let latest = record.tasks.get(index).map_or(0, |task| task.attempt);
+        if *attempt != latest + 1 {
+            return false;
+        }
+        let task = TaskRecord {
+            attempt: *attempt,
+            host: Arc::clone(host),
+            size: *size,
+            placed_at: now,
+            order: None,
+        };
+        record.tasks.insert(*index, task);
+        true
+    }
+
+    fn order(&mut self, task: (&Arc<str>, u32, u32), kind: TaskOrderKind) -> bool {
+        let (job, index, attempt) = task;
+        let record = self.records.get_mut(job);
+        let Some(task) = record.and_then(|record| record.tasks.get_mut(&index)) else {
+            return false;
+        };
+        if task.attempt != attempt || task.order >= Some(kind) {
+            return false;
+        }
+        task.order = Some(kind);
+        true
+    }
+}
--- /dev/null
+++ b/crates/masticfield-fleet/tests/plan.rs
@@ -0,0 +1,175 @@
+//! Decisions of the planner on small fleets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::fleet::{Action, HostHealth, Planned, Reason};
+use masticfield_core::note::ReleaseNote;
+use masticfield_fleet::sample::{self, SampleFleet};
+use masticfield_fleet::view::HostRecord;
+use masticfield_fleet::{plan, preview};
+use rstest::rstest;
+
+const VITORIA: &str = include_str!("../../../examples/vitoria.toml");
+const VULPESCU: &str = include_str!("../../../examples/vulpescu.toml");
+
+/// A fleet with every pool filled; all hosts were maintained just now.
+fn settled(mut fleet: SampleFleet) -> SampleFleet {
+    for _ in 0..20 {
+        let planned = plan(&fleet.view(), Duration::ZERO);
+        for planned in &planned {
+            fleet.hosts.apply(planned, Duration::ZERO);
+        }
+        let owned: Vec<_> = fleet
+            .hosts
+            .iter()
+            .map(|(name, record)| (Arc::clone(name), record.clone()))
+            .collect();
+        for (name, record) in owned {
+            fleet
+                .hosts
+                .insert(name, record.maintained_at(Duration::ZERO));
+        }
+        let owned = planned
+            .iter()
+            .any(|planned| matches!(planned.action, Action::Own { .. }));
+        if !owned {
+            break;
+        }
+    }
+    fleet
+}
+
+fn set_health(fleet: &mut SampleFleet, host: &str, health: HostHealth) {
+    let seen = fleet
+        .observation
+        .hosts
+        .iter_mut()
+        .find(|seen| &*seen.host == host);
+    seen.expect("the host is in the sample").health = health;
+}
+
+fn actions(planned: &[Planned]) -> Vec<String> {
+    let lines = planned
+        .iter()
+        .map(|planned| masticfield_fleet::plan::describe::action(&planned.action));
+    lines.collect()
+}
+
+#[rstest]
+#[case::small(sample::small())]
+#[case::vitoria(SampleFleet::new(&ReleaseNote::from_toml(VITORIA).unwrap()))]
+#[case::vulpescu(SampleFleet::new(&ReleaseNote::from_toml(VULPESCU).unwrap()))]
+fn a_fleet_that_matches_gets_no_action(#[case] fleet: SampleFleet) {
+    let fleet = settled(fleet);
+    assert_eq!(plan(&fleet.view(), Duration::ZERO), []);
+    let planned = preview(&fleet.config, &fleet.config, &fleet.hosts);
+    assert_eq!((planned.steps.len(), planned.host_moves), (0, 0));
+}
+
+#[test]
+fn pools_spread_over_availability_zones() {
+    let fleet = settled(sample::small());
+    let zones: Vec<_> = fleet
+        .hosts
+        .iter()
+        .filter(|(_, record)| {
+            record
+                .ownership
+                .pool()
+                .is_some_and(|pool| &**pool == "counter")
+        })
+        .map(|(host, _)| host[..1].to_owned())
+        .collect();
+    assert_eq!(zones, ["a", "b"]);
+}
+
+#[test]
+fn a_failed_host_is_replaced_by_a_free_one_and_not_released_before_its_leases_end() {
+    let mut fleet = settled(sample::small());
+    set_health(&mut fleet, "a-1", HostHealth::Failed);
+    let planned = plan(&fleet.view(), Duration::ZERO);
+    assert_eq!(
+        actions(&planned),
+        ["drain host a-1", "give host b-2 to pool counter"]
+    );
+    for planned in &planned {
+        fleet.hosts.apply(planned, Duration::ZERO);
+    }
+    assert_eq!(plan(&fleet.view(), Duration::ZERO), []);
+    fleet.observation.hosts[0].silent_for = Duration::from_mins(1);
+    let planned = plan(&fleet.view(), Duration::from_mins(1));
+    assert_eq!(actions(&planned), ["release host a-1"]);
+    assert_eq!(planned[0].reason, Reason::LeasesEnded);
+}
+
+#[test]
+fn a_host_that_comes_back_before_its_release_rejoins_a_pool_that_lacks_it() {
+    let mut fleet = settled(sample::small());
+    for host in ["a-1", "b-2", "a-2"] {
+        set_health(&mut fleet, host, HostHealth::Failed);
+    }
+    for planned in plan(&fleet.view(), Duration::ZERO) {
+        fleet.hosts.apply(&planned, Duration::ZERO);
+    }
+    set_health(&mut fleet, "a-1", HostHealth::Healthy);
+    let planned = plan(&fleet.view(), Duration::ZERO);
+    assert_eq!(actions(&planned), ["resume host a-1"]);
+}
+
+#[test]
+fn the_spare_pool_lends_to_a_higher_promise_only() {
+    let mut fleet = settled(SampleFleet::new(&ReleaseNote::from_toml(VITORIA).unwrap()));
+    let counter = hosts_of(&fleet, "counter");
+    for host in &counter[..4] {
+        set_health(&mut fleet, host, HostHealth::Failed);
+    }
+    let planned = plan(&fleet.view(), Duration::ZERO);
+    let lent = planned.iter().filter(|planned| matches!(&planned.reason, Reason::PoolSurplus { from, to } if (&**from, &**to) == ("support", "counter")));
+    let owned = planned.iter().filter(
+        |planned| matches!(&planned.action, Action::Own { pool, .. } if &**pool == "counter"),
+    );
+    // All free hosts were due for maintenance, so the spare pool has adopted them.
+    assert_eq!((owned.count(), lent.count()), (0, 4));
+    for planned in &planned {
+        fleet.hosts.apply(planned, Duration::ZERO);
+    }
+    assert_eq!(plan(&fleet.view(), Duration::ZERO), []);
+}
+
+fn hosts_of(fleet: &SampleFleet, pool: &str) -> Vec<Arc<str>> {
+    let owned = fleet
+        .hosts
+        .iter()
+        .filter(|(_, record)| record.ownership.pool().is_some_and(|it| &**it == pool));
+    owned.map(|(host, _)| Arc::clone(host)).collect()
+}
+
+#[test]
+fn withdrawn_hosts_drain_and_are_released() {
+    let mut fleet = settled(sample::small());
+    fleet.hosts.insert("gone", HostRecord::owned("counter", 3));
+    let planned = plan(&fleet.view(), Duration::ZERO);
+    assert_eq!(actions(&planned), ["drain host gone"]);
+    assert_eq!(planned[0].reason, Reason::HostWithdrawn);
+}
+
+#[test]
+fn a_preview_names_the_zone_loss_that_is_not_covered_and_what_yields() {
+    let fleet = settled(SampleFleet::new(&ReleaseNote::from_toml(VITORIA).unwrap()));
+    let shortfalls = preview(&fleet.config, &fleet.config, &fleet.hosts).shortfalls;
+    assert!(
+        !shortfalls.iter().any(|line| line.contains("rack")),
+        "{shortfalls:?}"
+    );
+    let zones = shortfalls
+        .iter()
+        .filter(|line| line.contains("availability zone"));
+    assert!(zones.clone().count() > 0);
+    assert!(
+        zones
+            .clone()
+            .all(|line| line.contains("not covered; pool \"shelters\" (0.998) yields")),
+        "{shortfalls:?}"
+    );
+}
