--- a/crates/masticfield-control/src/actor/control_actor.rs
+++ b/crates/masticfield-control/src/actor/control_actor.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use masticfield_replica::Applied;
+use masticfield_replica::{Applied, AppliedKind};
 use masticfield_state::{Envelope, Reply, State};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{oneshot, watch};
@@ -60,13 +60,38 @@
             version,
         }
     }
+
+    /// Takes the state of a snapshot in place of its own.
+    fn restore(&mut self, index: u64, snapshot: &[u8]) {
+        match State::from_snapshot(snapshot) {
+            Ok(state) => {
+                self.state = state;
+                self.tell_version();
+            }
+            Err(error) => log::error!(index, error:%; "a snapshot cannot be read"),
+        }
+    }
+
+    fn tell_version(&self) {
+        let version = self.state.config().version();
+        self.version
+            .send_if_modified(|latest| std::mem::replace(latest, version) != version);
+    }
 }
 
 impl Handler<Applied> for ControlActor {
     type Return = ();
 
     async fn handle(&mut self, message: Applied, _ctx: &mut Context<Self>) {
-        let Applied { index, payload } = message;
+        let Applied {
+            index,
+            payload,
+            kind,
+        } = message;
+        if kind == AppliedKind::Snapshot {
+            self.restore(index, &payload);
+            return;
+        }
         let proposed: Proposed = match postcard::from_bytes(&payload) {
             Ok(proposed) => proposed,
             Err(error) => {
@@ -75,9 +100,7 @@
             }
         };
         let reply = self.state.apply(index, &proposed.envelope);
-        let version = self.state.config().version();
-        self.version
-            .send_if_modified(|latest| std::mem::replace(latest, version) != version);
+        self.tell_version();
         if let Some(waiter) = self.waiting.remove(&proposed.id) {
             // A proposer that no longer waits does not need the reply.
             drop(waiter.send(reply));
--- a/crates/masticfield-state/src/actions.rs
+++ b/crates/masticfield-state/src/actions.rs
@@ -310,7 +310,9 @@
             let generation = *generation;
             (host, HostStep::Resume { generation })
         }
-        Action::Reboot { host, generation } => {
+        Action::Reboot {
+            host, generation, ..
+        } => {
             let programme = match &planned.reason {
                 Reason::MaintenanceDue { programme } => Some(Arc::clone(programme)),
                 _ => None,
--- a/crates/masticfield-state/tests/common/commands.rs
+++ b/crates/masticfield-state/tests/common/commands.rs
@@ -32,7 +32,11 @@
             2 => Action::Drain { host, generation },
             3 => Action::Release { host, generation },
             4 => Action::Resume { host, generation },
-            5 => Action::Reboot { host, generation },
+            5 => Action::Reboot {
+                host,
+                generation,
+                completed: 0,
+            },
             6 => Action::Quarantine {
                 host,
                 period: Duration::from_secs(1),
