feat(demo): whole installation in one process, reports over the state

Cause: a newcomer had nothing to run, and operators saw neither ownership nor reasons. Change: the demo applies a sample note, serves load with a surge and prints a summary; hosts, jobs, explain, drain and plan read the replicated state and the planner's preview.

--- a/crates/masticfield-control/src/lib.rs
+++ b/crates/masticfield-control/src/lib.rs
@@ -25,4 +25,4 @@
 
 pub use actor::{ControlHandle, ProposalError};
 pub use args::{ControlArgs, ControlSettings};
-pub use running::{RunningControl, main};
+pub use running::{RunningControl, StartControlError, main};
--- a/crates/masticfield-control/src/operator/reports.rs
+++ b/crates/masticfield-control/src/operator/reports.rs
@@ -1,56 +1,80 @@
 //! The reports that operators read.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use masticfield_core::note::ReleaseNote;
+use masticfield_core::fleet::{Ownership, TaskPhase};
+use masticfield_core::note::{HostSpec, ReleaseNote};
 use masticfield_core::operator::{
     FleetStatus, HistoryRow, HostRow, JobRow, PlanPreview, PoolRow, Problem, ServiceRow,
     UpstreamRow,
 };
+use masticfield_fleet::view::{HostRecord, HostRecords};
 use masticfield_replica::ReplicaStatus;
-use masticfield_state::State;
+use masticfield_state::{Placement, PlacementState, State, Subject};
 
 /// What a note would change, without changing it.
 pub(super) fn preview(state: &State, note: &ReleaseNote) -> Result<PlanPreview, Problem> {
-    let applied = state.config().apply(note);
-    let next = applied.map_err(|error| Problem::NoteRefused { error })?;
-    Ok(PlanPreview {
-        number: next.version(),
-        ..PlanPreview::default()
-    })
+    let now = state.config();
+    let next = now
+        .apply(note)
+        .map_err(|error| Problem::NoteRefused { error })?;
+    let mut hosts = HostRecords::default();
+    for (host, ownership) in state.hosts().ownership() {
+        hosts.insert(Arc::clone(host), HostRecord::new(ownership.clone()));
+    }
+    Ok(masticfield_fleet::preview(now, &next, &hosts))
 }
 
 /// The hosts by name.
 pub(super) fn hosts(state: &State) -> Vec<HostRow> {
     let hosts = state.config().hosts().values();
-    hosts
-        .map(|host| HostRow {
-            host: Arc::clone(&host.name),
-            zone: Arc::clone(&host.zone),
-            rack: Arc::clone(&host.rack),
-            pool: None,
-            generation: 0,
-            state: "new".into(),
-            health: "unseen".into(),
-        })
-        .collect()
+    hosts.map(|host| host_row(state, host)).collect()
 }
 
 /// The jobs by name.
 pub(super) fn jobs(state: &State) -> Vec<JobRow> {
+    let mut counts: BTreeMap<&str, TaskCounts> = BTreeMap::new();
+    for (key, placement) in state.tasks().iter() {
+        counts.entry(&key.job).or_default().add(placement);
+    }
     let jobs = state.config().jobs().values();
-    jobs.map(|job| JobRow {
-        job: Arc::clone(&job.name),
-        pool: Arc::clone(&job.pool),
-        team: Arc::clone(&job.team),
-        wanted: job.tasks,
-        running: 0,
-        finished: 0,
-        note: None,
+    jobs.map(|job| {
+        let counts = counts.get(&*job.name).copied().unwrap_or_default();
+        let stopped = state.tasks().stopped_jobs().contains(&job.name);
+        JobRow {
+            job: Arc::clone(&job.name),
+            pool: Arc::clone(&job.pool),
+            team: Arc::clone(&job.team),
+            wanted: job.tasks,
+            running: counts.running,
+            finished: counts.finished,
+            note: stopped.then(|| "stopped; see explain job".into()),
+        }
     })
     .collect()
 }
 
+/// Why something is as it is.
+pub(super) fn explain(state: &State, kind: &str, name: &str) -> Result<Vec<HistoryRow>, Problem> {
+    let not_found = || Problem::NotFound {
+        kind: kind.into(),
+        name: name.into(),
+    };
+    let subject: Subject = kind.parse().map_err(|_unknown_kind| not_found())?;
+    let rows = state.explain(subject, name);
+    let known = match subject {
+        Subject::Host => state.config().hosts().contains_key(name),
+        Subject::Pool => state.config().pools().contains_key(name),
+        Subject::Job => state.config().jobs().contains_key(name),
+        Subject::Note => false,
+    };
+    if rows.is_empty() && !known {
+        return Err(not_found());
+    }
+    Ok(rows)
+}
+
 /// The lines of the history from log index `since` on.
 pub(super) fn history(state: &State, since: u64) -> Vec<HistoryRow> {
     state
@@ -93,16 +117,67 @@
 fn pools(state: &State) -> Vec<PoolRow> {
     let pools = state.config().pools().values();
     pools
-        .map(|pool| PoolRow {
-            pool: Arc::clone(&pool.name),
-            needed: pool.hosts,
-            owned: 0,
-            healthy: 0,
-            draining: 0,
+        .map(|pool| {
+            let owners = state.hosts().ownership().map(|(_, ownership)| ownership);
+            let own: Vec<_> = owners
+                .filter(|own| own.pool() == Some(&pool.name))
+                .collect();
+            let draining = own
+                .iter()
+                .filter(|own| matches!(own, Ownership::Draining { .. }));
+            PoolRow {
+                pool: Arc::clone(&pool.name),
+                needed: pool.hosts,
+                owned: count(own.len()),
+                healthy: 0,
+                draining: count(draining.count()),
+            }
         })
         .collect()
 }
 
+fn host_row(state: &State, spec: &HostSpec) -> HostRow {
+    let ownership = state
+        .hosts()
+        .host(&spec.name)
+        .map(masticfield_state::HostRecord::ownership);
+    let text = match ownership {
+        Some(Ownership::Owned { .. }) => "owned",
+        Some(Ownership::Draining { .. }) => "draining",
+        Some(Ownership::Released { .. }) => "released",
+        None => "new",
+    };
+    HostRow {
+        host: Arc::clone(&spec.name),
+        zone: Arc::clone(&spec.zone),
+        rack: Arc::clone(&spec.rack),
+        pool: ownership.and_then(Ownership::pool).cloned(),
+        generation: ownership.map_or(0, |ownership| ownership.generation().number()),
+        state: text.into(),
+        health: "unseen".into(),
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct TaskCounts {
+    running: u32,
+    finished: u32,
+}
+
+impl TaskCounts {
+    const fn add(&mut self, placement: &Placement) {
+        match placement.state {
+            PlacementState::Ended(TaskPhase::Finished) => self.finished += 1,
+            PlacementState::Ended(_) => {}
+            _ => self.running += 1,
+        }
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
 fn services(state: &State, upstreams: &[UpstreamRow]) -> Vec<ServiceRow> {
     let services = state.config().services().values();
     services
@@ -114,7 +189,7 @@
                 service: Arc::clone(&service.name),
                 pool: Arc::clone(&service.pool),
                 executors: service.executors,
-                serving: u32::try_from(serving.count()).unwrap_or(u32::MAX),
+                serving: count(serving.count()),
                 availability: service.promise.availability,
                 budget_left_s: service.promise.budget().as_secs(),
             }
--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -7,7 +7,9 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use masticfield_core::note::ReleaseNote;
-use masticfield_core::operator::{NoteAccepted, Problem};
+use masticfield_core::operator::{
+    DrainAccepted, FleetStatus, NoteAccepted, Problem, RolloutStatus,
+};
 use masticfield_node::http::{BodyError, Reply as HttpReply, json_reply, read_body};
 use masticfield_node::program::chain;
 use masticfield_node::token::Token;
@@ -65,6 +67,13 @@
                     .query(move |state| reports::history(state, since))
                     .await?)
             }
+            (&Method::GET, ["v1", "explain", kind, name]) => {
+                let (kind, name) = ((*kind).to_owned(), (*name).to_owned());
+                ok(&self
+                    .query(move |state| reports::explain(state, &kind, &name))
+                    .await??)
+            }
+            (&Method::POST, ["v1", "hosts", host, "drain"]) => ok(&self.drain(host).await?),
             _ => return Err(Problem::NoSuchOperation),
         };
         Ok(reply)
@@ -85,6 +94,15 @@
         }
     }
 
+    async fn drain(&self, host: &str) -> Result<DrainAccepted, Problem> {
+        let command = Command::Drain { host: host.into() };
+        let reply = self.control.propose(command).await;
+        match reply.map_err(|error| Self::problem(&error))? {
+            Reply::Drain(result) => result,
+            _ => Err(Problem::Undecided),
+        }
+    }
+
     async fn read_note(&self, req: Request<Incoming>) -> Result<ReleaseNote, Problem> {
         let body = read_body(req.into_body(), ReleaseNote::MAX_BYTES, self.body_timeout).await;
         let body: Bytes = body.map_err(|error| match error {
@@ -100,10 +118,7 @@
         })
     }
 
-    async fn rollout(
-        &self,
-        number: &str,
-    ) -> Result<masticfield_core::operator::RolloutStatus, Problem> {
+    async fn rollout(&self, number: &str) -> Result<RolloutStatus, Problem> {
         let not_found = || Problem::NotFound {
             kind: "note".into(),
             name: number.into(),
@@ -116,7 +131,7 @@
         Ok(self.registry.rollout(wanted))
     }
 
-    async fn status(&self) -> Result<masticfield_core::operator::FleetStatus, Problem> {
+    async fn status(&self) -> Result<FleetStatus, Problem> {
         let replica = self.control.replica_status();
         let upstreams = self.registry.upstream_rows();
         let mut status = self
--- /dev/null
+++ b/crates/masticfield-demo/src/fleet.rs
@@ -0,0 +1,228 @@
+//! A whole installation in this process.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::Parser;
+use masticfield_cli::ControlClient;
+use masticfield_control::{ControlArgs, RunningControl, StartControlError};
+use masticfield_core::note::{HostSpec, ReleaseNote};
+use masticfield_core::settings::InvalidSettings;
+use masticfield_entry::{EntryArgs, RunningEntry, StartEntryError};
+use masticfield_fake::upstream::{FakeUpstream, Runs, StartUpstreamError, UpstreamOptions};
+use masticfield_node::token::Token;
+use snafu::{ResultExt, Snafu};
+
+/// The token of the demo's operator; the demo listens on loopback only.
+const TOKEN: &str = "masticfield-demo-operator";
+
+/// Time that a request takes at an executor.
+const LATENCY: Duration = Duration::from_millis(10);
+
+/// Time within which the control process must answer.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The processes of the demo.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    control: RunningControl,
+    entries: Vec<RunningEntry>,
+    upstreams: Vec<FakeUpstream>,
+    runs: Runs,
+}
+
+/// A process of the demo could not start.
+#[derive(Debug, Snafu)]
+pub enum StartFleetError {
+    /// The demo's own settings are invalid.
+    #[snafu(display("the demo's settings are invalid"))]
+    Settings {
+        /// The cause.
+        source: InvalidSettings,
+    },
+    /// The folder of the demo cannot be written.
+    #[snafu(display("the demo's folder cannot be written"))]
+    Folder {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The control process cannot start.
+    #[snafu(display("the control process cannot start"))]
+    Control {
+        /// The cause.
+        source: StartControlError,
+    },
+    /// An entry process cannot start.
+    #[snafu(display("an entry process cannot start"))]
+    Entry {
+        /// The cause.
+        source: StartEntryError,
+    },
+    /// A stand-in cannot start.
+    #[snafu(display("an executor cannot start"))]
+    Upstream {
+        /// The cause.
+        source: StartUpstreamError,
+    },
+}
+
+impl Fleet {
+    /// Starts a control process, an entry for each availability zone and the executors.
+    pub(crate) async fn start(dir: &Path, note: &ReleaseNote) -> Result<Self, StartFleetError> {
+        let control = start_control(dir).await?;
+        let zones: BTreeSet<_> = note.added.hosts.iter().map(|host| &host.zone).collect();
+        let mut entries = Vec::new();
+        for (zone, number) in zones.iter().zip(1..) {
+            entries.push(start_entry(number, zone, address(&control, "entry")).await?);
+        }
+        let runs = Runs::new();
+        let announce_to = entries.iter().map(|entry| entry_address(entry, "upstream"));
+        let announce_to: Vec<_> = announce_to.collect();
+        let mut upstreams = Vec::new();
+        for (service, host) in placements(note) {
+            let id = format!("{service}-{}", host.name);
+            let options = UpstreamOptions::new(id, service)
+                .place(Arc::clone(&host.name), Arc::clone(&host.zone))
+                .entries(announce_to.clone())
+                .latency(LATENCY);
+            upstreams.push(
+                FakeUpstream::start(options, runs.clone())
+                    .await
+                    .context(UpstreamSnafu)?,
+            );
+        }
+        Ok(Self {
+            control,
+            entries,
+            upstreams,
+            runs,
+        })
+    }
+
+    /// A client of the control process.
+    pub(crate) fn control_client(&self) -> ControlClient {
+        ControlClient::new(
+            vec![self.operator_address()],
+            Token::new(TOKEN),
+            CONTROL_TIMEOUT,
+        )
+    }
+
+    /// Where operators reach the control process.
+    pub(crate) fn operator_address(&self) -> SocketAddr {
+        address(&self.control, "operator")
+    }
+
+    /// Where callers reach the entries.
+    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .map(|entry| entry_address(entry, "caller"))
+            .collect()
+    }
+
+    /// How many executors run.
+    pub(crate) const fn executors(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// What all executors saw.
+    pub(crate) const fn runs(&self) -> &Runs {
+        &self.runs
+    }
+
+    /// Ends every process gracefully: executors first, then entries, then control.
+    pub(crate) async fn stop(self) {
+        let leaving = self
+            .upstreams
+            .into_iter()
+            .map(|upstream| tokio::spawn(upstream.stop()));
+        let leaving: Vec<_> = leaving.collect();
+        for upstream in leaving {
+            if let Err(error) = upstream.await {
+                log::error!(error:%; "an executor failed to leave");
+            }
+        }
+        for entry in &self.entries {
+            entry.trigger().pull();
+        }
+        for entry in self.entries {
+            entry.wait().await;
+        }
+        self.control.trigger().pull();
+        self.control.wait().await;
+    }
+}
+
+async fn start_control(dir: &Path) -> Result<RunningControl, StartFleetError> {
+    let token = dir.join("token");
+    std::fs::write(&token, TOKEN).context(FolderSnafu)?;
+    let args = ControlArgs::parse_from([
+        "masticfield-control".as_ref(),
+        "--data-dir".as_ref(),
+        dir.join("data").as_os_str(),
+        "--token-file".as_ref(),
+        token.as_os_str(),
+        "--entry-listen=127.0.0.1:0".as_ref(),
+        "--operator-listen=127.0.0.1:0".as_ref(),
+        "--stop-linger=0s".as_ref(),
+    ]);
+    RunningControl::start(args.check().context(SettingsSnafu)?)
+        .await
+        .context(ControlSnafu)
+}
+
+async fn start_entry(
+    number: u16,
+    zone: &str,
+    control: SocketAddr,
+) -> Result<RunningEntry, StartFleetError> {
+    let args = EntryArgs::parse_from([
+        "masticfield-entry",
+        &format!("--entry={number}"),
+        &format!("--zone={zone}"),
+        &format!("--control={control}"),
+        "--caller-listen=127.0.0.1:0",
+        "--upstream-listen=127.0.0.1:0",
+        "--lease-renewal=250ms",
+        "--stop-linger=0s",
+    ]);
+    RunningEntry::start(args.check().context(SettingsSnafu)?)
+        .await
+        .context(EntrySnafu)
+}
+
+/// A host for each executor of each service, spread over the availability zones.
+fn placements(note: &ReleaseNote) -> Vec<(&str, &HostSpec)> {
+    let mut by_rack: Vec<_> = note.added.hosts.iter().collect();
+    by_rack.sort_by_key(|host| (host.name.rsplit('-').next(), &host.zone));
+    let mut hosts = by_rack.into_iter();
+    let mut placements = Vec::new();
+    for service in &note.added.services {
+        let count = usize::try_from(service.executors).unwrap_or(usize::MAX);
+        placements.extend(
+            hosts
+                .by_ref()
+                .take(count)
+                .map(|host| (&*service.name, host)),
+        );
+    }
+    placements
+}
+
+fn address(control: &RunningControl, name: &str) -> SocketAddr {
+    control
+        .addresses()
+        .address(name)
+        .expect("a running process has told its addresses")
+}
+
+fn entry_address(entry: &RunningEntry, name: &str) -> SocketAddr {
+    entry
+        .addresses()
+        .address(name)
+        .expect("a running process has told its addresses")
+}
