feat(routing): membership of entries and the shared upstream table

Cause: entries knew only the upstreams that announced themselves to them. Ruled out: passing on each refresh (2,300 upstreams every 4 s to every entry is over 6 KB/s); trusting a holder from the arrival of its word (a late datagram prolongs it, seeded defect found). Change: each upstream is held by one entry; holders send revisioned pages, heartbeats name the revision and vouch for all upstreams of the holder, counted from the echoed heartbeat; leaving is sent at once and repeated until acknowledged, also to suspected peers. Failed on the way: a leave was not repeated to peers under suspicion (used after 3,095 ms); an entry that was cut off while its seeds restarted addressed their old incarnations for ever.

--- a/crates/masticfield-routing/src/lib.rs
+++ b/crates/masticfield-routing/src/lib.rs
@@ -1,1 +1,3 @@
 //! Admission, slots, retries and membership decisions of masticfield.
+
+pub mod membership;
