feat(core): tell reused keys and requests that ran before

Cause: a resend whose first answer is gone was told "earlier-attempt", which hides that it ran. Change: UnknownReason::AlreadyRan (409) and NotRunReason::KeyReused (422), both additive.

--- a/crates/masticfield-core/src/outcome.rs
+++ b/crates/masticfield-core/src/outcome.rs
@@ -66,6 +66,8 @@
     BadRequest,
     /// A request that is not idempotent came without a usable idempotency key.
     KeyMissing,
+    /// The idempotency key was used before, for another request.
+    KeyReused,
 }
 
 /// What was seen of a request whose outcome is unknown.
@@ -83,6 +85,8 @@
     OverlongAnswer,
     /// An earlier request with the same key is not finished, or its end is unknown.
     EarlierAttempt,
+    /// The request ran before under the same key, and its answer is no longer held.
+    AlreadyRan,
 }
 
 impl Outcome {
@@ -108,6 +112,9 @@
             Self::Unknown {
                 reason: UnknownReason::TimedOut,
             } => 504,
+            Self::Unknown {
+                reason: UnknownReason::AlreadyRan,
+            } => 409,
             Self::Unknown { .. } => 502,
         }
     }
@@ -127,6 +134,7 @@
             Self::UnknownService => 404,
             Self::BadRequest | Self::KeyMissing => 400,
             Self::KeyExpired => 409,
+            Self::KeyReused => 422,
             _ => 503,
         }
     }
@@ -146,6 +154,7 @@
             Self::RefusedByUpstream => "refused-by-upstream",
             Self::BadRequest => "bad-request",
             Self::KeyMissing => "key-missing",
+            Self::KeyReused => "key-reused",
         }
     }
 }
@@ -160,6 +169,7 @@
             Self::CrossedAnswer => "crossed-answer",
             Self::OverlongAnswer => "overlong-answer",
             Self::EarlierAttempt => "earlier-attempt",
+            Self::AlreadyRan => "already-ran",
         }
     }
 }
