feat(routing): decide on requests that run at most once

Cause: the entry answered every resend with "earlier-attempt" and took any key text. Ruled out: keeping keys without a time of issue, since old ones could not be refused truthfully.

--- a/crates/masticfield-entry/src/callers/problem.rs
+++ b/crates/masticfield-entry/src/callers/problem.rs
@@ -67,7 +67,10 @@
         NotRunReason::KeyExpired => "The idempotency key is too old.",
         NotRunReason::RefusedByUpstream => "Every executor that was tried refused the request.",
         NotRunReason::BadRequest => "The request is malformed or over a limit.",
-        NotRunReason::KeyMissing => "A request with this method needs an Idempotency-Key.",
+        NotRunReason::KeyMissing => {
+            "A request with this method needs an Idempotency-Key of the form <Unix seconds>-<text>."
+        }
+        NotRunReason::KeyReused => "The idempotency key was used for another request.",
     }
 }
 
@@ -79,5 +82,6 @@
         UnknownReason::CrossedAnswer => "The executor answered another request.",
         UnknownReason::OverlongAnswer => "The answer of the executor is over the limit.",
         UnknownReason::EarlierAttempt => "An earlier request with this key has no known end.",
+        UnknownReason::AlreadyRan => "The request ran once; its answer is no longer held.",
     }
 }
