feat(entry): join peers over UDP and give first answers again

Cause: entries knew only upstreams that told them, resends got "earlier-attempt", and a caller that vanished left its slot, claim and gauge behind, since its request was dropped half-way.

--- a/crates/masticfield-entry/src/args.rs
+++ b/crates/masticfield-entry/src/args.rs
@@ -35,11 +35,20 @@
         default_value = "127.0.0.1:7401"
     )]
     upstream_listen: String,
+    /// Address for the other entries, over UDP and TCP
+    #[arg(long, env = "MASTICFIELD_PEER_LISTEN", default_value = "127.0.0.1:0")]
+    peer_listen: String,
+    /// Address that the other entries are told, if it is not the one that is listened on
+    #[arg(long, env = "MASTICFIELD_PEER_ADVERTISE")]
+    peer_advertise: Option<String>,
+    /// Addresses of some other entries, separated by commas
+    #[arg(long, env = "MASTICFIELD_PEERS", default_value = "")]
+    peers: String,
     /// Addresses where the control replicas listen to entries, separated by commas
     #[arg(long, env = "MASTICFIELD_CONTROL", default_value = "127.0.0.1:7410")]
     control: String,
     /// Time after which an upstream that does not announce itself again is forgotten
-    #[arg(long, env = "MASTICFIELD_UPSTREAM_TTL", default_value = "10s")]
+    #[arg(long, env = "MASTICFIELD_UPSTREAM_TTL", default_value = "15s")]
     upstream_ttl: String,
     /// Time between two renewals of the configuration lease
     #[arg(long, env = "MASTICFIELD_LEASE_RENEWAL", default_value = "1s")]
@@ -59,6 +68,12 @@
     pub caller_listen: SocketAddr,
     /// Address for the announcements of upstreams.
     pub upstream_listen: SocketAddr,
+    /// Address for the other entries.
+    pub peer_listen: SocketAddr,
+    /// Address that the other entries are told, if it is another one.
+    pub peer_advertise: Option<SocketAddr>,
+    /// Addresses of some other entries.
+    pub peers: Vec<SocketAddr>,
     /// Where the control replicas listen to entries.
     pub control: Vec<SocketAddr>,
     /// Time after which an upstream that does not announce itself again is forgotten.
@@ -87,9 +102,22 @@
         let zone = checker.require("--zone", self.zone.as_deref());
         let caller_listen = checker.parse("--caller-listen", &self.caller_listen);
         let upstream_listen = checker.parse("--upstream-listen", &self.upstream_listen);
+        let peer_listen = checker.parse::<SocketAddr>("--peer-listen", &self.peer_listen);
+        let peer_advertise = self
+            .peer_advertise
+            .as_deref()
+            .map(|text| checker.parse::<SocketAddr>("--peer-advertise", text));
+        let reachable = peer_listen.is_none_or(|address| !address.ip().is_unspecified());
+        checker.relate(
+            "--peer-listen",
+            reachable || peer_advertise.is_some(),
+            "one address of this host, or come with",
+            "--peer-advertise",
+        );
+        let peers = checker.parse_list("--peers", &self.peers);
         let control = checker.parse_list("--control", &self.control);
         let control = checker.require("--control", Some(control).filter(|list| !list.is_empty()));
-        let ttl = Duration::from_secs(1)..=Duration::from_mins(5);
+        let ttl = Duration::from_secs(3)..=Duration::from_mins(5);
         let upstream_ttl = checker.duration("--upstream-ttl", &self.upstream_ttl, ttl);
         let renewals = Duration::from_millis(50)..=Duration::from_secs(3);
         let lease_renewal = checker.duration("--lease-renewal", &self.lease_renewal, renewals);
@@ -99,6 +127,9 @@
             zone: zone?.into(),
             caller_listen: caller_listen?,
             upstream_listen: upstream_listen?,
+            peer_listen: peer_listen?,
+            peer_advertise: peer_advertise.flatten(),
+            peers,
             control: control?,
             upstream_ttl: upstream_ttl?,
             lease_renewal: lease_renewal?,
--- a/crates/masticfield-entry/src/callers/exchange.rs
+++ b/crates/masticfield-entry/src/callers/exchange.rs
@@ -1,12 +1,14 @@
 //! One exchange with an upstream.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
+use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper::body::{Body, Incoming};
+use hyper_util::client::legacy::connect::{Connected, HttpConnector, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use masticfield_core::ids::RequestId;
@@ -24,6 +26,12 @@
 /// Time after which an unused connection to an upstream is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Unused connections to one upstream that are kept, at most.
+const MAX_IDLE_CONNECTIONS: usize = 8;
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Sends requests to upstreams over kept connections.
 #[derive(Debug, Clone)]
 pub(super) struct Exchange {
@@ -50,6 +58,8 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Self { client }
     }
@@ -62,16 +72,22 @@
         id: RequestId,
         hop: &Hop,
     ) -> Exchanged {
-        let left = req.deadline.saturating_duration_since(Instant::now());
-        let Some(outgoing) = outgoing(req, slot, id, hop) else {
+        let Some(mut outgoing) = outgoing(req, slot, id, hop) else {
             return Exchanged::NotRun;
         };
-        let answered = tokio::time::timeout(left, self.client.request(outgoing)).await;
-        match answered {
+        let connection = capture_connection(&mut outgoing);
+        let answered = tokio::time::timeout(req.left(), self.client.request(outgoing)).await;
+        let exchanged = match answered {
             Err(_elapsed) => Exchanged::Unknown(UnknownReason::TimedOut),
             Ok(Err(error)) => broken(&error),
             Ok(Ok(answer)) => receive(answer, req, id).await,
+        };
+        if matches!(exchanged, Exchanged::Unknown(_)) {
+            // What else arrives on this connection may belong to other requests.
+            let connected = connection.connection_metadata();
+            connected.iter().for_each(Connected::poison);
         }
+        exchanged
     }
 }
 
@@ -124,8 +140,10 @@
     {
         return Exchanged::NotRun;
     }
-    let left = req.deadline.saturating_duration_since(Instant::now());
-    match read_body(body, req.max_answer_bytes, left).await {
+    if !is_delimited(&head, &body) {
+        return Exchanged::Unknown(UnknownReason::TornAnswer);
+    }
+    match read_body(body, req.max_answer_bytes, req.left()).await {
         Ok(body) => {
             strip_hop_by_hop(&mut head.headers);
             head.headers
@@ -137,3 +155,9 @@
         Err(BodyError::Torn { .. }) => Exchanged::Unknown(UnknownReason::TornAnswer),
     }
 }
+
+/// Whether the end of the body can be told from the end of the connection.
+fn is_delimited(head: &Parts, body: &Incoming) -> bool {
+    let chunked = head.headers.contains_key(TRANSFER_ENCODING);
+    chunked || body.size_hint().exact().is_some()
+}
--- a/crates/masticfield-entry/src/callers/front.rs
+++ b/crates/masticfield-entry/src/callers/front.rs
@@ -6,14 +6,12 @@
 
 use http::Request;
 use hyper::body::Incoming;
-use masticfield_core::claim::{Claim, ClaimEnd, ClaimKey, ClaimVerdict};
 use masticfield_core::ids::{EntryId, RequestId};
 use masticfield_core::kernel::Shutdown;
 use masticfield_core::outcome::{NotRunReason, Outcome, UnknownReason};
 use masticfield_node::http::Reply;
 use masticfield_node::trace::{Hop, Tracing};
-use masticfield_wire::control::EndedClaim;
-use sha2::{Digest, Sha256};
+use tokio_util::task::TaskTracker;
 use xtra::Address;
 
 use super::exchange::{Exchange, Exchanged};
@@ -21,6 +19,8 @@
 use super::request::CallerRequest;
 use crate::control::ControlLink;
 use crate::metrics::Metrics;
+use crate::once::BookActor;
+use crate::peers::PeerActor;
 use crate::router::{Admission, Admit, Finish, RouterActor};
 
 /// When a refused caller may come back.
@@ -32,6 +32,9 @@
     pub entry: EntryId,
     pub zone: Arc<str>,
     pub router: Address<RouterActor>,
+    pub book: Address<BookActor>,
+    pub peers: Address<PeerActor>,
+    pub tasks: TaskTracker,
     pub control: ControlLink,
     pub exchange: Exchange,
     pub metrics: Metrics,
@@ -42,15 +45,29 @@
 }
 
 /// A final answer and what it says.
-struct Final {
-    service: Arc<str>,
-    outcome: Outcome,
-    reply: Option<Reply>,
+pub(super) struct Final {
+    pub service: Arc<str>,
+    pub outcome: Outcome,
+    pub reply: Option<Reply>,
 }
 
 impl Front {
-    /// Answers one request.
+    /// Answers one request, to its end even if the caller vanishes.
+    ///
+    /// The slot, the claim and the metrics of a request that is dropped half-way would stay.
     pub(super) async fn answer(&self, req: Request<Incoming>) -> Reply {
+        let front = self.clone();
+        let answered = self
+            .tasks
+            .spawn(async move { front.answer_whole(req).await });
+        answered.await.unwrap_or_else(|_panicked| {
+            problem_reply(Outcome::Unknown {
+                reason: UnknownReason::ConnectionLost,
+            })
+        })
+    }
+
+    async fn answer_whole(&self, req: Request<Incoming>) -> Reply {
         let began = Instant::now();
         self.metrics.begin();
         let hop = self.tracing.arrive("caller request", req.headers());
@@ -83,42 +100,8 @@
         }
     }
 
-    /// Runs a request under a durable claim of its key.
-    async fn run_once(&self, req: &CallerRequest, hop: &Hop) -> Final {
-        let id = self.next_id();
-        let claim = match claim(req, id) {
-            Ok(claim) => claim,
-            Err(reason) => return Final::not_run(&req.service, reason),
-        };
-        let step = hop.step("claim");
-        let left = req.deadline.saturating_duration_since(Instant::now());
-        let verdict = tokio::time::timeout(left, self.control.claim(claim)).await;
-        drop(step);
-        match verdict {
-            Ok(Ok(ClaimVerdict::Granted | ClaimVerdict::AlreadyYours)) => {}
-            Ok(Ok(verdict)) => return refused_claim(&req.service, verdict),
-            Ok(Err(_)) | Err(_) => {
-                return Final::not_run(&req.service, NotRunReason::ClaimUnavailable);
-            }
-        }
-        let answered = self.run(req, id, hop).await;
-        let end = match answered.outcome {
-            Outcome::Answered => ClaimEnd::Ran,
-            Outcome::NotRun { .. } => ClaimEnd::NotRun,
-            Outcome::Unknown { .. } => ClaimEnd::Unknown,
-        };
-        self.control
-            .end(EndedClaim {
-                key: claim.key,
-                request: id,
-                end,
-            })
-            .await;
-        answered
-    }
-
     /// Sends a request to one executor.
-    async fn run(&self, req: &CallerRequest, id: RequestId, hop: &Hop) -> Final {
+    pub(super) async fn run(&self, req: &CallerRequest, id: RequestId, hop: &Hop) -> Final {
         let zone = req.zone.as_ref().unwrap_or(&self.zone);
         let admit = Admit {
             service: Arc::clone(&req.service),
@@ -129,6 +112,10 @@
             Ok(Admission::Refuse(reason)) => return Final::not_run(&req.service, reason),
             Err(_stopped) => return Final::not_run(&req.service, NotRunReason::Stopping),
         };
+        if req.left().is_zero() {
+            drop(self.router.send(Finish(slot)).await);
+            return Final::not_run(&req.service, NotRunReason::DeadlinePassed);
+        }
         let call = hop.call("upstream request");
         call.note("masticfield.upstream", slot.upstream.to_string());
         let exchanged = self.exchange.run(req, &slot, id, &call).await;
@@ -141,13 +128,13 @@
         }
     }
 
-    fn next_id(&self) -> RequestId {
+    pub(super) fn next_id(&self) -> RequestId {
         RequestId::new(self.entry, self.sequence.fetch_add(1, Ordering::Relaxed))
     }
 }
 
 impl Final {
-    fn answered(service: &Arc<str>, reply: Reply) -> Self {
+    pub(super) fn answered(service: &Arc<str>, reply: Reply) -> Self {
         Self {
             service: Arc::clone(service),
             outcome: Outcome::Answered,
@@ -155,7 +142,7 @@
         }
     }
 
-    fn not_run(service: &str, reason: NotRunReason) -> Self {
+    pub(super) fn not_run(service: &str, reason: NotRunReason) -> Self {
         let outcome = Outcome::NotRun {
             reason,
             retry_after: RETRY_AFTER,
@@ -167,7 +154,7 @@
         }
     }
 
-    fn unknown(service: &str, reason: UnknownReason) -> Self {
+    pub(super) fn unknown(service: &str, reason: UnknownReason) -> Self {
         Self {
             service: service.into(),
             outcome: Outcome::Unknown { reason },
@@ -175,43 +162,3 @@
         }
     }
 }
-
-fn refused_claim(service: &str, verdict: ClaimVerdict) -> Final {
-    match verdict {
-        ClaimVerdict::Expired => Final::not_run(service, NotRunReason::KeyExpired),
-        ClaimVerdict::OtherRequest => Final::not_run(service, NotRunReason::BadRequest),
-        _ => Final::unknown(service, UnknownReason::EarlierAttempt),
-    }
-}
-
-/// The claim of a request's key.
-fn claim(req: &CallerRequest, request: RequestId) -> Result<Claim, NotRunReason> {
-    let text = req.key()?;
-    let issued = text
-        .split_once('-')
-        .and_then(|(seconds, _)| seconds.parse().ok());
-    let key = ClaimKey::from_digest(digest([&*req.service, &*text]), issued.unwrap_or(0));
-    let fingerprint = digest([
-        req.method.as_str().as_bytes(),
-        req.path.as_bytes(),
-        &req.body,
-    ]);
-    Ok(Claim {
-        key,
-        fingerprint,
-        request,
-    })
-}
-
-/// The first 128 bits of the digest of parts with their lengths.
-fn digest<const N: usize, P: AsRef<[u8]>>(parts: [P; N]) -> [u8; 16] {
-    let mut hasher = Sha256::new();
-    for part in parts {
-        let part = part.as_ref();
-        hasher.update((part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let mut first = [0; 16];
-    first.copy_from_slice(&hasher.finalize()[..16]);
-    first
-}
--- a/crates/masticfield-entry/src/callers/mod.rs
+++ b/crates/masticfield-entry/src/callers/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod front;
 mod headers;
+mod once;
 mod plugin;
 mod problem;
 mod request;
--- a/crates/masticfield-entry/src/callers/plugin.rs
+++ b/crates/masticfield-entry/src/callers/plugin.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use masticfield_core::ids::Incarnation;
 use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
 use masticfield_node::addresses::Addresses;
 use masticfield_node::http::Server;
@@ -15,9 +16,14 @@
 use crate::EntrySettings;
 use crate::control::ControlLink;
 use crate::metrics::Metrics;
+use crate::once::BookActor;
+use crate::peers::PeerActor;
 use crate::router::RouterActor;
 
-inventory::submit! { Plugin::new("callers", Program::Entry, 4, start) }
+/// Bits of a dispatch number that count within a millisecond of the entry's life.
+const DISPATCH_BITS: u32 = 20;
+
+inventory::submit! { Plugin::new("callers", Program::Entry, 5, start) }
 
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
@@ -31,6 +37,9 @@
         let front = Front {
             entry: settings.entry,
             zone: Arc::clone(&settings.zone),
+            book: cx.need::<Address<BookActor>>()?.clone(),
+            peers: cx.need::<Address<PeerActor>>()?.clone(),
+            tasks: cx.need::<TaskTracker>()?.clone(),
             router: cx.need::<Address<RouterActor>>()?.clone(),
             control: cx.need::<ControlLink>()?.clone(),
             exchange: Exchange::new(),
@@ -38,7 +47,7 @@
             tracing: cx.need::<Tracing>()?.clone(),
             shutdown: cx.shutdown(),
             body_timeout: limits.body(),
-            sequence: Arc::new(AtomicU64::new(u64::from(rand::random::<u32>()) << 32)),
+            sequence: Arc::new(AtomicU64::new(first_sequence(*cx.need::<Incarnation>()?))),
         };
         let address = server.address();
         let tasks = cx.need::<TaskTracker>()?.clone();
@@ -51,3 +60,8 @@
         Ok(())
     })
 }
+
+/// The first number of a dispatch; those of a later incarnation are always higher.
+const fn first_sequence(incarnation: Incarnation) -> u64 {
+    incarnation.number() << DISPATCH_BITS
+}
--- a/crates/masticfield-entry/src/control/plugin.rs
+++ b/crates/masticfield-entry/src/control/plugin.rs
@@ -1,9 +1,7 @@
 //! The plug-in that connects to the control replicas.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
-use masticfield_core::ids::Incarnation;
 use masticfield_core::kernel::{KernelContext, Plugin, Program, StartFuture};
 use masticfield_core::membership::EntryInfo;
 use masticfield_node::admin::Readiness;
@@ -17,19 +15,14 @@
 /// Asks that wait for the connection, at most.
 const ASK_QUEUE: usize = 4_096;
 
-inventory::submit! { Plugin::new("control", Program::Entry, 2, start) }
+inventory::submit! { Plugin::new("control", Program::Entry, 3, start) }
 
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let settings = Arc::clone(cx.need::<Arc<EntrySettings>>()?);
         let (tx, rx) = mpsc::channel(ASK_QUEUE);
         let (served_tx, served) = watch::channel(Served::nothing());
-        let info = EntryInfo {
-            id: settings.entry,
-            incarnation: Incarnation::new(now_ms()),
-            peer_address: settings.caller_listen,
-            zone: Arc::clone(&settings.zone),
-        };
+        let info = cx.need::<EntryInfo>()?.clone();
         let session = Session::new(info, settings.control.clone(), settings.lease_renewal)
             .publish_to(served_tx, cx.need::<Readiness>()?.clone())
             .count_with(cx.need::<Metrics>()?.clone());
@@ -38,10 +31,3 @@
         Ok(())
     })
 }
-
-fn now_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/masticfield-entry/src/control/session.rs
+++ b/crates/masticfield-entry/src/control/session.rs
@@ -1,11 +1,11 @@
 //! The task that keeps the connection with the leading control replica.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use masticfield_core::claim::ClaimVerdict;
+use masticfield_core::claim::{Claim, ClaimVerdict};
 use masticfield_core::config::FleetConfig;
 use masticfield_core::kernel::Shutdown;
 use masticfield_core::membership::EntryInfo;
@@ -46,7 +46,14 @@
     metrics: Option<Metrics>,
     sequence: u64,
     renewals: HashMap<u64, Instant>,
-    claims: HashMap<u64, Vec<oneshot::Sender<ClaimVerdict>>>,
+    claims: BTreeMap<u64, Vec<WaitingClaim>>,
+}
+
+/// A claim without a verdict.
+#[derive(Debug)]
+struct WaitingClaim {
+    claim: Claim,
+    tx: oneshot::Sender<ClaimVerdict>,
 }
 
 /// How a connection ended.
@@ -74,7 +81,7 @@
             metrics: None,
             sequence: 0,
             renewals: HashMap::new(),
-            claims: HashMap::new(),
+            claims: BTreeMap::new(),
         }
     }
 
@@ -117,8 +124,6 @@
                 Ok(Err(error)) => Ended::Broken(error),
                 Err(_late) => Ended::Redirected(None),
             };
-            // Dropping the senders tells every claimant that there is no verdict.
-            self.claims.clear();
             self.renewals.clear();
             match ended {
                 Ended::Stopping => return,
@@ -144,7 +149,8 @@
         let mut ticks = timer.every(self.renewal);
         let mut batch = Vec::new();
         let mut heard_at = Instant::now();
-        for msg in [EntryToControl::Hello(self.info.clone()), self.renew()] {
+        let greeting = [EntryToControl::Hello(self.info.clone()), self.renew()];
+        for msg in greeting.into_iter().chain(self.claim_again()) {
             if let Err(error) = writer.send(&msg).await {
                 return Ended::Broken(error);
             }
@@ -199,26 +205,16 @@
 
     /// Turns what was asked into messages, all claims in one.
     fn ask(&mut self, batch: &mut Vec<Ask>) -> Vec<EntryToControl> {
-        let (mut claims, mut waiting, mut ends, mut changed) = (vec![], vec![], vec![], vec![]);
+        let (mut waiting, mut ends, mut changed) = (vec![], vec![], vec![]);
         for ask in batch.drain(..) {
             match ask {
-                Ask::Claim(claim, tx) => {
-                    claims.push(claim);
-                    waiting.push(tx);
-                }
+                Ask::Claim(claim, tx) => waiting.push(WaitingClaim { claim, tx }),
                 Ask::End(ended) => ends.push(ended),
                 Ask::Report(announcement) => changed.push(announcement),
             }
         }
         let mut msgs = Vec::new();
-        if !claims.is_empty() {
-            self.sequence += 1;
-            self.claims.insert(self.sequence, waiting);
-            msgs.push(EntryToControl::Claims {
-                sequence: self.sequence,
-                claims,
-            });
-        }
+        msgs.extend(self.claim_all(waiting));
         if !ends.is_empty() {
             msgs.push(EntryToControl::Ends(ends));
         }
@@ -231,6 +227,33 @@
         msgs
     }
 
+    /// Asks for verdicts; claimants that no longer wait are left out.
+    fn claim_all(&mut self, mut waiting: Vec<WaitingClaim>) -> Option<EntryToControl> {
+        waiting.retain(|claim| !claim.tx.is_closed());
+        if waiting.is_empty() {
+            return None;
+        }
+        self.sequence += 1;
+        let claims = waiting.iter().map(|waiting| waiting.claim).collect();
+        self.claims.insert(self.sequence, waiting);
+        Some(EntryToControl::Claims {
+            sequence: self.sequence,
+            claims,
+        })
+    }
+
+    /// Repeats the claims that an earlier connection left without a verdict.
+    ///
+    /// A claim is by its dispatch, so a repeated one is recognized.
+    fn claim_again(&mut self) -> Vec<EntryToControl> {
+        let unanswered = std::mem::take(&mut self.claims).into_values();
+        let unanswered: Vec<_> = unanswered.collect();
+        let again = unanswered.into_iter();
+        again
+            .filter_map(|waiting| self.claim_all(waiting))
+            .collect()
+    }
+
     fn receive(&mut self, msg: ControlToEntry) -> Vec<EntryToControl> {
         match msg {
             ControlToEntry::NotLeader { .. } => Vec::new(),
@@ -245,9 +268,9 @@
             }
             ControlToEntry::Verdicts { sequence, verdicts } => {
                 let waiting = self.claims.remove(&sequence).unwrap_or_default();
-                for (tx, verdict) in waiting.into_iter().zip(verdicts) {
+                for (waiting, verdict) in waiting.into_iter().zip(verdicts) {
                     // A claimant that no longer waits has told its caller already.
-                    let _ = tx.send(verdict);
+                    let _ = waiting.tx.send(verdict);
                 }
                 Vec::new()
             }
--- a/crates/masticfield-entry/src/lib.rs
+++ b/crates/masticfield-entry/src/lib.rs
@@ -22,6 +22,8 @@
 mod callers;
 mod control;
 mod metrics;
+mod once;
+mod peers;
 mod router;
 mod running;
 mod upstreams;
--- /dev/null
+++ b/crates/masticfield-entry/src/peers/plugin.rs
@@ -0,0 +1,137 @@
+//! The plug-in that joins the other entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::ids::Incarnation;
+use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use masticfield_core::membership::EntryInfo;
+use masticfield_node::addresses::Addresses;
+use masticfield_routing::membership::{Membership, Timing};
+use prometheus::Registry;
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::oneshot;
+use tokio_util::task::TaskTracker;
+use xtra::{Address, Mailbox, WeakAddress};
+
+use super::peer_actor::{Leave, PeerActor, Tick};
+use super::{ask, datagrams, metrics::PeerMetrics};
+use crate::EntrySettings;
+use crate::once::BookActor;
+use crate::router::RouterActor;
+
+/// Ports that are tried until one is free for both UDP and TCP.
+const BIND_TRIES: usize = 8;
+
+/// Time within which every peer must know that the entry leaves.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+inventory::submit! { Plugin::new("peers", Program::Entry, 2, start) }
+
+/// The entry cannot listen to its peers.
+#[derive(Debug, Snafu)]
+enum StartPeersError {
+    #[snafu(display("--peer-listen {address} cannot be bound for UDP and TCP"))]
+    Bind {
+        address: SocketAddr,
+        source: std::io::Error,
+    },
+    #[snafu(display("a metric cannot be registered"))]
+    Register { source: prometheus::Error },
+}
+
+fn start(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let settings = Arc::clone(cx.need::<Arc<EntrySettings>>()?);
+        let (socket, listener) = bind(settings.peer_listen).await.map_err(boxed)?;
+        let address = listener.local_addr().unwrap_or(settings.peer_listen);
+        let metrics = PeerMetrics::register(cx.need::<Registry>()?);
+        let metrics = metrics.context(RegisterSnafu).map_err(boxed)?;
+        let me = EntryInfo {
+            id: settings.entry,
+            incarnation: *cx.need::<Incarnation>()?,
+            peer_address: settings.peer_advertise.unwrap_or(address),
+            zone: Arc::clone(&settings.zone),
+        };
+        let timing = Timing::new().for_time_to_live(settings.upstream_ttl);
+        let membership = Membership::new(me.clone(), settings.peers.iter().copied(), timing);
+        let (listening, mut stopped) = oneshot::channel();
+        let actor = PeerActor::new(
+            membership,
+            Arc::clone(&socket),
+            cx.need::<Address<RouterActor>>()?.clone(),
+            cx.trigger().clone(),
+            metrics.clone(),
+            listening,
+        );
+        let peers = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        let book = cx.need::<Address<BookActor>>()?.clone();
+        let weak = peers.downgrade();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = datagrams::receive(socket, weak, metrics) => {}
+                () = ask::serve(listener, book) => {}
+                _ = &mut stopped => {}
+            }
+        });
+        spawn_ticks(cx, peers.downgrade(), timing);
+        spawn_leave(cx, peers.downgrade())?;
+        let addresses = cx.need::<Addresses>()?.clone().with("peer", address);
+        cx.provide(addresses);
+        cx.provide(me);
+        cx.provide(peers);
+        Ok(())
+    })
+}
+
+fn spawn_ticks(cx: &KernelContext, peers: WeakAddress<PeerActor>, timing: Timing) {
+    let mut ticks = cx.timer().every(timing.tick());
+    tokio::spawn(async move {
+        while ticks.recv().await.is_some() {
+            if peers.send(Tick).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Tells the peers as soon as the entry stops, so that they take its roles over at once.
+fn spawn_leave(cx: &KernelContext, peers: WeakAddress<PeerActor>) -> Result<(), KernelError> {
+    let mut shutdown = cx.shutdown();
+    let tasks = cx.need::<TaskTracker>()?;
+    tasks.spawn(async move {
+        shutdown.begun().await;
+        let Ok(left) = peers.send(Leave).await else {
+            return;
+        };
+        if tokio::time::timeout(LEAVE_TIMEOUT, left).await.is_err() {
+            log::warn!("some peers do not know that this entry has left");
+        }
+    });
+    Ok(())
+}
+
+/// Binds the same port for datagrams and for connections.
+async fn bind(address: SocketAddr) -> Result<(Arc<UdpSocket>, TcpListener), StartPeersError> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let socket = UdpSocket::bind(address).await;
+        let socket = socket.context(BindSnafu { address })?;
+        let bound = socket.local_addr().context(BindSnafu { address })?;
+        match TcpListener::bind(bound).await {
+            Ok(listener) => return Ok((Arc::new(socket), listener)),
+            Err(_taken) if address.port() == 0 && tries < BIND_TRIES => {}
+            Err(source) => return Err(StartPeersError::Bind { address, source }),
+        }
+    }
+}
+
+fn boxed(source: StartPeersError) -> KernelError {
+    KernelError::Start {
+        plugin: "peers",
+        source: Box::new(source),
+    }
+}
--- a/crates/masticfield-entry/src/router/mod.rs
+++ b/crates/masticfield-entry/src/router/mod.rs
@@ -3,4 +3,4 @@
 mod plugin;
 mod router_actor;
 
-pub(crate) use router_actor::{Admission, Admit, Announce, Finish, RouterActor, Slot, Sweep};
+pub(crate) use router_actor::{Admission, Admit, Finish, Learn, RouterActor, Slot};
--- a/crates/masticfield-entry/src/router/router_actor.rs
+++ b/crates/masticfield-entry/src/router/router_actor.rs
@@ -3,30 +3,27 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use masticfield_core::ids::Incarnation;
-use masticfield_core::membership::Announcement;
+use masticfield_core::membership::{Announcement, MembershipEvent};
 use masticfield_core::outcome::NotRunReason;
 use xtra::prelude::*;
 
 /// Chooses an executor for each request.
 #[derive(Debug, Actor)]
 pub(crate) struct RouterActor {
-    ttl: Duration,
     upstreams: HashMap<Arc<str>, KnownUpstream>,
 }
 
 #[derive(Debug)]
 struct KnownUpstream {
     announcement: Announcement,
-    heard_at: Instant,
     in_flight: u16,
 }
 
-/// An upstream announced itself.
+/// The membership changed.
 #[derive(Debug)]
-pub(crate) struct Announce(pub Announcement);
+pub(crate) struct Learn(pub MembershipEvent);
 
 /// Asks for a slot of a service.
 #[derive(Debug)]
@@ -41,10 +38,6 @@
 #[derive(Debug)]
 pub(crate) struct Finish(pub Slot);
 
-/// Forgets upstreams whose time to live has run out.
-#[derive(Debug)]
-pub(crate) struct Sweep(pub Instant);
-
 /// The answer to [`Admit`].
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Admission {
@@ -67,13 +60,26 @@
 
 impl RouterActor {
     /// Creates a router that knows no upstream.
-    pub(crate) fn new(ttl: Duration) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            ttl,
             upstreams: HashMap::new(),
         }
     }
 
+    /// Takes the latest announcement of an upstream; its requests in flight stay counted.
+    fn learn(&mut self, announcement: Announcement) {
+        let known = self.upstreams.get(&announcement.id);
+        let in_flight = known
+            .filter(|known| known.announcement.incarnation == announcement.incarnation)
+            .map_or(0, |known| known.in_flight);
+        let upstream = KnownUpstream {
+            announcement,
+            in_flight,
+        };
+        let id = Arc::clone(&upstream.announcement.id);
+        self.upstreams.insert(id, upstream);
+    }
+
     fn admit(&mut self, service: &str, zone: &str) -> Admission {
         let serving = self.upstreams.values_mut().filter(|upstream| {
             &*upstream.announcement.service == service
@@ -100,25 +106,21 @@
     }
 }
 
-impl Handler<Announce> for RouterActor {
+impl Handler<Learn> for RouterActor {
     type Return = ();
 
-    async fn handle(&mut self, message: Announce, _ctx: &mut Context<Self>) {
-        let announcement = message.0;
-        let known = self.upstreams.get(&announcement.id);
-        let known = known.map(|known| (known.announcement.incarnation, known.in_flight));
-        let in_flight = match known {
-            Some((incarnation, _)) if incarnation > announcement.incarnation => return,
-            Some((incarnation, in_flight)) if incarnation == announcement.incarnation => in_flight,
-            _ => 0,
-        };
-        let id = Arc::clone(&announcement.id);
-        let upstream = KnownUpstream {
-            announcement,
-            heard_at: Instant::now(),
-            in_flight,
-        };
-        self.upstreams.insert(id, upstream);
+    async fn handle(&mut self, message: Learn, _ctx: &mut Context<Self>) {
+        match message.0 {
+            MembershipEvent::Upstream(announcement) => self.learn(announcement),
+            MembershipEvent::UpstreamExpired(id, incarnation) => {
+                self.upstreams.retain(|known, upstream| {
+                    *known != id || upstream.announcement.incarnation > incarnation
+                });
+            }
+            MembershipEvent::EntryUp(_)
+            | MembershipEvent::EntryLeft(..)
+            | MembershipEvent::EntrySuspected(..) => {}
+        }
     }
 }
 
@@ -142,13 +144,3 @@
         }
     }
 }
-
-impl Handler<Sweep> for RouterActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: Sweep, _ctx: &mut Context<Self>) {
-        let (now, ttl) = (message.0, self.ttl);
-        self.upstreams
-            .retain(|_, upstream| now.duration_since(upstream.heard_at) < ttl);
-    }
-}
--- a/crates/masticfield-entry/src/running.rs
+++ b/crates/masticfield-entry/src/running.rs
@@ -2,8 +2,10 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::Parser;
+use masticfield_core::ids::Incarnation;
 use masticfield_core::kernel::{
     Kernel, KernelContext, KernelError, Plugin, Program, ShutdownTrigger, StartFuture,
 };
@@ -18,6 +20,9 @@
 use crate::metrics::Metrics;
 use crate::{EntryArgs, EntrySettings};
 
+/// Time beyond the drain timeout after which a stopping entry is gone in any case.
+const STOP_MARGIN: Duration = Duration::from_secs(1);
+
 /// An entry process that runs in this process.
 #[derive(Debug)]
 pub struct RunningEntry {
@@ -25,6 +30,7 @@
     addresses: Addresses,
     tasks: TaskTracker,
     tracing: Tracing,
+    stop_timeout: Duration,
 }
 
 /// An entry process could not start.
@@ -73,6 +79,7 @@
         let tasks = TaskTracker::new();
         let mut cx = KernelContext::new();
         cx.provide(Arc::new(settings));
+        cx.provide(Incarnation::new(now_ms()));
         cx.provide(Registry::new());
         cx.provide(Readiness::new());
         cx.provide(Addresses::new());
@@ -95,6 +102,7 @@
             addresses,
             tasks,
             tracing,
+            stop_timeout: node.http.linger_time() + node.http.drain() + STOP_MARGIN,
         })
     }
 
@@ -114,7 +122,12 @@
         if let Ok(readiness) = self.kernel.context().need::<Readiness>() {
             readiness.stop();
         }
-        self.tasks.wait().await;
+        if tokio::time::timeout(self.stop_timeout, self.tasks.wait())
+            .await
+            .is_err()
+        {
+            log::warn!("requests in flight were cut after the drain timeout");
+        }
         self.tracing.flush();
     }
 }
@@ -135,6 +148,14 @@
     )
 }
 
+/// Milliseconds since the Unix epoch.
+fn now_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn start_metrics(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let metrics = Metrics::register(cx.need::<Registry>()?);
--- a/crates/masticfield-entry/src/upstreams/plugin.rs
+++ b/crates/masticfield-entry/src/upstreams/plugin.rs
@@ -11,9 +11,9 @@
 use super::routes::Routes;
 use crate::EntrySettings;
 use crate::control::ControlLink;
-use crate::router::RouterActor;
+use crate::peers::PeerActor;
 
-inventory::submit! { Plugin::new("upstreams", Program::Entry, 3, start) }
+inventory::submit! { Plugin::new("upstreams", Program::Entry, 4, start) }
 
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
@@ -25,10 +25,11 @@
             source: Box::new(source),
         })?;
         let routes = Routes {
-            router: cx.need::<Address<RouterActor>>()?.clone(),
+            peers: cx.need::<Address<PeerActor>>()?.clone(),
             control: cx.need::<ControlLink>()?.clone(),
             body_timeout: limits.body(),
             ttl: settings.upstream_ttl,
+            shutdown: cx.shutdown(),
         };
         let address = server.address();
         let tasks = cx.need::<TaskTracker>()?.clone();
