--- a/crates/masticfield-fake/src/caller/load.rs
+++ b/crates/masticfield-fake/src/caller/load.rs
@@ -26,6 +26,7 @@
     pace: Pace,
     callers: usize,
     keyed_share: u64,
+    direct: bool,
 }
 
 /// When requests are sent.
@@ -58,6 +59,7 @@
             pace: Pace::Count(100),
             callers: 1,
             keyed_share: 0,
+            direct: false,
         }
     }
 
@@ -82,6 +84,13 @@
         self
     }
 
+    /// Sets that the addresses are upstreams, which are asked without an entry between.
+    #[must_use]
+    pub const fn direct(mut self) -> Self {
+        self.direct = true;
+        self
+    }
+
     /// Sends the load and reports what came of it.
     pub async fn run(self) -> LoadReport {
         let count = match self.pace {
@@ -150,7 +159,13 @@
         let turn = self.number + usize::try_from(sent).unwrap_or(0);
         let entry = self.load.entries[turn % self.load.entries.len()];
         let token = format!("/{}-{sent}", self.number);
-        let uri = format!("http://{entry}/{}{token}", self.load.service);
+        let service = if self.load.direct {
+            ""
+        } else {
+            &*self.load.service
+        };
+        let slash = if self.load.direct { "" } else { "/" };
+        let uri = format!("http://{entry}{slash}{service}{token}");
         let keyed = self.load.keyed_share > 0 && sent.is_multiple_of(self.load.keyed_share);
         let (method, headers) = if keyed {
             self.keyed(sent)
@@ -158,6 +173,7 @@
             (Method::GET, HeaderMap::new())
         };
         match self.client.send(method, &uri, headers, "").await {
+            Ok((_, _, body)) if self.load.direct => judge_body(&body, &token),
             Ok((_, headers, body)) => judge(&headers, &body, &token),
             Err(_) => Seen::Unreachable,
         }
@@ -184,13 +200,19 @@
 /// Reads the outcome, and checks that an answer belongs to its request.
 fn judge(headers: &HeaderMap, body: &[u8], token: &str) -> Seen {
     match headers.get(OUTCOME).map(HeaderValue::as_bytes) {
-        Some(b"answered") => {
-            let text = String::from_utf8_lossy(body);
-            let own = text.contains(&format!(" {token} ")) && text.ends_with("bytes\n");
-            if own { Seen::Answered } else { Seen::Untrue }
-        }
+        Some(b"answered") => judge_body(body, token),
         Some(b"not-run") => Seen::NotRun,
         Some(b"unknown") => Seen::Unknown,
         _ => Seen::Untrue,
     }
 }
+
+/// Checks that a body is the whole answer to the request with `token`.
+fn judge_body(body: &[u8], token: &str) -> Seen {
+    let text = String::from_utf8_lossy(body);
+    if text.contains(&format!(" {token} ")) && text.ends_with("bytes\n") {
+        Seen::Answered
+    } else {
+        Seen::Untrue
+    }
+}
--- a/crates/masticfield-fake/src/upstream/fake_upstream.rs
+++ b/crates/masticfield-fake/src/upstream/fake_upstream.rs
@@ -143,7 +143,9 @@
         self.runs.begin(key);
         let path = req.uri().path().to_owned();
         let body = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
-        tokio::time::sleep(self.latency).await;
+        if !self.latency.is_zero() {
+            tokio::time::sleep(self.latency).await;
+        }
         self.runs.end();
         drop(permit);
         let reply = match body {
--- /dev/null
+++ b/crates/masticfield-measure/src/path/installation.rs
@@ -0,0 +1,129 @@
+//! A control process, an entry and an upstream in this process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::Parser;
+use masticfield_control::{ControlArgs, RunningControl};
+use masticfield_entry::{EntryArgs, RunningEntry};
+use masticfield_fake::caller::Load;
+use masticfield_fake::upstream::{FakeUpstream, Runs, UpstreamOptions};
+use masticfield_node::http::Client;
+use masticfield_node::token::Token;
+use tempfile::TempDir;
+
+use crate::experiment::ExperimentError;
+
+const SERVICE: &str = "measured";
+const TOKEN: &str = "masticfield-measure-operator";
+
+/// A note with one service whose executor is never short of slots.
+const NOTE: &str = r#"
+number = 1
+builds_on = 0
+[added]
+pools = [{ name = "pool", hosts = 1 }]
+[[added.services]]
+name = "measured"
+pool = "pool"
+executors = 1
+slots = 64
+"#;
+
+/// Time within which the entry must answer the first request.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The processes between which requests go.
+#[derive(Debug)]
+pub(super) struct Installation {
+    _dir: TempDir,
+    _control: RunningControl,
+    entry: RunningEntry,
+    upstream: FakeUpstream,
+}
+
+impl Installation {
+    /// Starts the processes and waits until a request is answered.
+    pub(super) async fn start() -> Result<Self, ExperimentError> {
+        let dir = TempDir::new()?;
+        let control = start_control(&dir).await?;
+        let operator = bound(control.addresses().address("operator"))?;
+        let client = Client::new(READY_TIMEOUT).token(Token::new(TOKEN));
+        let uri = format!("http://{operator}/v1/notes");
+        client
+            .send(http::Method::POST, &uri, http::HeaderMap::new(), NOTE)
+            .await?;
+        let entry = start_entry(bound(control.addresses().address("entry"))?).await?;
+        let announce_to = bound(entry.addresses().address("upstream"))?;
+        let options = UpstreamOptions::new("upstream", SERVICE)
+            .slots(64)
+            .entries([announce_to]);
+        let upstream = FakeUpstream::start(options, Runs::new()).await?;
+        let installation = Self {
+            _dir: dir,
+            _control: control,
+            entry,
+            upstream,
+        };
+        installation.wait_until_ready().await?;
+        Ok(installation)
+    }
+
+    /// A load on the upstream itself.
+    pub(super) fn direct_load(&self) -> Load {
+        Load::new([self.upstream.address()], SERVICE).direct()
+    }
+
+    /// A load on the entry.
+    pub(super) fn entry_load(&self) -> Load {
+        Load::new(self.entry.addresses().address("caller"), SERVICE)
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), ExperimentError> {
+        let began = std::time::Instant::now();
+        while began.elapsed() < READY_TIMEOUT {
+            let report = self
+                .entry_load()
+                .pace(masticfield_fake::caller::Pace::Count(1))
+                .run()
+                .await;
+            if report.answered() == 1 {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Err("the entry did not become ready".into())
+    }
+}
+
+async fn start_control(dir: &TempDir) -> Result<RunningControl, ExperimentError> {
+    let token = dir.path().join("token");
+    std::fs::write(&token, TOKEN)?;
+    let args = ControlArgs::parse_from([
+        "masticfield-control".as_ref(),
+        "--data-dir".as_ref(),
+        dir.path().join("data").as_os_str(),
+        "--token-file".as_ref(),
+        token.as_os_str(),
+        "--entry-listen=127.0.0.1:0".as_ref(),
+        "--operator-listen=127.0.0.1:0".as_ref(),
+    ]);
+    Ok(RunningControl::start(args.check()?).await?)
+}
+
+async fn start_entry(control: SocketAddr) -> Result<RunningEntry, ExperimentError> {
+    let args = EntryArgs::parse_from([
+        "masticfield-entry",
+        "--entry=1",
+        "--zone=zone-1",
+        &format!("--control={control}"),
+        "--caller-listen=127.0.0.1:0",
+        "--upstream-listen=127.0.0.1:0",
+        "--lease-renewal=250ms",
+    ]);
+    Ok(RunningEntry::start(args.check()?).await?)
+}
+
+fn bound(address: Option<SocketAddr>) -> Result<SocketAddr, ExperimentError> {
+    address.ok_or_else(|| "a process did not tell its address".into())
+}
