--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -11,5 +11,6 @@
 //! assert_eq!(FleetName::Vitoria.config().services().len(), 5);
 //! ```
 
+pub mod claims;
 pub mod experiment;
 pub mod fleet_name;
--- a/crates/masticfield-state/src/history/log.rs
+++ b/crates/masticfield-state/src/history/log.rs
@@ -25,7 +25,7 @@
     pub const MAX_ROWS: usize = 20_000;
 
     /// The lines, oldest first.
-    pub fn rows(&self) -> impl DoubleEndedIterator<Item = &HistoryRow> {
+    pub fn rows(&self) -> impl DoubleEndedIterator<Item = &HistoryRow> + ExactSizeIterator {
         self.lines.iter().map(|line| &line.row)
     }
 
--- a/crates/masticfield-state/src/snapshot.rs
+++ b/crates/masticfield-state/src/snapshot.rs
@@ -7,6 +7,13 @@
 /// The version of the snapshots that this program writes and reads.
 const SNAPSHOT_VERSION: u8 = 1;
 
+/// Room set aside for what is neither a claim nor a line of the history, in bytes.
+const BASE_BYTES: usize = 64 * 1024;
+/// Room set aside for a claim, in bytes.
+const CLAIM_BYTES: usize = 40;
+/// Room set aside for a line of the history, in bytes.
+const ROW_BYTES: usize = 160;
+
 /// A snapshot cannot be written or read.
 #[derive(Debug, Snafu)]
 pub enum SnapshotError {
@@ -48,7 +55,11 @@
     ///
     /// Fails only if a value cannot be represented, which the types exclude.
     pub fn to_snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
-        postcard::to_extend(self, vec![SNAPSHOT_VERSION]).context(EncodeSnafu)
+        let claims = self.claims().len() * CLAIM_BYTES;
+        let rows = self.history().rows().len() * ROW_BYTES;
+        let mut buf = Vec::with_capacity(BASE_BYTES + claims + rows);
+        buf.push(SNAPSHOT_VERSION);
+        postcard::to_extend(self, buf).context(EncodeSnafu)
     }
 
     /// Decodes a state from a snapshot.
