feat(routing): decision code of an entry with three slot policies

Cause: the entry process needs decisions that it can carry out: admission, slots, retries. Ruled out: a trait per policy; one enum and small functions read better and measure the same code. Change: Router with admit, finish, tick and slot messages as values; leased grants fenced by epoch and majority, static shares and two choices as baselines; fair queue, retry budget, outliers. Conclusion: interface open to build on.

--- a/crates/masticfield-routing/src/lib.rs
+++ b/crates/masticfield-routing/src/lib.rs
@@ -1,1 +1,42 @@
 //! Admission, slots, retries and membership decisions of masticfield.
+//!
+//! The crate decides and does nothing else: it has no socket, no clock and no random source of
+//! its own. The entry process passes the time in, as the duration since its start, carries out
+//! what is decided and reports how it ended.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use masticfield_core::ids::{EntryId, Incarnation};
+//! use masticfield_routing::options::RouterOptions;
+//! use masticfield_routing::request::{Admission, Request};
+//! use masticfield_routing::router::{Router, RouterIdentity};
+//!
+//! let identity = RouterIdentity {
+//!     entry: EntryId::new(1),
+//!     incarnation: Incarnation::new(1),
+//!     zone: "zone-a".into(),
+//! };
+//! let mut router = Router::new(identity, RouterOptions::default(), 7);
+//! let req = Request {
+//!     service: "fabric-cutting".into(),
+//!     caller: "salon-1".into(),
+//!     zone: None,
+//!     deadline: None,
+//!     idempotent: true,
+//! };
+//! let admission = router.admit(Duration::ZERO, req);
+//! assert!(matches!(admission, Admission::Refuse(_)), "the service is not configured");
+//! ```
+
+pub mod budget;
+pub mod counters;
+pub mod guards;
+pub mod health;
+pub mod options;
+pub mod queue;
+pub mod request;
+pub mod router;
+pub mod slots;
--- /dev/null
+++ b/crates/masticfield-routing/src/router/upstream.rs
@@ -0,0 +1,33 @@
+//! An upstream as the router sees it.
+
+use std::time::Duration;
+
+use masticfield_core::ids::ServiceKey;
+use masticfield_core::membership::Announcement;
+
+use crate::health::Health;
+use crate::slots::{Home, Lease};
+
+/// An upstream as the router sees it.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    pub(super) news: Announcement,
+    pub(super) service: Option<ServiceKey>,
+    /// Whether it is out of the table and stays only until nothing is in flight.
+    pub(super) removed: bool,
+    pub(super) in_flight: u16,
+    pub(super) share: u16,
+    pub(super) lease: Lease,
+    pub(super) home: Home,
+    pub(super) health: Health,
+    /// Until when it gets nothing after it has refused.
+    pub(super) full_until: Duration,
+    pub(super) wished_at: Duration,
+    pub(super) next_wish: Duration,
+}
+
+impl Upstream {
+    pub(super) const fn takes_new_work(&self) -> bool {
+        self.news.state.takes_new_work() && !self.removed
+    }
+}
