--- a/crates/masticfield-routing/src/request.rs
+++ b/crates/masticfield-routing/src/request.rs
@@ -104,8 +104,8 @@
 pub enum RouterAction {
     /// Send a waiting request now.
     Run(WaiterKey, Dispatch),
-    /// Answer a waiting request at once.
-    Refuse(WaiterKey, Refusal),
+    /// Tell the caller of a waiting request the outcome at once.
+    Done(WaiterKey, Outcome),
     /// Send a message to another entry; it may get lost.
     Send(EntryId, SlotMessage),
 }
--- a/crates/masticfield-routing/src/router/admit.rs
+++ b/crates/masticfield-routing/src/router/admit.rs
@@ -75,6 +75,7 @@
             attempt: 1,
             avoid: None,
             place: None,
+            lost: None,
         }
     }
 
@@ -142,8 +143,8 @@
     pub(super) fn shed(&mut self, waiter: WaiterKey, reason: NotRunReason) {
         if let Some(pending) = self.take_waiter(waiter) {
             self.counters.shed += 1;
-            let refusal = self.refusal(Some(pending.service), reason);
-            self.actions.push(RouterAction::Refuse(waiter, refusal));
+            let outcome = self.not_answered(&pending, reason);
+            self.actions.push(RouterAction::Done(waiter, outcome));
         }
     }
 
--- a/crates/masticfield-routing/src/router/finish.rs
+++ b/crates/masticfield-routing/src/router/finish.rs
@@ -85,34 +85,36 @@
         pending: Pending,
         ending: Ending,
     ) -> Next {
-        let outcome = match ending {
+        let mut pending = pending;
+        match ending {
             Ending::Answered { .. } => return Next::Done(Outcome::Answered),
-            Ending::Withdrawn(reason) => return self.not_run(&pending, reason),
-            Ending::Refused | Ending::NotSent => None,
-            Ending::Lost(reason) => Some(Outcome::Unknown { reason }),
-        };
-        if let Some(unknown) = outcome
-            && !pending.idempotent
-            && self.guards.has(Guard::Idempotence)
-        {
-            return Next::Done(unknown);
+            Ending::Withdrawn(reason) => return Next::Done(self.not_answered(&pending, reason)),
+            Ending::Refused | Ending::NotSent => {}
+            Ending::Lost(reason) => pending.lost = Some(reason),
         }
+        let idempotent = pending.idempotent || !self.guards.has(Guard::Idempotence);
+        let may_repeat = pending.lost.is_none() || idempotent;
         let free = ending == Ending::Refused && self.options.policy == SlotPolicy::TwoChoices;
-        if self.may_retry(now, &pending, free) {
+        if may_repeat && self.may_retry(now, &pending, free) {
             return self.retry(now, upstream, pending, free);
         }
-        match outcome {
-            Some(unknown) if self.guards.has(Guard::Sent) => Next::Done(unknown),
-            _ => self.not_run(&pending, NotRunReason::RefusedByUpstream),
-        }
+        Next::Done(self.not_answered(&pending, NotRunReason::RefusedByUpstream))
     }
 
-    fn not_run(&mut self, pending: &Pending, reason: NotRunReason) -> Next {
+    /// The outcome of a request that is given up.
+    ///
+    /// It is unknown if an earlier attempt may have run.
+    pub(super) fn not_answered(&mut self, pending: &Pending, reason: NotRunReason) -> Outcome {
+        if let Some(reason) = pending.lost
+            && self.guards.has(Guard::Sent)
+        {
+            return Outcome::Unknown { reason };
+        }
         let refusal = self.refusal(Some(pending.service), reason);
-        Next::Done(Outcome::NotRun {
+        Outcome::NotRun {
             reason,
             retry_after: refusal.retry_after,
-        })
+        }
     }
 
     /// Whether the request may be sent again; `free` if that costs no retry.
--- a/crates/masticfield-routing/src/router/mod.rs
+++ b/crates/masticfield-routing/src/router/mod.rs
@@ -3,7 +3,7 @@
 //! A [`Router`] admits requests, chooses upstreams, keeps the queues and the slot leases, and
 //! plays the home of some upstreams' slots. Each request that is admitted gets exactly one
 //! final answer: from [`Router::admit`], from [`Router::finish`] or as a
-//! [`RouterAction`] that refuses it.
+//! [`RouterAction`] that ends it.
 //!
 //! # Examples
 //!
--- a/crates/masticfield-routing/src/router/pending.rs
+++ b/crates/masticfield-routing/src/router/pending.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use masticfield_core::ids::{ServiceKey, UpstreamKey};
+use masticfield_core::outcome::UnknownReason;
 
 use crate::queue::Place;
 
@@ -19,6 +20,8 @@
     /// The upstream that failed the last attempt.
     pub(super) avoid: Option<UpstreamKey>,
     pub(super) place: Option<Place>,
+    /// What was seen of an earlier attempt that may have run.
+    pub(super) lost: Option<UnknownReason>,
 }
 
 /// A request at an upstream.
