feat(measure): routing experiment on a virtual clock

Cause: the three slot policies and the queue orders were not measured. Ruled out: a network model; fixed delays and an event queue suffice. Change: eight entries, fake executors, each service surging to twice its capacity; with faults again.

--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -13,3 +13,4 @@
 
 pub mod experiment;
 pub mod fleet_name;
+pub mod routing;
--- /dev/null
+++ b/crates/masticfield-measure/src/routing/mod.rs
@@ -0,0 +1,97 @@
+//! The experiment `routing`: the decision code of eight entries against fake executors.
+//!
+//! Each service surges in turn, on a virtual clock with fixed delays. The whole is run once
+//! without faults, and once with an entry and an availability zone of upstreams lost during
+//! the first surge, for each slot policy and each queue order.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_measure::fleet_name::FleetName;
+//! use masticfield_measure::routing::Scenario;
+//!
+//! let scenario = Scenario::new(FleetName::Vitoria, 7);
+//! assert_eq!(scenario.entries(), 8);
+//! ```
+
+mod event;
+mod executor;
+mod figures;
+mod ledger;
+mod load;
+mod scenario;
+mod simulation;
+
+use masticfield_routing::options::{QueueOrder, RouterOptions};
+use masticfield_routing::slots::SlotPolicy;
+use serde_json::{Value, json};
+
+use crate::experiment::{Experiment, ExperimentArgs, ExperimentError};
+
+pub use figures::Figures;
+pub use scenario::Scenario;
+pub use simulation::Simulation;
+
+inventory::submit! {
+    Experiment {
+        name: "routing",
+        about: "Measures goodput, waits and broken properties of the request path in surges",
+        run,
+    }
+}
+
+const POLICIES: [(&str, SlotPolicy); 3] = [
+    ("leased", SlotPolicy::Leased),
+    ("static-share", SlotPolicy::StaticShare),
+    ("two-choices", SlotPolicy::TwoChoices),
+];
+
+const ORDERS: [(&str, QueueOrder); 3] = [
+    ("fifo", QueueOrder::Fifo),
+    ("lifo", QueueOrder::Lifo),
+    ("earliest-deadline", QueueOrder::EarliestDeadline),
+];
+
+fn run(args: ExperimentArgs) -> Result<Value, ExperimentError> {
+    let scenario = Scenario::new(args.fleet, args.seed);
+    let defaults = RouterOptions::default();
+    let mut policies = Vec::new();
+    for (name, policy) in POLICIES {
+        let options = RouterOptions {
+            policy,
+            ..defaults.clone()
+        };
+        policies.push(both(name, &scenario, &options)?);
+    }
+    let mut orders = Vec::new();
+    for (name, order) in ORDERS {
+        let options = RouterOptions {
+            order,
+            ..defaults.clone()
+        };
+        orders.push(both(name, &scenario, &options)?);
+    }
+    let chosen = policies.remove(0);
+    Ok(json!({
+        "experiment": "routing",
+        "fleet": format!("{:?}", args.fleet).to_lowercase(),
+        "seed": args.seed,
+        "policy": chosen,
+        "baselines": policies,
+        "orders": orders,
+    }))
+}
+
+/// The figures without and with faults.
+fn both(
+    name: &str,
+    scenario: &Scenario,
+    options: &RouterOptions,
+) -> Result<Value, ExperimentError> {
+    let plain = Simulation::new(scenario.clone(), options).run();
+    let faults = Simulation::new(scenario.clone().with_faults(), options).run();
+    let mut value = serde_json::to_value(plain)?;
+    value["name"] = name.into();
+    value["with_faults"] = serde_json::to_value(faults)?;
+    Ok(value)
+}
--- /dev/null
+++ b/crates/masticfield-measure/src/routing/scenario.rs
@@ -0,0 +1,179 @@
+//! What happens in one run of the experiment.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::ids::{EntryId, Incarnation};
+use masticfield_core::membership::{Announcement, UpstreamState};
+use masticfield_core::note::ServiceSpec;
+
+use crate::fleet_name::FleetName;
+
+/// Entries that share the executors.
+const ENTRIES: u16 = 8;
+/// Quiet time before the first surge.
+const LEAD_IN: Duration = Duration::from_secs(6);
+/// Length of each surge.
+const SURGE: Duration = Duration::from_secs(8);
+/// Quiet time after each surge.
+const GAP: Duration = Duration::from_secs(4);
+/// Mean requests per second, as a share of what the executors of a service can run.
+const MEAN_LOAD: f64 = 0.4;
+/// Requests in a surge, as a multiple of the mean.
+const SURGE_FACTOR: f64 = 5.0;
+/// Requests between surges, as a multiple of the mean.
+const QUIET_FACTOR: f64 = 0.05;
+/// Mean time that an executor runs a request.
+const MEAN_RUN: Duration = Duration::from_millis(100);
+/// Time from the beginning of a surge until one upstream of the service begins to leave.
+const LEAVES_AFTER: Duration = Duration::from_secs(6);
+/// Delay within an availability zone, one way.
+const LOCAL_DELAY: Duration = Duration::from_micros(100);
+
+/// What happens in one run of the experiment.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    fleet: FleetName,
+    seed: u64,
+    zones: u16,
+    services: Vec<ServiceSpec>,
+    faults: bool,
+}
+
+impl Scenario {
+    /// Creates the scenario of a fleet, without faults.
+    pub fn new(fleet: FleetName, seed: u64) -> Self {
+        let zones = match fleet {
+            FleetName::Vitoria => 4,
+            FleetName::Vulpescu => 3,
+        };
+        Self {
+            fleet,
+            seed,
+            zones,
+            services: fleet.config().services().values().cloned().collect(),
+            faults: false,
+        }
+    }
+
+    /// The same with an entry and an availability zone lost.
+    #[must_use]
+    pub const fn with_faults(mut self) -> Self {
+        self.faults = true;
+        self
+    }
+
+    /// Number of entries.
+    pub const fn entries(&self) -> u16 {
+        ENTRIES
+    }
+
+    /// Seed of every random choice.
+    pub const fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// The services.
+    pub fn services(&self) -> &[ServiceSpec] {
+        &self.services
+    }
+
+    /// Mean time that an executor runs a request.
+    pub const fn mean_run(&self) -> Duration {
+        MEAN_RUN
+    }
+
+    /// The executors, as they announce themselves.
+    pub fn upstreams(&self) -> Vec<Announcement> {
+        let mut upstreams = Vec::new();
+        for spec in &self.services {
+            for number in 0..spec.executors {
+                upstreams.push(self.upstream(spec, number, upstreams.len()));
+            }
+        }
+        upstreams
+    }
+
+    fn upstream(&self, spec: &ServiceSpec, number: u32, index: usize) -> Announcement {
+        let port = 10_000 + u16::try_from(index).unwrap_or(0);
+        Announcement {
+            id: format!("{}-{number}", spec.name).into(),
+            incarnation: Incarnation::new(1),
+            service: Arc::clone(&spec.name),
+            address: ([127, 0, 0, 1], port).into(),
+            host: format!("host-{index}").into(),
+            zone: format!("zone-{}", index % usize::from(self.zones)).into(),
+            slots: spec.slots,
+            connections: spec.connections,
+            state: UpstreamState::Serving,
+        }
+    }
+
+    /// The availability zone of an entry.
+    pub fn zone_of(&self, entry: EntryId) -> String {
+        format!("zone-{}", entry.number() % self.zones)
+    }
+
+    /// Delay between two availability zones, one way.
+    pub fn delay(&self, from: &str, to: &str) -> Duration {
+        if from == to {
+            LOCAL_DELAY
+        } else {
+            Duration::from_secs_f64(self.fleet.zone_delay_ms() / 1_000.0)
+        }
+    }
+
+    /// Delay of an answer within an availability zone, there and back.
+    pub const fn direct_round_trip(&self) -> Duration {
+        LOCAL_DELAY.saturating_mul(2)
+    }
+
+    /// Beginning and end of the surge of a service.
+    pub fn surge(&self, service: usize) -> (Duration, Duration) {
+        let number = u32::try_from(service).unwrap_or(0);
+        let start = LEAD_IN + (SURGE + GAP) * number;
+        (start, start + SURGE)
+    }
+
+    /// The service that surges at a time.
+    pub fn surging(&self, now: Duration) -> Option<usize> {
+        let within = |service: &usize| {
+            let (start, end) = self.surge(*service);
+            (start..end).contains(&now)
+        };
+        (0..self.services.len()).find(within)
+    }
+
+    /// When the last request arrives.
+    pub fn end(&self) -> Duration {
+        self.surge(self.services.len()).0
+    }
+
+    /// Requests per second of a service at a time.
+    pub fn rate(&self, service: usize, now: Duration) -> f64 {
+        let slots = f64::from(self.services[service].capacity());
+        let mean = MEAN_LOAD * slots / MEAN_RUN.as_secs_f64();
+        if self.surging(now) == Some(service) {
+            mean * SURGE_FACTOR
+        } else {
+            mean * QUIET_FACTOR
+        }
+    }
+
+    /// When the entry is lost, and which.
+    pub fn entry_lost(&self) -> Option<(Duration, EntryId)> {
+        let at = self.surge(0).0 + Duration::from_secs(2);
+        self.faults.then_some((at, EntryId::new(2)))
+    }
+
+    /// When the availability zone of upstreams is lost, and which.
+    pub fn zone_lost(&self) -> Option<(Duration, &'static str)> {
+        let at = self.surge(0).0 + Duration::from_secs(4);
+        self.faults.then_some((at, "zone-1"))
+    }
+
+    /// When the first upstream of each service begins to leave.
+    pub fn leaves_at(&self, service: usize) -> Duration {
+        self.surge(service).0 + LEAVES_AFTER
+    }
+}
