--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod experiment;
 pub mod fleet_name;
 pub mod path;
+pub mod routing;
