feat(replica): replication as a pure step with a model of election and log

Cause: one replica with one log survives no lost host. Ruled out: identifying a voter by its configured number only; the model shows a lost commit in 9 steps when a replica without its disk votes under its old identity.

--- a/crates/masticfield-replica/src/lib.rs
+++ b/crates/masticfield-replica/src/lib.rs
@@ -19,6 +19,7 @@
 //! # }
 //! ```
 
+pub mod consensus;
 mod entry;
 mod error;
 mod handle;
