test(replica): property tests of replication under failures

Cause: the model is bounded to a few failures and has no clock. Change: a simulated cluster of 3, 5 and 7 replicas with lost, doubled, late and crossed messages, crashes, lost unsynced writes, lost disks, freezes and one-way cuts; invariants after each step, then recovery.

--- /dev/null
+++ b/crates/masticfield-replica/tests/replication/main.rs
@@ -0,0 +1,57 @@
+//! Property tests of replication under failures, with invariants after each step.
+
+mod action;
+mod cluster;
+
+use assert_matches::assert_matches;
+use masticfield_replica::consensus::Defect;
+use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
+use rstest::rstest;
+
+use action::{Action, actions};
+use cluster::Cluster;
+
+/// Sequences of events that each property is tried on.
+const CASES: u32 = 48;
+
+fn run(size: u64, defect: Option<Defect>, actions: &[Action]) -> Result<(), String> {
+    let mut cluster = Cluster::new(size, defect);
+    for action in actions {
+        cluster.act(action);
+        cluster.sound()?;
+    }
+    cluster.recover()
+}
+
+fn runner(cases: u32) -> TestRunner {
+    TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    })
+}
+
+#[rstest]
+#[case::three(3)]
+#[case::five(5)]
+#[case::seven(7)]
+fn nothing_committed_is_lost_under_failures(#[case] size: u64) {
+    let result = runner(CASES / u32::try_from(size).unwrap() * 3).run(&actions(), |actions| {
+        run(size, None, &actions).map_err(proptest::test_runner::TestCaseError::fail)
+    });
+    assert_matches!(result, Ok(()));
+}
+
+#[rstest]
+#[case::acknowledge_before_sync(Defect::AcknowledgeBeforeSync)]
+#[case::vote_for_shorter_log(Defect::VoteForShorterLog)]
+#[case::vote_despite_leader(Defect::VoteDespiteLeader)]
+fn missing_guard_is_found(#[case] defect: Defect) {
+    let result = runner(50 * CASES).run(&actions(), |actions| {
+        run(3, Some(defect), &actions).map_err(proptest::test_runner::TestCaseError::fail)
+    });
+    let error = result.expect_err("the check fails without the guard");
+    assert_matches!(&error, TestError::Fail(reason, _) => println!("{defect:?}: {reason}"));
+}
