feat(fleet): observer, flap damper, budgets, orders and the control loop

Cause: the planner needs an observation from deltas, hysteresis for flapping hosts, budgets that failures, drains and reboots draw from, and orders that a new leader derives from the records. Change: Observer, FlapDamper, AvailabilityLedger, orders(), ControlLoop; the model of the platform in masticfield-fake; maintenance waves per programme, paused by failures. Ruled out: orders sent once at commit; a new leader would not know what was sent.

--- a/crates/masticfield-core/src/platform.rs
+++ b/crates/masticfield-core/src/platform.rs
@@ -111,6 +111,44 @@
     pub lease: Duration,
 }
 
+/// An order to the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlatformOrder {
+    /// An order to a host.
+    Host {
+        /// Name of the host.
+        host: Arc<str>,
+        /// What it is to do.
+        command: HostCommand,
+        /// The body.
+        order: HostOrder,
+    },
+    /// Starts a task.
+    Start {
+        /// Name of the job.
+        job: Arc<str>,
+        /// Number of the task within its job.
+        index: u32,
+        /// Attempt at the task.
+        attempt: u32,
+        /// The body.
+        order: TaskOrder,
+    },
+    /// An order to a running task.
+    Task {
+        /// Name of the job.
+        job: Arc<str>,
+        /// Number of the task within its job.
+        index: u32,
+        /// Attempt at the task.
+        attempt: u32,
+        /// What it is to do.
+        command: TaskCommand,
+    },
+    /// Renews leases.
+    Renew(LeaseRenewal),
+}
+
 /// Orders to a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum HostCommand {
--- /dev/null
+++ b/crates/masticfield-fake/src/platform/mod.rs
@@ -0,0 +1,35 @@
+//! Stand-in of the platform: workers that run tasks under leases, drain and reboot.
+//!
+//! [`Platform`] is a model without input and output that is told the time. The program
+//! `masticfield-fake platform` serves it over HTTP.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use masticfield_core::note::ReleaseNote;
+//! use masticfield_fake::platform::{Platform, Timings};
+//!
+//! let note = ReleaseNote::from_toml(
+//!     r#"
+//!     number = 1
+//!     builds_on = 0
+//!     [added]
+//!     hosts = [{ name = "h", region = "r", zone = "z", rack = "k", cores = 1, memory_gb = 1 }]
+//!     "#,
+//! )?;
+//! let mut platform = Platform::new(Timings::default(), note.added.hosts);
+//! platform.advance(Duration::from_secs(1));
+//! assert_eq!(platform.reports(0).workers.len(), 1);
+//! # Ok::<(), masticfield_core::note::ParseNoteError>(())
+//! ```
+
+mod model;
+mod task;
+mod timings;
+mod worker;
+
+pub use model::{Platform, Verdict};
+pub use task::{JobTruth, TaskId};
+pub use timings::Timings;
--- a/crates/masticfield-fleet/src/health/mod.rs
+++ b/crates/masticfield-fleet/src/health/mod.rs
@@ -10,6 +10,8 @@
 
 mod flap_damper;
 mod ledger;
+mod observer;
 
 pub use flap_damper::FlapDamper;
 pub use ledger::AvailabilityLedger;
+pub use observer::Observer;
--- a/crates/masticfield-fleet/src/index/host.rs
+++ b/crates/masticfield-fleet/src/index/host.rs
@@ -106,10 +106,18 @@
         self.seen.map_or(Duration::ZERO, |seen| seen.silent_for)
     }
 
-    /// Time since the last maintenance; none if there was none.
-    pub fn age(&self, now: Duration) -> Option<Duration> {
-        let at = self.record.and_then(|record| record.maintained_at)?;
-        Some(now.saturating_sub(at))
+    /// Time since a programme last maintained it; the longest time if it never did.
+    pub fn age(&self, programme: &str, now: Duration) -> Duration {
+        let at = self
+            .record
+            .and_then(|record| record.maintained.get(programme));
+        at.map_or(Duration::MAX, |at| now.saturating_sub(*at))
+    }
+
+    /// When any programme last maintained it.
+    pub fn maintained_at(&self) -> Option<Duration> {
+        self.record
+            .and_then(|record| record.maintained.values().max().copied())
     }
 
     /// Region, availability zone and rack.
--- a/crates/masticfield-fleet/src/lib.rs
+++ b/crates/masticfield-fleet/src/lib.rs
@@ -17,8 +17,10 @@
 //! assert!(planned.iter().any(|planned| matches!(planned.action, Action::Own { .. })));
 //! ```
 
+mod control_loop;
 pub mod health;
 pub mod index;
+pub mod orders;
 pub mod placement;
 pub mod plan;
 pub mod preview;
@@ -26,6 +28,7 @@
 pub mod sample;
 pub mod view;
 
+pub use control_loop::{ControlLoop, Turn};
 pub use plan::{Planner, plan};
 pub use preview::preview;
 pub use view::FleetView;
--- a/crates/masticfield-fleet/src/plan/maintenance.rs
+++ b/crates/masticfield-fleet/src/plan/maintenance.rs
@@ -86,9 +86,9 @@
         due.retain(|key| {
             let host = draft.host(*key);
             let usable = host.is_healthy() && (host.is_serving() || host.is_free());
-            usable && host.age(now).is_none_or(|age| age >= from)
+            usable && host.age(&programme.name, now) >= from
         });
-        let age = |key: &HostKey| draft.host(*key).age(now).unwrap_or(Duration::MAX);
+        let age = |key: &HostKey| draft.host(*key).age(&programme.name, now);
         due.sort_by(|a, b| {
             let name = draft.host(*a).name.cmp(draft.host(*b).name);
             age(b).cmp(&age(a)).then(name)
--- a/crates/masticfield-fleet/src/plan/moves.rs
+++ b/crates/masticfield-fleet/src/plan/moves.rs
@@ -1,6 +1,5 @@
 //! Pools that lack hosts get them, with the fewest moves.
 
-use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -114,11 +113,7 @@
 /// Among equals, the one that was maintained longest ago goes first.
 fn best(draft: &Draft<'_>, pool: PoolKey, candidates: Vec<HostKey>) -> Option<HostKey> {
     let spread = draft.pool(pool).spread(|key| draft.host(key));
-    let now = draft.index().now();
-    let rank = |host: &Host<'_>| {
-        let age = host.age(now).unwrap_or(Duration::MAX);
-        (spread.beside(host), Reverse(age))
-    };
+    let rank = |host: &Host<'_>| (spread.beside(host), host.maintained_at());
     candidates.into_iter().min_by(|a, b| {
         let (a, b) = (draft.host(*a), draft.host(*b));
         rank(a).cmp(&rank(b)).then(a.name.cmp(b.name))
--- a/crates/masticfield-fleet/src/view/host_record.rs
+++ b/crates/masticfield-fleet/src/view/host_record.rs
@@ -16,8 +16,8 @@
     pub drained_for: Option<Reason>,
     /// The reboot that was ordered and is not over.
     pub reboot: Option<RebootOrder>,
-    /// When it was last maintained, since the Unix epoch.
-    pub maintained_at: Option<Duration>,
+    /// When each programme last maintained it, since the Unix epoch.
+    pub maintained: BTreeMap<Arc<str>, Duration>,
     /// Until when it gets no tasks, since the Unix epoch.
     pub quarantined_until: Option<Duration>,
 }
@@ -53,15 +53,15 @@
             ownership,
             drained_for: None,
             reboot: None,
-            maintained_at: None,
+            maintained: BTreeMap::new(),
             quarantined_until: None,
         }
     }
 
-    /// Sets when the host was last maintained.
+    /// Sets when a programme last maintained the host.
     #[must_use]
-    pub const fn maintained_at(mut self, at: Duration) -> Self {
-        self.maintained_at = Some(at);
+    pub fn maintained_at(mut self, programme: impl Into<Arc<str>>, at: Duration) -> Self {
+        self.maintained.insert(programme.into(), at);
         self
     }
 }
@@ -150,7 +150,7 @@
             }
             (Action::Resume { .. }, Ownership::Draining { pool, generation }) => Ownership::Owned {
                 pool: Arc::clone(pool),
-                generation: *generation,
+                generation: generation.next(),
             },
             (Action::Reboot { completed, .. }, Ownership::Draining { .. }) => {
                 return self.order_reboot(*completed, now);
@@ -158,8 +158,11 @@
             _ => return false,
         };
         let resumed = matches!(next, Ownership::Owned { .. });
-        if resumed && self.reboot.is_some() {
-            self.maintained_at = Some(now);
+        if resumed
+            && self.reboot.is_some()
+            && let Some(Reason::MaintenanceDue { programme }) = &self.drained_for
+        {
+            self.maintained.insert(Arc::clone(programme), now);
         }
         self.reboot = None;
         self.drained_for =
--- a/crates/masticfield-fleet/tests/plan.rs
+++ b/crates/masticfield-fleet/tests/plan.rs
@@ -28,7 +28,7 @@
         for (name, record) in owned {
             fleet
                 .hosts
-                .insert(name, record.maintained_at(Duration::ZERO));
+                .insert(name, record.maintained_at("six-weeks", Duration::ZERO));
         }
         let owned = planned
             .iter()
--- /dev/null
+++ b/crates/masticfield-fleet/tests/rig/mod.rs
@@ -0,0 +1,165 @@
+//! A fleet of the fake platform under the control loop, with checks after each step.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::config::FleetConfig;
+use masticfield_core::fleet::{Action, Generation, Ownership, Planned, Reason};
+use masticfield_core::note::ReleaseNote;
+use masticfield_fake::platform::{Platform, Timings, Verdict};
+use masticfield_fleet::{ControlLoop, Planner};
+
+pub const VITORIA: &str = include_str!("../../../../examples/vitoria.toml");
+
+/// Time between two turns of the loop.
+pub const STEP: Duration = Duration::from_secs(10);
+
+/// A broken promise of the planner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Violation {
+    TwoPools,
+    BudgetOverdrawn,
+    TooManyActions,
+    DoubledTask,
+}
+
+pub struct Rig {
+    pub platform: Platform,
+    pub control: ControlLoop,
+    pub now: Duration,
+    pub violations: Vec<Violation>,
+    pub history: Vec<Planned>,
+    /// Every order is carried out twice.
+    pub twice: bool,
+}
+
+impl Rig {
+    pub fn new(note: &ReleaseNote, planner: Planner) -> Self {
+        let config = FleetConfig::default().apply(note).unwrap();
+        let mut control = ControlLoop::new(planner);
+        let platform = Platform::new(Timings::default(), config.hosts().values().cloned());
+        control.set_config(config);
+        Self {
+            platform,
+            control,
+            now: Duration::from_hours(24 * 365),
+            violations: Vec::new(),
+            history: Vec::new(),
+            twice: true,
+        }
+    }
+
+    pub fn vitoria(planner: Planner) -> Self {
+        Self::new(&ReleaseNote::from_toml(VITORIA).unwrap(), planner)
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) -> Vec<Planned> {
+        self.now += STEP;
+        self.platform.advance(self.now);
+        let serving = self.serving();
+        let generations = self.generations();
+        let reports = self.platform.reports(self.control.cursor());
+        let turn = self.control.step(self.now, reports);
+        self.check(&turn.planned, serving, &generations);
+        for order in turn.orders {
+            if self.twice {
+                self.platform.carry_out(order.clone());
+            }
+            let verdict = self.platform.carry_out(order);
+            assert_ne!(verdict, Verdict::NotFound);
+        }
+        if self.platform.doubled_tasks() > 0 {
+            self.violations.push(Violation::DoubledTask);
+        }
+        self.history.extend(turn.planned.iter().cloned());
+        turn.planned
+    }
+
+    pub fn owned(&self, pool: &str) -> Vec<Arc<str>> {
+        let owned = self.control.hosts().iter().filter(|(_, record)| {
+            matches!(&record.ownership, Ownership::Owned { pool: it, .. } if &**it == pool)
+        });
+        owned.map(|(host, _)| Arc::clone(host)).collect()
+    }
+
+    pub fn count(&self, test: impl Fn(&Planned) -> bool) -> usize {
+        self.history.iter().filter(|planned| test(planned)).count()
+    }
+
+    /// Hosts that each pool owns and the platform reports as working.
+    fn serving(&self) -> BTreeMap<Arc<str>, u32> {
+        let reports = self.platform.reports(0).workers;
+        let healthy: BTreeMap<_, _> = reports.into_iter().map(|it| (it.host, it.health)).collect();
+        let mut serving = BTreeMap::new();
+        for (host, record) in self.control.hosts().iter() {
+            if let Ownership::Owned { pool, .. } = &record.ownership
+                && healthy.get(host) == Some(&masticfield_core::fleet::HostHealth::Healthy)
+            {
+                *serving.entry(Arc::clone(pool)).or_default() += 1;
+            }
+        }
+        serving
+    }
+
+    fn generations(&self) -> BTreeMap<Arc<str>, Generation> {
+        let hosts = self.control.hosts().iter();
+        hosts
+            .map(|(host, record)| (Arc::clone(host), record.ownership.generation()))
+            .collect()
+    }
+
+    fn check(
+        &mut self,
+        planned: &[Planned],
+        mut serving: BTreeMap<Arc<str>, u32>,
+        generations: &BTreeMap<Arc<str>, Generation>,
+    ) {
+        if planned.len() > 64 {
+            self.violations.push(Violation::TooManyActions);
+        }
+        let config = self.control.config().clone();
+        let left = self.control.ledger().left(&config, self.now);
+        for planned in planned {
+            match &planned.action {
+                Action::Own { host, pool, .. } => {
+                    let before = generations.get(host);
+                    if before.is_some_and(|before| self.platform.works_for(host, *before)) {
+                        self.violations.push(Violation::TwoPools);
+                    }
+                    *serving.entry(Arc::clone(pool)).or_default() += 1;
+                }
+                Action::Drain { host, .. } => {
+                    let record = self.control.hosts().get(host).unwrap();
+                    let pool = record.ownership.pool().unwrap();
+                    let Some(spec) = config.pools().get(pool) else {
+                        continue;
+                    };
+                    let wished = matches!(
+                        planned.reason,
+                        Reason::MaintenanceDue { .. } | Reason::PoolSurplus { .. }
+                    );
+                    if !wished {
+                        continue;
+                    }
+                    let serving = serving.entry(Arc::clone(pool)).or_default();
+                    *serving = serving.saturating_sub(1);
+                    let services = config.services().values().filter(|it| it.pool == *pool);
+                    let budget = services.filter_map(|it| left.get(&it.name)).min();
+                    let covered = budget.is_none_or(|left| *left >= Duration::from_mins(10));
+                    if *serving < spec.hosts && !covered {
+                        self.violations.push(Violation::BudgetOverdrawn);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
