--- a/crates/masticfield-fake/src/lib.rs
+++ b/crates/masticfield-fake/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod caller;
+pub mod platform;
 mod program;
 pub mod upstream;
 
