--- a/crates/masticfield-entry/tests/support/upstream.rs
+++ b/crates/masticfield-entry/tests/support/upstream.rs
@@ -58,7 +58,15 @@
             }
             "/closed" => return,
             "/refused" => head(&id, "masticfield-outcome: not-run\r\ncontent-length: 0\r\n"),
-            "/crossed" => answer(&earlier, "done"),
+            "/crossed" => {
+                // The answer to an earlier request comes first, and the right one late.
+                let crossed = answer(&earlier, "done");
+                if stream.write_all(crossed.as_bytes()).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                whole
+            }
             "/nameless" => "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone".to_owned(),
             "/twice" => format!("{whole}{whole}"),
             "/overlong" => answer(&id, &"x".repeat(1_001)),
