perf(routing): smooth the estimate of the wait, bound each caller's share of the queue

Ruled out: rounds between callers; fair, but no estimate holds for the one who is overtaken. Change: plain order, a share per caller at admission, smoothed number in flight, wishes only when the need rises.

--- a/crates/masticfield-measure/src/routing/figures.rs
+++ b/crates/masticfield-measure/src/routing/figures.rs
@@ -13,7 +13,7 @@
     pub p50_wait_ms: f64,
     /// 99th percentile of the same.
     pub p99_wait_ms: f64,
-    /// 99th percentile of the same for requests between surges.
+    /// The same between surges, from one deadline after a surge on.
     pub quiet_p99_wait_ms: f64,
     /// Requests that arrived.
     pub requests: u64,
--- a/crates/masticfield-routing/src/queue.rs
+++ b/crates/masticfield-routing/src/queue.rs
@@ -1,4 +1,4 @@
-//! The queue of one service, fair between callers.
+//! The queue of one service.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -9,40 +9,27 @@
 use crate::options::QueueOrder;
 
 /// Place of a request in a queue; lower is served earlier.
-///
-/// The round comes first: the n-th waiting request of a caller is n - 1 rounds behind the
-/// request that is served at present, whatever the order within a round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Place {
-    round: u64,
     rank: u64,
     seq: u64,
 }
 
 /// Requests that wait for one service.
-///
-/// Each caller is served in turn, so that the wait of one depends on its own requests and on
-/// the number of callers, not on how many requests another caller sends.
 #[derive(Debug, Clone, Default)]
-pub struct FairQueue {
+pub struct WaitQueue {
     order: QueueOrder,
     places: BTreeMap<Place, (Arc<str>, WaiterKey)>,
-    callers: HashMap<Arc<str>, CallerTurn>,
-    round: u64,
+    callers: HashMap<Arc<str>, usize>,
     seq: u64,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct CallerTurn {
-    waiting: usize,
-    last_round: u64,
-}
-
-impl FairQueue {
+impl WaitQueue {
     /// Creates an empty queue.
     pub fn new(order: QueueOrder) -> Self {
         Self {
             order,
+            seq: 1,
             ..Self::default()
         }
     }
@@ -59,27 +46,23 @@
 
     /// Number of waiting requests of one caller.
     pub fn waiting_of(&self, caller: &str) -> usize {
-        self.callers.get(caller).map_or(0, |turn| turn.waiting)
+        self.callers.get(caller).copied().unwrap_or(0)
     }
 
-    /// Number of callers with waiting requests.
-    pub fn callers(&self) -> usize {
-        self.callers.len()
+    /// Number of callers with waiting requests, other than `caller`.
+    pub fn other_callers(&self, caller: &str) -> usize {
+        self.callers.len() - usize::from(self.callers.contains_key(caller))
     }
 
-    /// The place that a request of `caller` due at `due` would get.
-    pub fn next_place(&self, caller: &str, due: Duration) -> Place {
-        let round = match self.callers.get(caller) {
-            Some(turn) => self.round.max(turn.last_round + 1),
-            None => self.round,
-        };
+    /// The place that a request due at `due` would get.
+    pub fn next_place(&self, due: Duration) -> Place {
         let seq = self.seq;
         let rank = match self.order {
             QueueOrder::Fifo => seq,
             QueueOrder::Lifo => u64::MAX - seq,
             QueueOrder::EarliestDeadline => u64::try_from(due.as_micros()).unwrap_or(u64::MAX),
         };
-        Place { round, rank, seq }
+        Place { rank, seq }
     }
 
     /// Number of requests that would be served before `place`.
@@ -93,21 +76,16 @@
 
     /// Adds a request at the place that [`next_place`](Self::next_place) gave.
     pub fn push(&mut self, place: Place, caller: Arc<str>, waiter: WaiterKey) {
-        let turn = self.callers.entry(Arc::clone(&caller)).or_default();
-        turn.waiting += 1;
-        turn.last_round = turn.last_round.max(place.round);
+        *self.callers.entry(Arc::clone(&caller)).or_default() += 1;
         self.seq += 1;
         self.places.insert(place, (caller, waiter));
     }
 
-    /// Puts a request back to where it is served next.
+    /// Puts a request back to where it is served before those that have not been sent yet.
     pub fn push_first(&mut self, caller: Arc<str>, waiter: WaiterKey) -> Place {
-        let round = self.round.min(self.first_round());
-        let seq = self.seq;
         let place = Place {
-            round,
             rank: 0,
-            seq,
+            seq: self.seq,
         };
         self.push(place, caller, waiter);
         place
@@ -119,20 +97,14 @@
         Some((*place, *waiter))
     }
 
-    /// Removes a request that is served now.
-    pub fn serve(&mut self, place: Place) {
-        self.round = self.round.max(place.round);
-        self.remove(place);
-    }
-
-    /// Removes a request that is not served.
+    /// Removes a request.
     pub fn remove(&mut self, place: Place) {
         let Some((caller, _)) = self.places.remove(&place) else {
             return;
         };
-        if let Some(turn) = self.callers.get_mut(&caller) {
-            turn.waiting -= 1;
-            if turn.waiting == 0 {
+        if let Some(waiting) = self.callers.get_mut(&caller) {
+            *waiting -= 1;
+            if *waiting == 0 {
                 self.callers.remove(&caller);
             }
         }
@@ -143,20 +115,4 @@
         let places = self.places.iter();
         places.map(|(place, (_, waiter))| (*place, *waiter))
     }
-
-    /// The last request of the caller that has the most waiting requests.
-    pub fn last_of_largest(&self) -> Option<(Place, WaiterKey, usize)> {
-        let (largest, turn) = self
-            .callers
-            .iter()
-            .max_by_key(|(caller, turn)| (turn.waiting, *caller))?;
-        let mut places = self.places.iter().rev();
-        let (place, (_, waiter)) = places.find(|(_, (caller, _))| caller == largest)?;
-        Some((*place, *waiter, turn.waiting))
-    }
-
-    fn first_round(&self) -> u64 {
-        let first = self.places.keys().next();
-        first.map_or(self.round, |place| place.round)
-    }
 }
--- a/crates/masticfield-routing/src/router/admit.rs
+++ b/crates/masticfield-routing/src/router/admit.rs
@@ -15,7 +15,7 @@
 /// Spread of the time after which refused callers come back, as a multiple of its least.
 const RETRY_AFTER_SPREAD: f64 = 2.0;
 /// Allowance for an estimated wait that turns out longer.
-const WAIT_ALLOWANCE: f64 = 1.15;
+const WAIT_ALLOWANCE: f64 = 1.25;
 
 impl Router {
     /// Admits a request: it runs now, waits, or is refused with its final answer.
@@ -84,13 +84,10 @@
         if let Some(reason) = self.reason_against(now, &pending) {
             return Admission::Refuse(self.refusal(Some(service), reason));
         }
-        if self.services[service].queue.len() >= self.options.max_queue {
-            self.make_room(service);
-        }
         let caller = Arc::clone(&pending.caller);
         let place = self.services[service]
             .queue
-            .next_place(&caller, pending.due);
+            .next_place(pending.due);
         pending.place = Some(place);
         let waiter = self.waiters.insert(pending);
         self.services[service].queue.push(place, caller, waiter);
@@ -106,37 +103,30 @@
         if !served.upstreams.iter().any(usable) {
             return Some(NotRunReason::NoUpstream);
         }
-        let place = served.queue.next_place(&pending.caller, pending.due);
+        let place = served.queue.next_place(pending.due);
         let wait = served.wait_behind(served.queue.ahead_of(place));
         let needed = wait.mul_f64(WAIT_ALLOWANCE) + served.run_allowance();
-        let waiting = served.queue.waiting_of(&pending.caller);
-        let over_share = waiting * served.queue.callers().max(1) > served.queue.len();
-        if now + needed > pending.due {
-            return Some(self.overload_reason(over_share && waiting > 1));
-        }
-        let largest = served.queue.last_of_largest();
-        let full = served.queue.len() >= self.options.max_queue;
-        if full && largest.is_none_or(|(_, _, most)| waiting + 1 >= most) {
-            return Some(self.overload_reason(over_share));
-        }
-        None
-    }
-
-    const fn overload_reason(&mut self, over_share: bool) -> NotRunReason {
-        if over_share {
+        if self.is_over_share(now, pending) {
             self.counters.over_share += 1;
-            NotRunReason::CallerShare
-        } else {
-            NotRunReason::Overloaded
+            return Some(NotRunReason::CallerShare);
         }
+        let full = served.queue.len() >= self.options.max_queue;
+        (full || now + needed > pending.due).then_some(NotRunReason::Overloaded)
     }
 
-    /// Refuses the last request of the caller that has the most in a full queue.
-    fn make_room(&mut self, service: ServiceKey) {
-        if let Some((_, waiter, _)) = self.services[service].queue.last_of_largest() {
-            self.counters.over_share += 1;
-            self.shed(waiter, NotRunReason::CallerShare);
-        }
+    /// Whether the caller has its share of the waiting requests that can be served in time.
+    ///
+    /// The share leaves room for one more caller, so that a new caller is never shut out by
+    /// those that came before it.
+    fn is_over_share(&self, now: Duration, pending: &Pending) -> bool {
+        let served = &self.services[pending.service];
+        let others = served.queue.other_callers(&pending.caller);
+        let callers = f64::from(u32::try_from(others + 2).unwrap_or(u32::MAX));
+        let longest = f64::from(u32::try_from(self.options.max_queue).unwrap_or(u32::MAX));
+        let in_time = served.served_within(pending.due.saturating_sub(now));
+        let share = (in_time.min(longest) / callers).max(1.0);
+        let waiting = u32::try_from(served.queue.waiting_of(&pending.caller));
+        f64::from(waiting.unwrap_or(u32::MAX)) >= share
     }
 
     /// Refuses a waiting request.
--- a/crates/masticfield-routing/src/router/dispatch.rs
+++ b/crates/masticfield-routing/src/router/dispatch.rs
@@ -85,7 +85,11 @@
     ) -> Dispatch {
         let upstream = &mut self.upstreams[key];
         upstream.in_flight += 1;
-        self.services[pending.service].in_flight += 1;
+        let served = &mut self.services[pending.service];
+        served.in_flight += 1;
+        if served.queue.is_empty() {
+            served.observe_lanes();
+        }
         self.counters.dispatched += 1;
         self.counters.retried += u64::from(pending.attempt > 1);
         self.counters.spilled += u64::from(upstream.news.zone != pending.zone);
@@ -114,7 +118,7 @@
                 break;
             };
             self.waiters.remove(waiter);
-            self.services[service].queue.serve(place);
+            self.services[service].queue.remove(place);
             let dispatch = self.dispatch(now, upstream, pending);
             self.actions.push(RouterAction::Run(waiter, dispatch));
         }
--- a/crates/masticfield-routing/src/router/exchange.rs
+++ b/crates/masticfield-routing/src/router/exchange.rs
@@ -152,7 +152,10 @@
             return;
         }
         for key in self.services[service].upstreams.clone() {
-            self.change(now, key);
+            let (need, _) = self.demand(key);
+            if need > self.upstreams[key].wished_need {
+                self.change(now, key);
+            }
         }
     }
 
@@ -163,7 +166,7 @@
         }
         let upstream = &self.upstreams[key];
         let lowered = upstream.lease.holding(now, upstream.in_flight) < upstream.lease.reported();
-        let unused = upstream.in_flight < upstream.lease.limit(now);
+        let unused = self.demand(key).0 < upstream.wished_need;
         if lowered || (unused && upstream.lease.is_scarce()) {
             self.change(now, key);
         }
@@ -196,6 +199,7 @@
             let (need, ahead) = self.demand(key);
             let upstream = &mut self.upstreams[key];
             upstream.wished_at = now;
+            upstream.wished_need = need;
             upstream.next_wish = now + self.options.grant_refresh;
             let wish = upstream.lease.wish(now, upstream.in_flight, need, ahead);
             if let Some((home, wish)) = wish {
--- a/crates/masticfield-routing/src/router/finish.rs
+++ b/crates/masticfield-routing/src/router/finish.rs
@@ -29,6 +29,7 @@
     fn free_slot(&mut self, now: Duration, done: &InFlight, ending: Ending) {
         let service = done.pending.service;
         let served = &mut self.services[service];
+        served.observe_lanes();
         served.in_flight -= 1;
         if matches!(ending, Ending::Answered { .. } | Ending::Lost(_)) {
             served.observe(now.saturating_sub(done.started));
--- a/crates/masticfield-routing/src/router/served.rs
+++ b/crates/masticfield-routing/src/router/served.rs
@@ -6,10 +6,12 @@
 
 use crate::budget::RetryBudget;
 use crate::options::RouterOptions;
-use crate::queue::FairQueue;
+use crate::queue::WaitQueue;
 
 /// Weight of the latest request in the mean service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
+/// Weight of the latest number in flight in the smoothed one.
+const LANES_WEIGHT: f64 = 0.05;
 /// Run times that a request should have left when it is sent, in mean service times.
 const RUN_ALLOWANCE: f64 = 2.0;
 
@@ -20,10 +22,12 @@
     /// Longest time that a request may be in flight; it never falls.
     pub(super) run_limit: Duration,
     pub(super) upstreams: Vec<UpstreamKey>,
-    pub(super) queue: FairQueue,
+    pub(super) queue: WaitQueue,
     pub(super) budget: RetryBudget,
     pub(super) in_flight: usize,
     mean: Option<Duration>,
+    /// Smoothed number of requests in flight while others wait.
+    lanes: f64,
 }
 
 impl Served {
@@ -32,10 +36,11 @@
             deadline,
             run_limit: deadline,
             upstreams: Vec::new(),
-            queue: FairQueue::new(options.order),
+            queue: WaitQueue::new(options.order),
             budget: RetryBudget::new(options.retry_share),
             in_flight: 0,
             mean: None,
+            lanes: 1.0,
         }
     }
 
@@ -62,10 +67,29 @@
         self.mean().mul_f64(RUN_ALLOWANCE)
     }
 
+    /// Notes how many requests are in flight.
+    pub(super) fn observe_lanes(&mut self) {
+        let lanes = f64::from(u32::try_from(self.in_flight).unwrap_or(u32::MAX));
+        self.lanes = if self.queue.is_empty() {
+            lanes.max(1.0)
+        } else {
+            (self.lanes * (1.0 - LANES_WEIGHT) + lanes * LANES_WEIGHT).max(1.0)
+        };
+    }
+
     /// Estimated wait behind `ahead` others.
     pub(super) fn wait_behind(&self, ahead: usize) -> Duration {
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        let lanes = u32::try_from(self.in_flight.max(1)).unwrap_or(u32::MAX);
-        self.mean() * turns / lanes
+        self.mean().mul_f64(f64::from(turns) / self.lanes)
+    }
+
+    /// Requests that can be served within a time.
+    pub(super) fn served_within(&self, time: Duration) -> f64 {
+        let mean = self.mean();
+        if mean.is_zero() {
+            f64::INFINITY
+        } else {
+            time.div_duration_f64(mean) * self.lanes
+        }
     }
 }
--- a/crates/masticfield-routing/src/router/table.rs
+++ b/crates/masticfield-routing/src/router/table.rs
@@ -88,6 +88,7 @@
             health: Health::new(),
             full_until: Duration::ZERO,
             wished_at: now,
+            wished_need: 0,
             next_wish: now,
             news: news.clone(),
         };
--- a/crates/masticfield-routing/src/router/upstream.rs
+++ b/crates/masticfield-routing/src/router/upstream.rs
@@ -23,6 +23,8 @@
     /// Until when it gets nothing after it has refused.
     pub(super) full_until: Duration,
     pub(super) wished_at: Duration,
+    /// The need that the latest wish told.
+    pub(super) wished_need: u16,
     pub(super) next_wish: Duration,
 }
 
