feat(replica): run the group over TCP with real disks

Cause: ReplicaHandle ran one replica alone. Ruled out: forming a group from the configured peers without asking; a replica with an emptied folder would form it again and vote. Change: a loop drives consensus::Replica with a disk thread (one batch under way), links that reconnect, a listener and a delivery task. A new group forms once every founder is heard and empty.

--- a/crates/masticfield-replica/src/consensus/change.rs
+++ b/crates/masticfield-replica/src/consensus/change.rs
@@ -39,6 +39,12 @@
     /// The group would have too many or no voters.
     #[snafu(display("a group has 1 to {} voters", Membership::MAX_VOTERS))]
     Size,
+    /// The new replica has not connected to this one.
+    #[snafu(display("the new replica has not connected to this one"))]
+    Unknown,
+    /// The change was proposed and may be committed yet or not.
+    #[snafu(display("the outcome of the change is not known"))]
+    Undecided,
     /// The replica is a member already, or is none.
     #[snafu(display("the change does not fit the members"))]
     NoChange,
--- a/crates/masticfield-replica/src/error.rs
+++ b/crates/masticfield-replica/src/error.rs
@@ -80,6 +80,9 @@
     /// The payload was proposed and may be committed yet or not.
     #[snafu(display("the outcome of the proposal is not known"))]
     Undecided,
+    /// The payload is too large and was not proposed.
+    #[snafu(display("the payload is too large"))]
+    TooLarge,
     /// The replica cannot write any more.
     #[snafu(display("the replica has stopped writing"))]
     Stopped,
--- a/crates/masticfield-replica/src/lib.rs
+++ b/crates/masticfield-replica/src/lib.rs
@@ -26,11 +26,14 @@
 mod identity;
 mod membership;
 mod options;
+mod runtime;
+mod status;
 pub mod storage;
 
 pub use entry::{Entry, EntryBody, HardState, Snapshot, Stored, Write};
 pub use error::{OpenError, ProposeError};
-pub use handle::{Applied, AppliedKind, ReplicaHandle, ReplicaStatus};
+pub use handle::{MAX_PAYLOAD_BYTES, ReplicaHandle};
 pub use identity::Identity;
 pub use membership::Membership;
 pub use options::ReplicaOptions;
+pub use status::{Applied, AppliedKind, ReplicaStatus};
--- a/crates/masticfield-replica/src/membership.rs
+++ b/crates/masticfield-replica/src/membership.rs
@@ -68,6 +68,12 @@
         all.find(|identity| identity.id() == id)
     }
 
+    /// Address of a member.
+    pub fn address(&self, identity: Identity) -> Option<SocketAddr> {
+        let voter = self.voters.get(&identity);
+        voter.or_else(|| self.learners.get(&identity)).copied()
+    }
+
     /// Number of voters.
     pub fn voter_count(&self) -> usize {
         self.voters.len()
--- a/crates/masticfield-replica/src/options.rs
+++ b/crates/masticfield-replica/src/options.rs
@@ -1,17 +1,24 @@
 //! Options of a replica.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use masticfield_core::ids::ReplicaId;
 
+use crate::consensus::Timing;
+use crate::storage::SyncFn;
+
 /// Who a replica is, where it stores its state, and who its peers are.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct ReplicaOptions {
     id: ReplicaId,
     data_dir: PathBuf,
     listen: Option<SocketAddr>,
+    listener: Option<Arc<TcpListener>>,
     peers: Vec<(ReplicaId, SocketAddr)>,
+    timing: Timing,
+    sync: Option<SyncFn>,
 }
 
 impl ReplicaOptions {
@@ -21,7 +28,10 @@
             id,
             data_dir: data_dir.into(),
             listen: None,
+            listener: None,
             peers: Vec::new(),
+            timing: Timing::default(),
+            sync: None,
         }
     }
 
@@ -32,13 +42,37 @@
         self
     }
 
+    /// Sets a socket that listens already, in place of an address.
+    #[must_use]
+    pub fn listener(mut self, listener: impl Into<Arc<TcpListener>>) -> Self {
+        self.listener = Some(listener.into());
+        self
+    }
+
     /// Sets the other replicas of the group.
+    ///
+    /// A new group forms once each of them has been heard and holds no state. A replica that
+    /// joins a group names the replicas that are in it.
     #[must_use]
     pub fn peers(mut self, peers: impl IntoIterator<Item = (ReplicaId, SocketAddr)>) -> Self {
         self.peers = peers.into_iter().collect();
         self
     }
 
+    /// Sets the periods by which failures are noticed.
+    #[must_use]
+    pub const fn timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+
+    /// Sets how writes are made durable, for tests of a failing disk.
+    #[must_use]
+    pub fn sync(mut self, sync: SyncFn) -> Self {
+        self.sync = Some(sync);
+        self
+    }
+
     /// The replica itself.
     pub const fn id(&self) -> ReplicaId {
         self.id
@@ -58,4 +92,28 @@
     pub fn peer_addresses(&self) -> &[(ReplicaId, SocketAddr)] {
         &self.peers
     }
+
+    pub(crate) const fn periods(&self) -> Timing {
+        self.timing
+    }
+
+    pub(crate) fn sync_fn(&self) -> Option<SyncFn> {
+        self.sync.clone()
+    }
+
+    pub(crate) fn listening(&self) -> Option<&TcpListener> {
+        self.listener.as_deref()
+    }
+}
+
+impl std::fmt::Debug for ReplicaOptions {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ReplicaOptions")
+            .field("id", &self.id)
+            .field("data_dir", &self.data_dir)
+            .field("listen", &self.listen)
+            .field("peers", &self.peers)
+            .field("timing", &self.timing)
+            .finish_non_exhaustive()
+    }
 }
--- /dev/null
+++ b/crates/masticfield-replica/src/runtime/start.rs
@@ -0,0 +1,120 @@
+//! Start of a replica.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use super::disk::Disk;
+use super::message::Hello;
+use super::request::Request;
+use super::running::{Running, jitter};
+use super::{deliver, listen};
+use crate::consensus::Replica;
+use crate::error::ListenSnafu;
+use crate::storage::Storage;
+use crate::{Applied, Membership, OpenError, ReplicaOptions, ReplicaStatus, Stored};
+
+/// Messages from peers that wait for the replica, at most.
+const MAX_RECEIVED: usize = 1_024;
+
+/// What a started replica gives to its handle.
+#[derive(Debug)]
+pub(crate) struct Started {
+    pub(crate) status: watch::Receiver<ReplicaStatus>,
+    pub(crate) members: watch::Receiver<Membership>,
+    pub(crate) applied: mpsc::Receiver<Applied>,
+}
+
+/// Opens the data folder and starts the tasks of a replica.
+pub(crate) async fn start(
+    options: ReplicaOptions,
+    requests: mpsc::Receiver<Request>,
+) -> Result<Started, OpenError> {
+    let listener = bind(&options).await.context(ListenSnafu)?;
+    let address = listener.as_ref().map(TcpListener::local_addr).transpose();
+    let address = address.context(ListenSnafu)?;
+    let (storage, stored) = open_storage(options.clone()).await?;
+    let me = storage.identity();
+    let hello = Hello {
+        identity: me,
+        address: address.unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+        founders: founders(&options),
+        formed: stored != Stored::default(),
+    };
+    let replica = Replica::new(me, options.periods(), stored)
+        .started_at(Duration::ZERO, jitter(options.periods()));
+    let (status_tx, status) = watch::channel(ReplicaStatus {
+        id: options.id(),
+        leader: None,
+        term: replica.term(),
+        committed: 0,
+        lease_until: None,
+        storage_failed: false,
+        voter: false,
+    });
+    let (members_tx, members) = watch::channel(replica.log().members().clone());
+    let (received_tx, received) = mpsc::channel(MAX_RECEIVED);
+    if let Some(listener) = listener {
+        tokio::spawn(listen::run(listener, received_tx.clone()));
+    }
+    let (deliveries, applied) = deliver::spawn();
+    let (hello_tx, _) = watch::channel(hello);
+    let running = Running {
+        replica,
+        timing: options.periods(),
+        started: Instant::now(),
+        disk: Disk::spawn(storage),
+        writes: Vec::new(),
+        waiting: Vec::new(),
+        under_way: None,
+        links: std::collections::BTreeMap::new(),
+        peers: options.peer_addresses().to_vec(),
+        hello: hello_tx,
+        heard: super::formation::Heard::default(),
+        waiters: std::collections::BTreeMap::new(),
+        delivered: 0,
+        last_payload: 0,
+        _received: received_tx,
+        deliveries,
+        status: status_tx,
+        members: members_tx,
+    };
+    tokio::spawn(running.run(requests, received));
+    Ok(Started {
+        status,
+        members,
+        applied,
+    })
+}
+
+async fn bind(options: &ReplicaOptions) -> std::io::Result<Option<TcpListener>> {
+    if let Some(listener) = options.listening() {
+        let listener = listener.try_clone()?;
+        listener.set_nonblocking(true)?;
+        return TcpListener::from_std(listener).map(Some);
+    }
+    match options.listen_address() {
+        Some(address) => TcpListener::bind(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+async fn open_storage(options: ReplicaOptions) -> Result<(Storage, Stored), OpenError> {
+    let open = move || match options.sync_fn() {
+        Some(sync) => Storage::open_with(options.data_dir(), options.id(), sync),
+        None => Storage::open(options.data_dir(), options.id()),
+    };
+    let opened = tokio::task::spawn_blocking(open).await;
+    opened.expect("opening the folder does not panic")
+}
+
+fn founders(options: &ReplicaOptions) -> Vec<masticfield_core::ids::ReplicaId> {
+    let peers = options.peer_addresses().iter().map(|(id, _)| *id);
+    let mut founders: Vec<_> = peers.chain([options.id()]).collect();
+    founders.sort_unstable();
+    founders.dedup();
+    founders
+}
--- /dev/null
+++ b/crates/masticfield-replica/tests/group/main.rs
@@ -0,0 +1,212 @@
+//! Tests of running replicas over loopback, with real disks.
+
+mod replicas;
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use assert_matches::assert_matches;
+use masticfield_core::ids::ReplicaId;
+use masticfield_replica::ProposeError;
+use masticfield_replica::consensus::ChangeError;
+use rstest::rstest;
+
+use replicas::Replicas;
+
+#[tokio::test]
+async fn one_replica_keeps_what_it_answered() {
+    let mut group = Replicas::new(1).start_all().await;
+    group.propose(20).await;
+    group.stop(0).await;
+    group.start(0).await;
+    group.check_acknowledged(0).await;
+}
+
+#[rstest]
+#[case::three(3)]
+#[case::five(5)]
+#[tokio::test]
+async fn every_replica_applies_what_the_leader_answered(#[case] size: usize) {
+    let mut group = Replicas::new(size).start_all().await;
+    group.propose(50).await;
+    for at in 0..size {
+        group.check_acknowledged(at).await;
+    }
+}
+
+#[tokio::test]
+async fn follower_names_the_leader() {
+    let group = Replicas::new(3).start_all().await;
+    let leader = group.leader().await;
+    let follower = (leader + 1) % 3;
+    group.wait(follower, |status| status.leader.is_some()).await;
+    let refused = group.handle(follower).propose(b"x".to_vec()).await;
+    let leader = Some(Replicas::id(leader));
+    assert_eq!(refused, Err(ProposeError::NotLeader { leader }));
+}
+
+#[tokio::test]
+async fn oversized_payload_is_refused() {
+    let group = Replicas::new(1).start_all().await;
+    group.leader().await;
+    let payload = vec![0; masticfield_replica::MAX_PAYLOAD_BYTES + 1];
+    assert_eq!(
+        group.handle(0).propose(payload).await,
+        Err(ProposeError::TooLarge)
+    );
+}
+
+#[tokio::test]
+async fn loss_of_the_leader_loses_nothing() {
+    let mut group = Replicas::new(3).start_all().await;
+    for _ in 0..3 {
+        group.propose(20).await;
+        let leader = group.leader().await;
+        group.stop(leader).await;
+        group.propose(20).await;
+        group.start(leader).await;
+    }
+    for at in 0..3 {
+        group.check_acknowledged(at).await;
+    }
+}
+
+#[tokio::test]
+async fn leader_without_quorum_answers_nothing() {
+    let mut group = Replicas::new(3).start_all().await;
+    let leader = group.leader().await;
+    group.stop((leader + 1) % 3).await;
+    group.stop((leader + 2) % 3).await;
+    let refused = group.handle(leader).propose(b"x".to_vec()).await;
+    assert_matches!(
+        refused,
+        Err(ProposeError::Undecided | ProposeError::NotLeader { .. })
+    );
+    group.wait(leader, |status| status.leader.is_none()).await;
+    assert!(!group.handle(leader).status().holds_lease());
+}
+
+#[tokio::test]
+async fn all_replicas_restarted_at_once_lose_nothing() {
+    let mut group = Replicas::new(3).start_all().await;
+    group.propose(100).await;
+    for at in 0..3 {
+        group.stop(at).await;
+    }
+    let mut group = group.start_all().await;
+    group.propose(10).await;
+    for at in 0..3 {
+        group.check_acknowledged(at).await;
+    }
+}
+
+#[rstest]
+#[case::hundreds(400, None)]
+#[case::hundred_thousand_by_log(100_000, None)]
+#[case::hundred_thousand_by_snapshot(100_000, Some(0))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replica_that_was_away_catches_up(#[case] changes: usize, #[case] snapshot: Option<u64>) {
+    let mut group = Replicas::new(3).start_all().await;
+    group.propose(5).await;
+    let away = (group.leader().await + 1) % 3;
+    group.stop(away).await;
+    group.propose(changes).await;
+    if snapshot.is_some() {
+        group.take_snapshots();
+    }
+    group.propose(5).await;
+    group.start(away).await;
+    group.check_acknowledged(away).await;
+    assert_eq!(group.snapshots_applied(away) > 0, snapshot.is_some());
+}
+
+#[tokio::test]
+async fn restart_goes_on_from_the_snapshot() {
+    let mut group = Replicas::new(1).start_all().await;
+    group.propose(100).await;
+    group.take_snapshots();
+    group.propose(7).await;
+    group.stop(0).await;
+    group.start(0).await;
+    group.check_acknowledged(0).await;
+    assert_eq!(group.snapshots_applied(0), 1);
+}
+
+#[tokio::test]
+async fn replica_without_its_disk_does_not_vote() {
+    let mut group = Replicas::new(3).start_all().await;
+    group.propose(10).await;
+    let leader = group.leader().await;
+    let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    group.stop(lost).await;
+    group.lose_disk(lost);
+    group.start(lost).await;
+    group.stop(leader).await;
+    // The other one and the one without a disk are no majority, however long they wait.
+    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    assert_eq!(group.handle(other).status().leader, None);
+    assert!(!group.handle(lost).status().voter);
+    group.start(leader).await;
+    group.propose(10).await;
+    group.check_acknowledged(other).await;
+}
+
+#[tokio::test]
+async fn second_disk_lost_right_after_a_repair_loses_nothing() {
+    let mut group = Replicas::new(3).start_all().await;
+    for lost in [0, 1, 2] {
+        group.propose(30).await;
+        group.stop(lost).await;
+        group.lose_disk(lost);
+        group.start(lost).await;
+        group.replace(lost, lost).await;
+        group.wait(lost, |status| status.voter).await;
+    }
+    group.propose(30).await;
+    for at in 0..3 {
+        group.check_acknowledged(at).await;
+    }
+}
+
+#[tokio::test]
+async fn members_are_added_removed_and_replaced() {
+    let mut group = Replicas::new(3).start_all().await;
+    group.propose(10).await;
+    group.extend(2).await;
+    group.add(3).await;
+    group.replace(0, 4).await;
+    group.propose(10).await;
+    let leader = group.leader().await;
+    let members = group.handle(leader).members();
+    let voters: Vec<_> = members.voters().map(|voter| voter.id().number()).collect();
+    assert_eq!(voters, [2, 3, 4, 5]);
+    group.check_acknowledged(4).await;
+    let unknown = group.handle(leader).add(ReplicaId::new(9)).await;
+    assert_eq!(unknown, Err(ChangeError::Unknown));
+}
+
+#[tokio::test]
+async fn replica_whose_disk_fails_stops_and_says_so() {
+    let failing = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&failing);
+    let mut group = Replicas::new(3)
+        .with_sync(Arc::new(move |file| {
+            if switch.load(Ordering::Relaxed) {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            file.sync_data()
+        }))
+        .start_all()
+        .await;
+    group.propose(10).await;
+    // Only the first replica has the disk that fails.
+    failing.store(true, Ordering::Relaxed);
+    group.propose(20).await;
+    group.wait(0, |status| status.storage_failed).await;
+    assert_eq!(
+        group.handle(0).propose(b"x".to_vec()).await,
+        Err(ProposeError::Stopped)
+    );
+    group.check_acknowledged(1).await;
+}
