feat(entry): admit, queue, retry and share slots by the router's decisions

Cause: entries counted slots each on their own, so that two entries could have sent 16 requests to an executor of 8 slots; there was no queue, no retry and no fairness in the running entry. Change: the router actor is a thin shell round the routing crate; slot messages go between entries in datagrams beside the membership; the timer service wakes the router when it asks. A new setting tells how many entries the installation has, so that a majority that follows a slot home is one of the whole installation from the first moment on. Ruled out: deriving the size from the peers heard of so far; an entry that starts first would be a majority by itself and could grant slots that others hold.

--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -154,7 +154,7 @@
 
     fn problem(error: &ProposalError) -> Problem {
         let error_chain = chain(error);
-        log::warn!(error = error_chain; "an operator's request was not carried out");
+        log::info!(error = error_chain; "an operator's request was not carried out");
         match error {
             ProposalError::Propose {
                 source: ProposeError::NotLeader { .. },
--- a/crates/masticfield-demo/src/fleet.rs
+++ b/crates/masticfield-demo/src/fleet.rs
@@ -75,18 +75,21 @@
         let control = start_control(dir).await?;
         let zones: BTreeSet<_> = note.added.hosts.iter().map(|host| &host.zone).collect();
         let mut entries = Vec::new();
+        let mut peers = Vec::new();
         for (zone, number) in zones.iter().zip(1..) {
-            entries.push(start_entry(number, zone, address(&control, "entry")).await?);
+            let control = address(&control, "entry");
+            let entry = start_entry(number, zone, zones.len(), &peers, control).await?;
+            peers.push(entry_address(&entry, "peer").to_string());
+            entries.push(entry);
         }
         let runs = Runs::new();
-        let announce_to = entries.iter().map(|entry| entry_address(entry, "upstream"));
-        let announce_to: Vec<_> = announce_to.collect();
         let mut upstreams = Vec::new();
-        for (service, host) in placements(note) {
+        for (index, (service, host)) in placements(note).into_iter().enumerate() {
+            let announce_to = entry_address(&entries[index % entries.len()], "upstream");
             let id = format!("{service}-{}", host.name);
             let options = UpstreamOptions::new(id, service)
                 .place(Arc::clone(&host.name), Arc::clone(&host.zone))
-                .entries(announce_to.clone())
+                .entries([announce_to])
                 .latency(LATENCY);
             upstreams.push(
                 FakeUpstream::start(options, runs.clone())
@@ -178,6 +181,8 @@
 async fn start_entry(
     number: u16,
     zone: &str,
+    count: usize,
+    peers: &[String],
     control: SocketAddr,
 ) -> Result<RunningEntry, StartFleetError> {
     let args = EntryArgs::parse_from([
@@ -185,6 +190,8 @@
         &format!("--entry={number}"),
         &format!("--zone={zone}"),
         &format!("--control={control}"),
+        &format!("--entry-count={count}"),
+        &format!("--peers={}", peers.join(",")),
         "--caller-listen=127.0.0.1:0",
         "--upstream-listen=127.0.0.1:0",
         "--lease-renewal=250ms",
--- a/crates/masticfield-entry/src/args.rs
+++ b/crates/masticfield-entry/src/args.rs
@@ -44,6 +44,9 @@
     /// Addresses of some other entries, separated by commas
     #[arg(long, env = "MASTICFIELD_PEERS", default_value = "")]
     peers: String,
+    /// Entries of the whole installation; by default the peers given and this one
+    #[arg(long, env = "MASTICFIELD_ENTRY_COUNT")]
+    entry_count: Option<String>,
     /// Addresses where the control replicas listen to entries, separated by commas
     #[arg(long, env = "MASTICFIELD_CONTROL", default_value = "127.0.0.1:7410")]
     control: String,
@@ -74,6 +77,10 @@
     pub peer_advertise: Option<SocketAddr>,
     /// Addresses of some other entries.
     pub peers: Vec<SocketAddr>,
+    /// Entries of the whole installation.
+    ///
+    /// The slots of an executor are shared out by a majority of them.
+    pub entry_count: usize,
     /// Where the control replicas listen to entries.
     pub control: Vec<SocketAddr>,
     /// Time after which an upstream that does not announce itself again is forgotten.
@@ -115,6 +122,19 @@
             "--peer-advertise",
         );
         let peers = checker.parse_list("--peers", &self.peers);
+        let entry_count = self
+            .entry_count
+            .as_deref()
+            .map(|text| checker.parse("--entry-count", text));
+        let entry_count = entry_count.unwrap_or(Some(peers.len() + 1));
+        let entry_count =
+            entry_count.and_then(|count| checker.within("--entry-count", count, 1..=64));
+        checker.relate(
+            "--entry-count",
+            entry_count.is_none_or(|count| count > peers.len()),
+            "above the number of",
+            "--peers",
+        );
         let control = checker.parse_list("--control", &self.control);
         let control = checker.require("--control", Some(control).filter(|list| !list.is_empty()));
         let ttl = Duration::from_secs(3)..=Duration::from_mins(5);
@@ -130,6 +150,7 @@
             peer_listen: peer_listen?,
             peer_advertise: peer_advertise.flatten(),
             peers,
+            entry_count: entry_count?,
             control: control?,
             upstream_ttl: upstream_ttl?,
             lease_renewal: lease_renewal?,
--- a/crates/masticfield-entry/src/callers/exchange.rs
+++ b/crates/masticfield-entry/src/callers/exchange.rs
@@ -1,5 +1,6 @@
 //! One exchange with an upstream.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +19,6 @@
 
 use super::headers::{OUTCOME, REQUEST_ID, strip_hop_by_hop};
 use super::request::CallerRequest;
-use crate::router::Slot;
 
 /// Time within which an upstream must accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -43,8 +43,10 @@
 pub(super) enum Exchanged {
     /// The whole answer to this request.
     Answered(Reply),
-    /// Proof that the request did not run.
-    NotRun,
+    /// The executor proved that it did not start the request.
+    Refused,
+    /// No byte of the request was sent.
+    NotSent,
     /// No proof either way.
     Unknown(UnknownReason),
 }
@@ -64,16 +66,16 @@
         Self { client }
     }
 
-    /// Sends `req` to the executor of `slot` and waits for its whole answer.
+    /// Sends `req` to the executor at `to` and waits for its whole answer.
     pub(super) async fn run(
         &self,
         req: &CallerRequest,
-        slot: &Slot,
+        to: SocketAddr,
         id: RequestId,
         hop: &Hop,
     ) -> Exchanged {
-        let Some(mut outgoing) = outgoing(req, slot, id, hop) else {
-            return Exchanged::NotRun;
+        let Some(mut outgoing) = outgoing(req, to, id, hop) else {
+            return Exchanged::NotSent;
         };
         let connection = capture_connection(&mut outgoing);
         let answered = tokio::time::timeout(req.left(), self.client.request(outgoing)).await;
@@ -94,13 +96,13 @@
 /// The request as the upstream sees it; nothing if a value is no valid header or path.
 fn outgoing(
     req: &CallerRequest,
-    slot: &Slot,
+    to: SocketAddr,
     id: RequestId,
     hop: &Hop,
 ) -> Option<Request<Full<Bytes>>> {
     let uri = Uri::builder()
         .scheme("http")
-        .authority(slot.address.to_string())
+        .authority(to.to_string())
         .path_and_query(req.path.as_str())
         .build()
         .ok()?;
@@ -118,7 +120,7 @@
 /// An error before the head of an answer.
 fn broken(error: &Error) -> Exchanged {
     if error.is_connect() {
-        Exchanged::NotRun
+        Exchanged::NotSent
     } else {
         Exchanged::Unknown(UnknownReason::ConnectionLost)
     }
@@ -138,7 +140,7 @@
         .get(OUTCOME)
         .is_some_and(|value| value == "not-run")
     {
-        return Exchanged::NotRun;
+        return Exchanged::Refused;
     }
     if !is_delimited(&head, &body) {
         return Exchanged::Unknown(UnknownReason::TornAnswer);
--- a/crates/masticfield-entry/src/callers/front.rs
+++ b/crates/masticfield-entry/src/callers/front.rs
@@ -1,5 +1,6 @@
 //! A caller's request from its arrival to its final answer.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use masticfield_core::outcome::{NotRunReason, Outcome, UnknownReason};
 use masticfield_node::http::Reply;
 use masticfield_node::trace::{Hop, Tracing};
+use masticfield_routing::request::{Dispatch, Ending, Request as RouterRequest};
 use tokio_util::task::TaskTracker;
 use xtra::Address;
 
@@ -21,7 +23,7 @@
 use crate::metrics::Metrics;
 use crate::once::BookActor;
 use crate::peers::PeerActor;
-use crate::router::{Admission, Admit, Finish, RouterActor};
+use crate::router::{Admit, Finish, RouterActor, Step};
 
 /// When a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -30,7 +32,6 @@
 #[derive(Debug, Clone)]
 pub(super) struct Front {
     pub entry: EntryId,
-    pub zone: Arc<str>,
     pub router: Address<RouterActor>,
     pub book: Address<BookActor>,
     pub peers: Address<PeerActor>,
@@ -55,11 +56,11 @@
     /// Answers one request, to its end even if the caller vanishes.
     ///
     /// The slot, the claim and the metrics of a request that is dropped half-way would stay.
-    pub(super) async fn answer(&self, req: Request<Incoming>) -> Reply {
+    pub(super) async fn answer(&self, req: Request<Incoming>, peer: IpAddr) -> Reply {
         let front = self.clone();
         let answered = self
             .tasks
-            .spawn(async move { front.answer_whole(req).await });
+            .spawn(async move { front.answer_whole(req, peer).await });
         answered.await.unwrap_or_else(|_panicked| {
             problem_reply(Outcome::Unknown {
                 reason: UnknownReason::ConnectionLost,
@@ -67,11 +68,11 @@
         })
     }
 
-    async fn answer_whole(&self, req: Request<Incoming>) -> Reply {
+    async fn answer_whole(&self, req: Request<Incoming>, peer: IpAddr) -> Reply {
         let began = Instant::now();
         self.metrics.begin();
         let hop = self.tracing.arrive("caller request", req.headers());
-        let answered = self.decide(req, &hop).await;
+        let answered = self.decide(req, peer, &hop).await;
         let Final {
             service,
             outcome,
@@ -85,7 +86,7 @@
         reply
     }
 
-    async fn decide(&self, req: Request<Incoming>, hop: &Hop) -> Final {
+    async fn decide(&self, req: Request<Incoming>, peer: IpAddr, hop: &Hop) -> Final {
         if self.shutdown.is_begun() {
             return Final::not_run("", NotRunReason::Stopping);
         }
@@ -93,38 +94,77 @@
         if !served.holds(Instant::now()) {
             return Final::not_run("", NotRunReason::NoConfiguration);
         }
-        match CallerRequest::read(&served, req, self.body_timeout).await {
+        match CallerRequest::read(&served, req, peer, self.body_timeout).await {
             Ok(req) if req.is_idempotent() => self.run(&req, self.next_id(), hop).await,
             Ok(req) => self.run_once(&req, hop).await,
             Err(reason) => Final::not_run("", reason),
         }
     }
 
-    /// Sends a request to one executor.
+    /// Sends a request to an executor, and again to others as far as that is safe.
     pub(super) async fn run(&self, req: &CallerRequest, id: RequestId, hop: &Hop) -> Final {
-        let zone = req.zone.as_ref().unwrap_or(&self.zone);
-        let admit = Admit {
+        let mut step = self.admit(req).await;
+        let mut reply = None;
+        loop {
+            step = match step {
+                Step::Wait(next) => {
+                    let _waiting = hop.step("slot");
+                    next.await.unwrap_or(Step::Done(stopping()))
+                }
+                Step::Run(dispatch) => {
+                    let key = dispatch.key;
+                    let id = self.attempt_id(req, id, dispatch.attempt);
+                    let exchanged = self.exchange(req, &dispatch, id, hop).await;
+                    let ending = ending_of(&exchanged);
+                    if let Exchanged::Answered(answer) = exchanged {
+                        reply = Some(answer);
+                    }
+                    match self.router.send(Finish(key, ending)).await {
+                        Ok(Some(next)) => next,
+                        Ok(None) | Err(_) => Step::Done(outcome_of(ending)),
+                    }
+                }
+                Step::Done(outcome) => {
+                    let reply = reply.filter(|_| outcome == Outcome::Answered);
+                    return Final::new(&req.service, outcome, reply);
+                }
+            };
+        }
+    }
+
+    async fn admit(&self, req: &CallerRequest) -> Step {
+        let request = RouterRequest {
             service: Arc::clone(&req.service),
-            zone: Arc::clone(zone),
-        };
-        let slot = match self.router.send(admit).await {
-            Ok(Admission::Run(slot)) => slot,
-            Ok(Admission::Refuse(reason)) => return Final::not_run(&req.service, reason),
-            Err(_stopped) => return Final::not_run(&req.service, NotRunReason::Stopping),
+            caller: Arc::clone(&req.caller),
+            zone: req.zone.clone(),
+            deadline: Some(req.left()),
+            idempotent: req.is_idempotent(),
         };
+        let admitted = self.router.send(Admit(request)).await;
+        admitted.unwrap_or(Step::Done(stopping()))
+    }
+
+    async fn exchange(
+        &self,
+        req: &CallerRequest,
+        dispatch: &Dispatch,
+        id: RequestId,
+        hop: &Hop,
+    ) -> Exchanged {
         if req.left().is_zero() {
-            drop(self.router.send(Finish(slot)).await);
-            return Final::not_run(&req.service, NotRunReason::DeadlinePassed);
+            return Exchanged::NotSent;
         }
         let call = hop.call("upstream request");
-        call.note("masticfield.upstream", slot.upstream.to_string());
-        let exchanged = self.exchange.run(req, &slot, id, &call).await;
-        // A router that is gone needs no slot back.
-        drop(self.router.send(Finish(slot)).await);
-        match exchanged {
-            Exchanged::Answered(reply) => Final::answered(&req.service, reply),
-            Exchanged::NotRun => Final::not_run(&req.service, NotRunReason::RefusedByUpstream),
-            Exchanged::Unknown(reason) => Final::unknown(&req.service, reason),
+        call.note("masticfield.upstream", dispatch.id.to_string());
+        self.exchange.run(req, dispatch.address, id, &call).await
+    }
+
+    /// The identifier of an attempt; a repeated request is told apart from its first attempt.
+    fn attempt_id(&self, req: &CallerRequest, first: RequestId, attempt: u32) -> RequestId {
+        if attempt > 1 && req.is_idempotent() {
+            self.next_id()
+        } else {
+            first
         }
     }
 
@@ -134,6 +174,14 @@
 }
 
 impl Final {
+    fn new(service: &str, outcome: Outcome, reply: Option<Reply>) -> Self {
+        Self {
+            service: service.into(),
+            outcome,
+            reply,
+        }
+    }
+
     pub(super) fn answered(service: &Arc<str>, reply: Reply) -> Self {
         Self {
             service: Arc::clone(service),
@@ -162,3 +210,30 @@
         }
     }
 }
+
+const fn stopping() -> Outcome {
+    Outcome::NotRun {
+        reason: NotRunReason::Stopping,
+        retry_after: RETRY_AFTER,
+    }
+}
+
+fn ending_of(exchanged: &Exchanged) -> Ending {
+    match exchanged {
+        Exchanged::Answered(reply) => Ending::Answered {
+            faulty: reply.status().is_server_error(),
+        },
+        Exchanged::Refused => Ending::Refused,
+        Exchanged::NotSent => Ending::NotSent,
+        Exchanged::Unknown(reason) => Ending::Lost(*reason),
+    }
+}
+
+/// The outcome of a dispatch whose router is gone.
+const fn outcome_of(ending: Ending) -> Outcome {
+    match ending {
+        Ending::Answered { .. } => Outcome::Answered,
+        Ending::Lost(reason) => Outcome::Unknown { reason },
+        _ => stopping(),
+    }
+}
--- a/crates/masticfield-entry/src/callers/headers.rs
+++ b/crates/masticfield-entry/src/callers/headers.rs
@@ -11,6 +11,9 @@
 /// Time within which the caller needs the answer, in milliseconds.
 pub(super) const DEADLINE_MS: HeaderName = HeaderName::from_static("masticfield-deadline-ms");
 
+/// Name of the caller, the unit of fairness; its address if it gives none.
+pub(super) const CALLER: HeaderName = HeaderName::from_static("masticfield-caller");
+
 /// Availability zone of the caller.
 pub(super) const ZONE: HeaderName = HeaderName::from_static("masticfield-zone");
 
--- a/crates/masticfield-entry/src/callers/plugin.rs
+++ b/crates/masticfield-entry/src/callers/plugin.rs
@@ -36,7 +36,6 @@
         })?;
         let front = Front {
             entry: settings.entry,
-            zone: Arc::clone(&settings.zone),
             book: cx.need::<Address<BookActor>>()?.clone(),
             peers: cx.need::<Address<PeerActor>>()?.clone(),
             tasks: cx.need::<TaskTracker>()?.clone(),
@@ -51,9 +50,9 @@
         };
         let address = server.address();
         let tasks = cx.need::<TaskTracker>()?.clone();
-        tasks.spawn(server.serve(cx.shutdown(), move |req, _peer| {
+        tasks.spawn(server.serve(cx.shutdown(), move |req, peer| {
             let front = front.clone();
-            async move { front.answer(req).await }
+            async move { front.answer(req, peer.ip()).await }
         }));
         let addresses = cx.need::<Addresses>()?.clone().with("caller", address);
         cx.provide(addresses);
--- a/crates/masticfield-entry/src/callers/request.rs
+++ b/crates/masticfield-entry/src/callers/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request, read and checked.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use masticfield_core::outcome::NotRunReason;
 use masticfield_node::http::read_body;
 
-use super::headers::{DEADLINE_MS, IDEMPOTENCY_KEY, ZONE};
+use super::headers::{CALLER, DEADLINE_MS, IDEMPOTENCY_KEY, ZONE};
 use crate::control::Served;
 
 /// Longest accepted idempotency key, in bytes.
@@ -31,6 +32,8 @@
     pub body: Bytes,
     /// When the answer must be there.
     pub deadline: Instant,
+    /// Who asks: the name that the caller gives, or its address.
+    pub caller: Arc<str>,
     /// Availability zone of the caller, if it says so.
     pub zone: Option<Arc<str>>,
     /// Largest body of an answer, in bytes.
@@ -42,6 +45,7 @@
     pub(super) async fn read(
         served: &Served,
         req: Request<Incoming>,
+        peer: IpAddr,
         body_timeout: Duration,
     ) -> Result<Self, NotRunReason> {
         let (service, path) = split_path(&req).ok_or(NotRunReason::UnknownService)?;
@@ -64,6 +68,7 @@
             service: Arc::clone(&service.name),
             method: head.method,
             path,
+            caller: text(&head.headers, &CALLER).unwrap_or_else(|| peer.to_string().into()),
             zone: text(&head.headers, &ZONE),
             headers: head.headers,
             body,
--- a/crates/masticfield-entry/src/control/link.rs
+++ b/crates/masticfield-entry/src/control/link.rs
@@ -47,6 +47,11 @@
         self.served.borrow().clone()
     }
 
+    /// The configuration that may be served, and its changes.
+    pub(crate) fn watch_served(&self) -> watch::Receiver<Served> {
+        self.served.clone()
+    }
+
     /// Claims a key durably.
     pub(crate) async fn claim(&self, claim: Claim) -> Result<ClaimVerdict, LinkError> {
         let (tx, verdict) = oneshot::channel();
--- a/crates/masticfield-entry/src/control/plugin.rs
+++ b/crates/masticfield-entry/src/control/plugin.rs
@@ -6,11 +6,13 @@
 use masticfield_core::membership::EntryInfo;
 use masticfield_node::admin::Readiness;
 use tokio::sync::{mpsc, watch};
+use xtra::{Address, WeakAddress};
 
 use super::session::Session;
 use super::{ControlLink, Served};
 use crate::EntrySettings;
 use crate::metrics::Metrics;
+use crate::router::{Configure, RouterActor};
 
 /// Asks that wait for the connection, at most.
 const ASK_QUEUE: usize = 4_096;
@@ -27,7 +29,25 @@
             .publish_to(served_tx, cx.need::<Readiness>()?.clone())
             .count_with(cx.need::<Metrics>()?.clone());
         tokio::spawn(session.run(rx, cx.timer().clone(), cx.shutdown()));
-        cx.provide(ControlLink::new(tx, served));
+        let link = ControlLink::new(tx, served);
+        let router = cx.need::<Address<RouterActor>>()?.downgrade();
+        tokio::spawn(configure(router, link.watch_served()));
+        cx.provide(link);
         Ok(())
     })
 }
+
+/// Hands each new configuration to the router, until one of the two is gone.
+async fn configure(router: WeakAddress<RouterActor>, mut served: watch::Receiver<Served>) {
+    let mut version = 0;
+    while served.changed().await.is_ok() {
+        let config = Arc::clone(&served.borrow_and_update().config);
+        if config.version() == version {
+            continue;
+        }
+        version = config.version();
+        if router.send(Configure(config)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/masticfield-entry/src/peers/peer_actor.rs
+++ b/crates/masticfield-entry/src/peers/peer_actor.rs
@@ -10,17 +10,20 @@
 use masticfield_routing::membership::{
     Action, AnnouncementRefusal, Input, Membership, PeerMessage,
 };
+use masticfield_routing::slots::SlotMessage;
 use masticfield_wire::datagram;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
+use super::datagrams::Datagram;
 use super::metrics::PeerMetrics;
 use crate::router::{Learn, RouterActor};
 
 /// Keeps the membership and tells the router what changes.
 #[derive(Debug, Actor)]
 pub(crate) struct PeerActor {
+    me: EntryId,
     membership: Membership,
     socket: Arc<UdpSocket>,
     router: Address<RouterActor>,
@@ -51,12 +54,17 @@
 #[derive(Debug)]
 pub(crate) struct FindPeer(pub EntryId);
 
+/// Sends a peer a message about slots; it may get lost.
+#[derive(Debug)]
+pub(super) struct SendSlots(pub EntryId, pub SlotMessage);
+
 /// The answer to an announcement, if there is one among the actions.
 type Announcing = Option<Result<Duration, AnnouncementRefusal>>;
 
 impl PeerActor {
     /// Creates the actor of a membership.
     pub(super) const fn new(
+        me: EntryId,
         membership: Membership,
         socket: Arc<UdpSocket>,
         router: Address<RouterActor>,
@@ -65,6 +73,7 @@
         listening: oneshot::Sender<()>,
     ) -> Self {
         Self {
+            me,
             membership,
             socket,
             router,
@@ -79,7 +88,7 @@
         let mut announcing = None;
         for action in self.membership.step(Instant::now(), input) {
             match action {
-                Action::Send { to, msg } => self.send(to, &msg),
+                Action::Send { to, msg } => self.send(to, &Datagram::Membership(msg)),
                 Action::Tell(event) => {
                     log::info!(event:?; "the membership changed");
                     // A router that is gone sends nothing anywhere.
@@ -98,7 +107,7 @@
     }
 
     /// Sends a datagram; one that cannot be sent at once counts as lost.
-    fn send(&self, to: SocketAddr, msg: &PeerMessage) {
+    fn send(&self, to: SocketAddr, msg: &Datagram) {
         let sent = datagram::encode(msg)
             .ok()
             .and_then(|bytes| self.socket.try_send_to(&bytes, to).ok());
@@ -112,6 +121,12 @@
         }
     }
 
+    fn address_of(&self, peer: EntryId) -> Option<SocketAddr> {
+        let mut peers = self.membership.live_peers();
+        let found = peers.find(|info| info.id == peer);
+        found.map(|info| info.peer_address)
+    }
+
     fn tell_left(&mut self) {
         for tx in self.left.drain(..) {
             // Who waited has ended meanwhile.
@@ -168,8 +183,16 @@
     type Return = Option<SocketAddr>;
 
     async fn handle(&mut self, message: FindPeer, _ctx: &mut Context<Self>) -> Option<SocketAddr> {
-        let mut peers = self.membership.live_peers();
-        let found = peers.find(|peer| peer.id == message.0);
-        found.map(|peer| peer.peer_address)
+        self.address_of(message.0)
+    }
+}
+
+impl Handler<SendSlots> for PeerActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: SendSlots, _ctx: &mut Context<Self>) {
+        if let Some(address) = self.address_of(message.0) {
+            self.send(address, &Datagram::Slots(self.me, message.1));
+        }
     }
 }
--- a/crates/masticfield-entry/src/peers/plugin.rs
+++ b/crates/masticfield-entry/src/peers/plugin.rs
@@ -16,11 +16,11 @@
 use tokio_util::task::TaskTracker;
 use xtra::{Address, Mailbox, WeakAddress};
 
-use super::peer_actor::{Leave, PeerActor, Tick};
+use super::peer_actor::{Leave, PeerActor, SendSlots, Tick};
 use super::{ask, datagrams, metrics::PeerMetrics};
 use crate::EntrySettings;
 use crate::once::BookActor;
-use crate::router::RouterActor;
+use crate::router::{OutboxSlot, RouterActor, SlotOutbox};
 
 /// Ports that are tried until one is free for both UDP and TCP.
 const BIND_TRIES: usize = 8;
@@ -58,10 +58,12 @@
         let timing = Timing::new().for_time_to_live(settings.upstream_ttl);
         let membership = Membership::new(me.clone(), settings.peers.iter().copied(), timing);
         let (listening, mut stopped) = oneshot::channel();
+        let router = cx.need::<Address<RouterActor>>()?.clone();
         let actor = PeerActor::new(
+            settings.entry,
             membership,
             Arc::clone(&socket),
-            cx.need::<Address<RouterActor>>()?.clone(),
+            router.clone(),
             cx.trigger().clone(),
             metrics.clone(),
             listening,
@@ -71,11 +73,14 @@
         let weak = peers.downgrade();
         tokio::spawn(async move {
             tokio::select! {
-                () = datagrams::receive(socket, weak, metrics) => {}
+                () = datagrams::receive(socket, weak, router, metrics) => {}
                 () = ask::serve(listener, book) => {}
                 _ = &mut stopped => {}
             }
         });
+        if let Some(outbox) = cx.need::<OutboxSlot>()?.lock().take() {
+            tokio::spawn(send_slots(outbox, peers.downgrade()));
+        }
         spawn_ticks(cx, peers.downgrade(), timing);
         spawn_leave(cx, peers.downgrade())?;
         let addresses = cx.need::<Addresses>()?.clone().with("peer", address);
@@ -86,6 +91,15 @@
     })
 }
 
+/// Sends the router's messages until the router or the membership is gone.
+async fn send_slots(mut outbox: SlotOutbox, peers: WeakAddress<PeerActor>) {
+    while let Some((to, msg)) = outbox.recv().await {
+        if peers.send(SendSlots(to, msg)).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn spawn_ticks(cx: &KernelContext, peers: WeakAddress<PeerActor>, timing: Timing) {
     let mut ticks = cx.timer().every(timing.tick());
     tokio::spawn(async move {
--- /dev/null
+++ b/crates/masticfield-entry/src/router/metrics.rs
@@ -0,0 +1,55 @@
+//! Metrics of the router's decisions.
+
+use masticfield_routing::counters::Counters;
+use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
+
+/// Decisions since the start, and what waits and runs now.
+#[derive(Debug, Clone)]
+pub(super) struct RouterMetrics {
+    decisions: IntGaugeVec,
+    waiting: IntGauge,
+    dispatched: IntGauge,
+}
+
+impl RouterMetrics {
+    /// Registers the metrics.
+    pub(super) fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let decisions = Opts::new("masticfield_router_decisions", "Decisions since the start");
+        let decisions = IntGaugeVec::new(decisions, &["decision"])?;
+        let waiting = IntGauge::new("masticfield_router_waiting", "Requests that wait")?;
+        let dispatched = IntGauge::new("masticfield_router_in_flight", "Requests at upstreams")?;
+        registry.register(Box::new(decisions.clone()))?;
+        registry.register(Box::new(waiting.clone()))?;
+        registry.register(Box::new(dispatched.clone()))?;
+        Ok(Self {
+            decisions,
+            waiting,
+            dispatched,
+        })
+    }
+
+    /// Shows the counters of the router.
+    pub(super) fn show(&self, counters: Counters, waiting: usize, in_flight: usize) {
+        let decisions = [
+            ("requests", counters.requests),
+            ("dispatched", counters.dispatched),
+            ("retried", counters.retried),
+            ("retries-denied", counters.retries_denied),
+            ("queued", counters.queued),
+            ("refused", counters.refused),
+            ("shed", counters.shed),
+            ("over-share", counters.over_share),
+            ("spilled", counters.spilled),
+            ("set-aside", counters.set_aside),
+            ("wishes", counters.wishes),
+            ("grants", counters.grants),
+        ];
+        for (decision, count) in decisions {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.decisions.with_label_values(&[decision]).set(count);
+        }
+        self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        let in_flight = i64::try_from(in_flight).unwrap_or(i64::MAX);
+        self.dispatched.set(in_flight);
+    }
+}
--- a/crates/masticfield-entry/src/router/mod.rs
+++ b/crates/masticfield-entry/src/router/mod.rs
@@ -1,6 +1,11 @@
-//! The actor that chooses an executor for each request.
+//! The actor that admits requests and chooses an executor for each.
+//!
+//! The decisions are made in [`masticfield_routing::router`]; the actor carries them out.
 
+mod entries;
+mod metrics;
 mod plugin;
 mod router_actor;
 
-pub(crate) use router_actor::{Admission, Admit, Finish, Learn, RouterActor, Slot};
+pub(crate) use plugin::{OutboxSlot, SlotOutbox};
+pub(crate) use router_actor::{Admit, Configure, Finish, Learn, ReceiveSlots, RouterActor, Step};
--- a/crates/masticfield-entry/src/router/plugin.rs
+++ b/crates/masticfield-entry/src/router/plugin.rs
@@ -1,15 +1,84 @@
 //! The plug-in that starts the router.
 
-use masticfield_core::kernel::{KernelContext, Plugin, Program, StartFuture};
-use xtra::Mailbox;
+use std::sync::Arc;
+use std::time::Instant;
+
+use masticfield_core::ids::{EntryId, Incarnation};
+use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use masticfield_core::timer::Timer;
+use masticfield_routing::options::RouterOptions;
+use masticfield_routing::router::{Router, RouterIdentity};
+use masticfield_routing::slots::SlotMessage;
+use prometheus::Registry;
+use tokio::sync::{mpsc, watch};
+use xtra::{Mailbox, WeakAddress};
 
 use super::RouterActor;
+use super::entries::Entries;
+use super::metrics::RouterMetrics;
+use super::router_actor::{Stop, Tick};
+use crate::EntrySettings;
 
 inventory::submit! { Plugin::new("router", Program::Entry, 1, start) }
 
+/// Messages about slots that go to other entries.
+pub(crate) type SlotOutbox = mpsc::UnboundedReceiver<(EntryId, SlotMessage)>;
+
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
-        cx.provide(xtra::spawn_tokio(RouterActor::new(), Mailbox::unbounded()));
+        let settings = Arc::clone(cx.need::<Arc<EntrySettings>>()?);
+        let metrics = RouterMetrics::register(cx.need::<Registry>()?);
+        let metrics = metrics.map_err(|source| KernelError::Start {
+            plugin: "router",
+            source: Box::new(source),
+        })?;
+        let identity = RouterIdentity {
+            entry: settings.entry,
+            incarnation: *cx.need::<Incarnation>()?,
+            zone: Arc::clone(&settings.zone),
+        };
+        let router = Router::new(identity, RouterOptions::default(), rand::random());
+        let (slots, outbox) = mpsc::unbounded_channel();
+        let (wake_tx, wake_at) = watch::channel(Instant::now());
+        let entries = Entries::new(settings.entry, settings.entry_count);
+        let actor = RouterActor::new(router, entries, slots, wake_tx, metrics);
+        let router = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        tokio::spawn(wake(router.downgrade(), wake_at, cx.timer().clone()));
+        let (stopping, mut shutdown) = (router.downgrade(), cx.shutdown());
+        tokio::spawn(async move {
+            shutdown.begun().await;
+            // A router that is gone has nothing left to refuse.
+            drop(stopping.send(Stop).await);
+        });
+        cx.provide(router);
+        cx.provide::<OutboxSlot>(parking_lot::Mutex::new(Some(outbox)));
         Ok(())
     })
 }
+
+/// Where the task that sends messages about slots takes them from; emptied once.
+pub(crate) type OutboxSlot = parking_lot::Mutex<Option<SlotOutbox>>;
+
+/// Sends a tick whenever the router waits for a moment that has come.
+async fn wake(
+    router: WeakAddress<RouterActor>,
+    mut wake_at: watch::Receiver<Instant>,
+    timer: Timer,
+) {
+    loop {
+        let due = *wake_at.borrow_and_update();
+        let mut tick = timer.after(due.saturating_duration_since(Instant::now()));
+        tokio::select! {
+            _ = tick.recv() => {
+                if router.send(Tick).await.is_err() {
+                    return;
+                }
+            }
+            changed = wake_at.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/crates/masticfield-programs/tests/processes/support/installation.rs
+++ b/crates/masticfield-programs/tests/processes/support/installation.rs
@@ -45,9 +45,11 @@
         self.control = Some(self.start_control_at(&ports[0], &ports[1]));
     }
 
-    /// Starts an entry process.
-    pub fn start_entry(&self, number: u16, zone: &str) -> Process {
+    /// Starts an entry process of an installation of `count` entries that knows some peers.
+    pub fn start_entry(&self, number: u16, zone: &str, count: u16, peers: &[&Process]) -> Process {
         let control = self.control().address("entry").to_string();
+        let peers = peers.iter().map(|peer| peer.address("peer").to_string());
+        let peers = peers.collect::<Vec<_>>().join(",");
         let args = [
             "--entry",
             &number.to_string(),
@@ -55,6 +57,10 @@
             zone,
             "--control",
             &control,
+            "--entry-count",
+            &count.to_string(),
+            "--peers",
+            &peers,
             "--caller-listen",
             "127.0.0.1:0",
             "--upstream-listen",
--- a/crates/masticfield-programs/tests/processes/whole_path.rs
+++ b/crates/masticfield-programs/tests/processes/whole_path.rs
@@ -11,8 +11,8 @@
 #[test]
 fn a_note_is_applied_and_requests_are_served_end_to_end() {
     let installation = Installation::start();
-    let first = installation.start_entry(1, "vit-a");
-    let second = installation.start_entry(2, "vit-b");
+    let first = installation.start_entry(1, "vit-a", 2, &[]);
+    let second = installation.start_entry(2, "vit-b", 2, &[&first]);
     let entries = [&first, &second];
 
     assert!(get(first.address("admin"), "/readyz").starts_with("HTTP/1.1 503"));
@@ -24,8 +24,8 @@
     assert_eq!(rollout["in_force"], json!(true));
     assert!(get(first.address("admin"), "/readyz").starts_with("HTTP/1.1 200"));
 
-    let one = installation.start_upstream("exec-1", SERVICE, &entries);
-    let _two = installation.start_upstream("exec-2", SERVICE, &entries);
+    let one = installation.start_upstream("exec-1", SERVICE, &[&first]);
+    let _two = installation.start_upstream("exec-2", SERVICE, &[&second]);
     installation.wait_until(&["upstreams"], |rows| rows.as_array().unwrap().len() == 2);
     let seen = Installation::call(&entries, SERVICE, 40, 4);
     assert_eq!(outcomes(&seen), [40, 0, 0, 0, 0], "{seen}");
@@ -66,7 +66,7 @@
 #[test]
 fn an_entry_that_is_told_to_stop_cuts_no_request() {
     let installation = Installation::start();
-    let entry = installation.start_entry(1, "vit-a");
+    let entry = installation.start_entry(1, "vit-a", 1, &[]);
     installation.report(&["apply", VITORIA, "--wait"]);
     let upstream = installation.start_upstream("exec-1", SERVICE, &[&entry]);
     installation.wait_until(&["upstreams"], |rows| rows.as_array().unwrap().len() == 1);
--- a/crates/masticfield-routing/src/router/admit.rs
+++ b/crates/masticfield-routing/src/router/admit.rs
@@ -85,9 +85,7 @@
             return Admission::Refuse(self.refusal(Some(service), reason));
         }
         let caller = Arc::clone(&pending.caller);
-        let place = self.services[service]
-            .queue
-            .next_place(pending.due);
+        let place = self.services[service].queue.next_place(pending.due);
         pending.place = Some(place);
         let waiter = self.waiters.insert(pending);
         self.services[service].queue.push(place, caller, waiter);
