--- a/crates/masticfield-state/src/entries.rs
+++ b/crates/masticfield-state/src/entries.rs
@@ -1,48 +1,40 @@
 //! The entries that may hold a configuration lease.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use masticfield_core::ids::{EntryId, Incarnation};
 use serde::{Deserialize, Serialize};
 
-/// The entries that may hold a lease, with the latest incarnation of each.
+/// The entries that may hold a lease, each incarnation by itself.
 ///
-/// An entry is registered before its first lease and removed once its last one has run out, so
-/// that a new leader knows whom to wait for.
+/// An incarnation is registered before its first lease and removed once its last one has run
+/// out, so that a new leader knows whom to wait for.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EntryRoster {
-    entries: BTreeMap<EntryId, Incarnation>,
+    entries: BTreeSet<(EntryId, Incarnation)>,
 }
 
 impl EntryRoster {
-    /// The registered entries.
+    /// The registered incarnations.
     pub fn iter(&self) -> impl Iterator<Item = (EntryId, Incarnation)> {
-        self.entries
-            .iter()
-            .map(|(entry, incarnation)| (*entry, *incarnation))
+        self.entries.iter().copied()
     }
 
-    /// The latest incarnation of an entry, if it is registered.
-    pub fn incarnation(&self, entry: EntryId) -> Option<Incarnation> {
-        self.entries.get(&entry).copied()
+    /// The latest registered incarnation of an entry.
+    pub fn latest(&self, entry: EntryId) -> Option<Incarnation> {
+        let all = (entry, Incarnation::new(0))..=(entry, Incarnation::new(u64::MAX));
+        let (_, latest) = self.entries.range(all).next_back()?;
+        Some(*latest)
     }
 
-    /// Registers an entry; says whether its earlier incarnation is replaced or it is new.
+    /// Registers an incarnation that is later than the others of its entry.
     pub(crate) fn register(&mut self, entry: EntryId, incarnation: Incarnation) -> bool {
-        let last = self.incarnation(entry);
-        let news = last.is_none_or(|last| last < incarnation);
-        if news {
-            self.entries.insert(entry, incarnation);
-        }
-        news
+        let later = self.latest(entry).is_none_or(|last| last < incarnation);
+        later && self.entries.insert((entry, incarnation))
     }
 
-    /// Removes an entry if this is its latest incarnation.
+    /// Removes an incarnation.
     pub(crate) fn remove(&mut self, entry: EntryId, incarnation: Incarnation) -> bool {
-        let latest = self.incarnation(entry) == Some(incarnation);
-        if latest {
-            self.entries.remove(&entry);
-        }
-        latest
+        self.entries.remove(&(entry, incarnation))
     }
 }
--- a/crates/masticfield-state/src/lib.rs
+++ b/crates/masticfield-state/src/lib.rs
@@ -28,6 +28,7 @@
 mod guard;
 mod history;
 mod hosts;
+pub mod in_force;
 mod notes;
 mod refusal;
 mod reply;
--- a/crates/masticfield-state/src/state.rs
+++ b/crates/masticfield-state/src/state.rs
@@ -230,7 +230,9 @@
         if !self.entries.remove(entry, incarnation) {
             return Verdict::Repeated;
         }
-        self.claims.fence(entry);
+        if self.entries.latest(entry).is_none() {
+            self.claims.fence(entry);
+        }
         let event = format!("entry {entry} gone");
         self.record(at_ms, event, "its lease has run out", Vec::new());
         Verdict::Done
--- /dev/null
+++ b/crates/masticfield-state/tests/in_force.rs
@@ -0,0 +1,217 @@
+//! Leases over time: failovers refuse nobody, and a note is in force within its bound.
+
+use std::time::Duration;
+
+use masticfield_core::ids::{EntryId, Incarnation};
+use masticfield_state::in_force::{
+    GranterEvent, GranterNext, HolderEvent, HolderNext, LeaseGranter, LeaseHolder, Timing,
+};
+use rstest::rstest;
+
+const ENTRY: EntryId = EntryId::new(1);
+const INCARNATION: Incarnation = Incarnation::new(1);
+const STEP: Duration = Duration::from_millis(100);
+/// Time within which a note is in force everywhere.
+const TARGET: Duration = Duration::from_secs(13);
+/// Longest time that one election takes.
+const ELECTION: Duration = Duration::from_millis(1_500);
+
+/// One entry and the leader of the moment, if there is one.
+struct Installation {
+    now: Duration,
+    holder: LeaseHolder,
+    granter: Option<LeaseGranter>,
+    version: u64,
+    in_force: u64,
+}
+
+impl Installation {
+    fn started() -> Self {
+        let timing = Timing::default();
+        let mut installation = Self {
+            now: Duration::from_secs(50),
+            holder: LeaseHolder::new(timing),
+            granter: None,
+            version: 1,
+            in_force: 0,
+        };
+        installation.elect();
+        for _ in 0..20 {
+            installation.pass();
+        }
+        installation
+    }
+
+    /// A new leader, to which the entry connects.
+    fn elect(&mut self) {
+        let roster = [(ENTRY, INCARNATION)];
+        let timing = Timing::default();
+        self.granter = Some(LeaseGranter::new(self.now, timing, self.version, roster));
+        self.hold(HolderEvent::Connected);
+    }
+
+    fn lose_leader(&mut self) {
+        self.granter = None;
+        self.hold(HolderEvent::Disconnected);
+    }
+
+    fn accept(&mut self, version: u64) {
+        self.version = version;
+        self.lead(GranterEvent::Committed { version });
+    }
+
+    fn pass(&mut self) {
+        self.now += STEP;
+        self.lead(GranterEvent::Lead {
+            until: self.now + STEP,
+        });
+        self.lead(GranterEvent::Tick);
+        self.hold(HolderEvent::Tick);
+    }
+
+    fn hold(&mut self, event: HolderEvent) {
+        for next in self.holder.step(self.now, event) {
+            if let HolderNext::Renew { sequence, version } = next {
+                let (entry, incarnation) = (ENTRY, INCARNATION);
+                self.lead(GranterEvent::Renew {
+                    entry,
+                    incarnation,
+                    sequence,
+                    version,
+                });
+            }
+        }
+    }
+
+    fn lead(&mut self, event: GranterEvent) {
+        let Some(granter) = &mut self.granter else {
+            return;
+        };
+        let version = granter.version();
+        for next in granter.step(self.now, event) {
+            match next {
+                GranterNext::SendConfig { .. } => self.hold(HolderEvent::Config {
+                    version: self.version.max(version),
+                }),
+                GranterNext::Grant {
+                    sequence,
+                    version,
+                    ttl,
+                    ..
+                } => {
+                    self.hold(HolderEvent::Lease {
+                        sequence,
+                        version,
+                        ttl,
+                    });
+                }
+                GranterNext::InForce { version } => self.in_force = version,
+                GranterNext::Register { .. } | GranterNext::Remove { .. } => {}
+            }
+        }
+    }
+
+    /// Lets time pass until `done`; returns how much.
+    fn pass_until(&mut self, done: impl Fn(&Self) -> bool) -> Duration {
+        let start = self.now;
+        while !done(self) {
+            self.pass();
+            assert!(self.now < start + Duration::from_mins(1), "it never came");
+        }
+        self.now.saturating_sub(start)
+    }
+}
+
+#[rstest]
+#[case::one_election(ELECTION)]
+#[case::three_elections(ELECTION * 3)]
+fn losing_the_leader_alone_refuses_nobody(#[case] without_leader: Duration) {
+    let mut installation = Installation::started();
+    // The worst moment: just before the next renewal.
+    installation.pass_until(|at| at.holder.until() == Some(at.now + Duration::from_millis(5_100)));
+    installation.lose_leader();
+    let lost_at = installation.now;
+    while installation.now < lost_at + without_leader {
+        installation.pass();
+        assert_eq!(installation.holder.serving(installation.now), Some(1));
+    }
+    installation.elect();
+    assert_eq!(installation.holder.serving(installation.now), Some(1));
+}
+
+#[test]
+fn a_connected_entry_has_a_note_at_once() {
+    let mut installation = Installation::started();
+    installation.accept(2);
+    assert_eq!(installation.in_force, 2);
+    assert_eq!(installation.holder.serving(installation.now), Some(2));
+}
+
+#[rstest]
+#[case::cut_off_entry(0)]
+#[case::and_the_leader_lost(1)]
+#[case::and_the_next_leader_lost(2)]
+fn a_note_is_in_force_within_the_target(#[case] leaders_lost: u32) {
+    let mut installation = Installation::started();
+    let accepted_at = installation.now;
+    // The entry is cut off at the moment of the acceptance.
+    installation.hold(HolderEvent::Disconnected);
+    installation.version = 2;
+    for _ in 0..leaders_lost {
+        installation.granter = None;
+        installation.pass_until(|at| at.now >= accepted_at + ELECTION * leaders_lost);
+    }
+    let timing = Timing::default();
+    if leaders_lost == 0 {
+        let granter = installation.granter.as_mut().unwrap();
+        granter.step(accepted_at, GranterEvent::Committed { version: 2 });
+    } else {
+        let roster = [(ENTRY, INCARNATION)];
+        installation.granter = Some(LeaseGranter::new(installation.now, timing, 2, roster));
+    }
+    installation.pass_until(|at| at.in_force == 2);
+    let after = installation.now.saturating_sub(accepted_at);
+    println!("{leaders_lost} leaders lost: in force after {after:?}");
+    assert!(after <= TARGET, "in force after {after:?}");
+    assert_eq!(installation.holder.serving(installation.now), None);
+}
+
+#[test]
+fn an_entry_without_a_lease_does_not_serve() {
+    let mut holder = LeaseHolder::new(Timing::default());
+    let now = Duration::from_secs(1);
+    holder.step(now, HolderEvent::Connected);
+    holder.step(now, HolderEvent::Config { version: 5 });
+    assert_eq!(holder.serving(now), None);
+    let lease = |sequence| HolderEvent::Lease {
+        sequence,
+        version: 5,
+        ttl: Timing::default().lease,
+    };
+    holder.step(now, lease(99));
+    assert_eq!(holder.serving(now), None, "a lease that was not asked for");
+    holder.step(now, lease(2));
+    assert_eq!(holder.serving(now), Some(5));
+    assert_eq!(holder.serving(now + Timing::default().lease), None);
+}
+
+#[test]
+fn an_entry_that_is_gone_is_removed_and_gets_no_lease_meanwhile() {
+    let (entry, incarnation) = (ENTRY, INCARNATION);
+    let mut granter =
+        LeaseGranter::new(Duration::ZERO, Timing::default(), 1, [(entry, incarnation)]);
+    let now = Timing::default().bound();
+    granter.step(now, GranterEvent::Lead { until: now * 2 });
+    let next = granter.step(now, GranterEvent::Tick);
+    assert!(next.contains(&GranterNext::Remove { entry, incarnation }));
+    let renew = GranterEvent::Renew {
+        entry,
+        incarnation,
+        sequence: 1,
+        version: 1,
+    };
+    assert_eq!(granter.step(now, renew), []);
+    granter.step(now, GranterEvent::Removed { entry, incarnation });
+    let register = GranterNext::Register { entry, incarnation };
+    assert_eq!(granter.step(now, renew), [register]);
+}
