--- /dev/null
+++ b/crates/masticfield-fleet/src/health/mod.rs
@@ -0,0 +1,17 @@
+//! What the system makes of reports about health.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_fleet::health::FlapDamper;
+//!
+//! assert_eq!(FlapDamper::new().flapping().count(), 0);
+//! ```
+
+mod flap_damper;
+mod ledger;
+mod observer;
+
+pub use flap_damper::FlapDamper;
+pub use ledger::AvailabilityLedger;
+pub use observer::Observer;
--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -14,3 +14,5 @@
 pub mod claims;
 pub mod experiment;
 pub mod fleet_name;
+pub mod path;
+pub mod routing;
