--- /dev/null
+++ b/crates/masticfield-measure/src/capacity/mod.rs
@@ -0,0 +1,99 @@
+//! What each role costs at a size, and the slope over the size.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_measure::capacity::Slope;
+//!
+//! let slope = Slope::fit([(1.0, 3.0), (2.0, 5.0), (3.0, 7.0)]);
+//! assert!((slope.per_unit - 2.0).abs() < 1e-9 && (slope.at_zero - 1.0).abs() < 1e-9);
+//! ```
+
+mod figures;
+mod messages;
+mod roles;
+mod slope;
+mod synthetic;
+
+use masticfield_core::config::FleetConfig;
+use serde_json::{Value, json};
+
+use crate::experiment::{Experiment, ExperimentArgs, ExperimentError};
+
+pub use figures::Figures;
+pub use slope::Slope;
+pub use synthetic::Size;
+
+inventory::submit! {
+    Experiment {
+        name: "capacity",
+        about: "What each role costs at a size, with the slope over workers, pools, changes, entries and regions",
+        run,
+    }
+}
+
+/// Longest accepted time of a plan for the largest size, in milliseconds.
+const MAX_PLAN_MS: f64 = 100.0;
+
+/// A change of size along one axis.
+type Axis = (&'static str, fn(&mut Size, u32), &'static [u32]);
+
+const AXES: [Axis; 5] = [
+    (
+        "workers",
+        |size, value| size.workers = value,
+        &[50, 500, 1_150, 2_300],
+    ),
+    ("pools", |size, value| size.pools = value, &[5, 15, 30, 44]),
+    (
+        "changes_a_day",
+        |size, value| size.changes_a_day = value,
+        &[100, 900, 1_800, 2_700],
+    ),
+    (
+        "entries",
+        |size, value| size.entries = value,
+        &[4, 7, 14, 28],
+    ),
+    ("regions", |size, value| size.regions = value, &[1, 2, 3, 4]),
+];
+
+fn run(_args: ExperimentArgs) -> Result<Value, ExperimentError> {
+    let target = Size::target();
+    let at_target = Figures::measure(target)?;
+    let mut axes = serde_json::Map::new();
+    for (name, set, values) in AXES {
+        axes.insert(name.to_owned(), axis(set, values)?);
+    }
+    let config = FleetConfig::default().apply(&synthetic::note(target))?;
+    Ok(json!({
+        "experiment": "capacity",
+        "target": target,
+        "at_target": at_target,
+        "plan_limit_ms": MAX_PLAN_MS,
+        "plan_within_limit": at_target.plan_ms <= MAX_PLAN_MS,
+        "axes": axes,
+        "roles": roles::rows(target, &config, &at_target)?,
+    }))
+}
+
+fn axis(set: fn(&mut Size, u32), values: &[u32]) -> Result<Value, ExperimentError> {
+    let mut rows = Vec::new();
+    for value in values {
+        let mut size = Size::target();
+        set(&mut size, *value);
+        rows.push((f64::from(*value), Figures::measure(size)?));
+    }
+    let slope = |of: fn(&Figures) -> f64| Slope::fit(rows.iter().map(|(x, row)| (*x, of(row))));
+    let slopes = json!({
+        "plan_ms": slope(|row| row.plan_ms),
+        "rss_mb": slope(|row| row.rss_mb),
+        "bytes_per_s": slope(|row| row.bytes_per_s),
+        "cpu_percent": slope(|row| row.cpu_percent),
+    });
+    let rows: Vec<_> = rows
+        .iter()
+        .map(|(x, row)| json!({ "size": x, "figures": row }))
+        .collect();
+    Ok(json!({ "rows": rows, "slopes": slopes }))
+}
--- /dev/null
+++ b/crates/masticfield-measure/src/capacity/roles.rs
@@ -0,0 +1,173 @@
+//! What each role sends and receives at a size.
+
+use masticfield_core::config::FleetConfig;
+use serde_json::{Value, json};
+
+use super::figures::TURN;
+use super::messages::MessageBytes;
+use super::{Figures, Size};
+use crate::experiment::ExperimentError;
+
+/// Bytes that a node may spend on control in a second.
+const MAX_BYTES_PER_S: f64 = 6_000.0;
+
+/// Processor time that a node may spend on control, in percent of a core.
+const MAX_CPU_PERCENT: f64 = 2.0;
+
+/// Memory that a node may spend on control, in megabytes.
+const MAX_RSS_MB: f64 = 64.0;
+
+/// Replicas of the durable state in one region.
+const REPLICAS_IN_REGION: u32 = 3;
+
+/// Replicas of the durable state over four regions, as 2 + 2 + 2 + 1.
+const REPLICAS_OVER_REGIONS: u32 = 7;
+
+/// Seconds in a day.
+const DAY_S: f64 = 86_400.0;
+
+/// Hosts that fail in a day at 2,300 workers.
+const FAILURES_A_DAY: f64 = 30.0;
+
+/// Hosts that are restarted or replaced in a day at 2,300 workers.
+const RESTARTS_A_DAY: f64 = 390.0;
+
+/// Workers at which the daily failures and restarts are given.
+const WORKERS_OF_RATES: f64 = 2_300.0;
+
+/// Reports of a worker about one restart: draining, drained, rebooting and back.
+const REPORTS_PER_RESTART: f64 = 4.0;
+
+/// Actions for one restart or failure.
+const ACTIONS_PER_EVENT: f64 = 4.0;
+
+/// Tasks that a worker runs at once.
+const TASKS_PER_WORKER: f64 = 1.0;
+
+/// Interval at which usage of a task is reported, in seconds.
+const USAGE_INTERVAL_S: f64 = 15.0;
+
+/// Interval at which leases of hosts are renewed, in seconds.
+const HOST_LEASE_INTERVAL_S: f64 = 15.0;
+
+/// Interval at which an entry renews its lease, in seconds.
+const ENTRY_LEASE_INTERVAL_S: f64 = 1.0;
+
+/// Interval at which an upstream announces itself, in seconds.
+const ANNOUNCE_INTERVAL_S: f64 = 5.0;
+
+/// A part of a role's traffic and its bytes in a second.
+pub(super) type Part = (&'static str, f64);
+
+/// What the control leader sends and receives in a second.
+pub(super) fn leader_bytes_per_s(size: Size, messages: &MessageBytes) -> Vec<Part> {
+    let workers = f64::from(size.workers);
+    let share = workers / WORKERS_OF_RATES;
+    let events = (FAILURES_A_DAY + RESTARTS_A_DAY) * share / DAY_S;
+    let changes = f64::from(size.changes_a_day) / DAY_S;
+    let entries = f64::from(size.entries);
+    let followers = f64::from(replicas(size.regions) - 1);
+    vec![
+        ("platform: polls", messages.poll / TURN.as_secs_f64()),
+        (
+            "platform: reports of workers",
+            events * REPORTS_PER_RESTART * messages.worker_report,
+        ),
+        (
+            "platform: usage of tasks",
+            workers * TASKS_PER_WORKER * messages.task_report / USAGE_INTERVAL_S,
+        ),
+        (
+            "platform: leases of hosts",
+            messages.host_leases / HOST_LEASE_INTERVAL_S,
+        ),
+        ("followers: changes", changes * messages.change * followers),
+        (
+            "followers: actions",
+            events * ACTIONS_PER_EVENT * messages.action * followers,
+        ),
+        (
+            "entries: leases",
+            entries * messages.entry_lease / ENTRY_LEASE_INTERVAL_S,
+        ),
+        (
+            "entries: configuration",
+            entries * changes * messages.config,
+        ),
+    ]
+}
+
+/// Replicas that keep a majority when any one region is lost.
+const fn replicas(regions: u32) -> u32 {
+    match regions {
+        0 | 1 => REPLICAS_IN_REGION,
+        2 | 3 => 5,
+        _ => REPLICAS_OVER_REGIONS,
+    }
+}
+
+/// One row for each role.
+pub(super) fn rows(
+    size: Size,
+    config: &FleetConfig,
+    leader: &Figures,
+) -> Result<Value, ExperimentError> {
+    let messages = MessageBytes::measure(size, config)?;
+    let changes = f64::from(size.changes_a_day) / DAY_S;
+    let events = (FAILURES_A_DAY + RESTARTS_A_DAY) / DAY_S;
+    let follower = vec![
+        ("changes", changes * messages.change),
+        ("actions", events * ACTIONS_PER_EVENT * messages.action),
+    ];
+    let upstreams = f64::from(size.workers) / f64::from(size.entries);
+    let entry = vec![
+        ("lease", messages.entry_lease / ENTRY_LEASE_INTERVAL_S),
+        ("configuration", changes * messages.config),
+        (
+            "announcements of upstreams",
+            upstreams * messages.announcement / ANNOUNCE_INTERVAL_S,
+        ),
+    ];
+    let worker = vec![
+        ("announcement", messages.announcement / ANNOUNCE_INTERVAL_S),
+        (
+            "usage",
+            TASKS_PER_WORKER * messages.task_report / USAGE_INTERVAL_S,
+        ),
+    ];
+    Ok(json!({
+        "control leader": row(&leader_bytes_per_s(size, &messages), Some((leader.cpu_percent, leader.rss_mb))),
+        "control follower": row(&follower, Some((changes * leader.change_ms / 10.0, leader.rss_mb))),
+        "entry": row(&entry, None),
+        "worker or upstream": row(&worker, None),
+        "message_bytes": {
+            "change": messages.change,
+            "action": messages.action,
+            "configuration": messages.config,
+            "lease of an entry": messages.entry_lease,
+            "report of a worker": messages.worker_report,
+            "report of a task": messages.task_report,
+            "leases of all hosts": messages.host_leases,
+            "announcement": messages.announcement,
+        },
+    }))
+}
+
+fn row(parts: &[Part], node: Option<(f64, f64)>) -> Value {
+    let bytes: f64 = parts.iter().map(|part| part.1).sum();
+    let parts: Vec<_> = parts
+        .iter()
+        .map(|(name, bytes)| json!({ "part": name, "bytes_per_s": bytes }))
+        .collect();
+    let (cpu, rss) = node.unzip();
+    let over = bytes > MAX_BYTES_PER_S
+        || cpu.is_some_and(|cpu| cpu > MAX_CPU_PERCENT)
+        || rss.is_some_and(|rss| rss > MAX_RSS_MB);
+    json!({
+        "bytes_per_s": bytes,
+        "cpu_percent": cpu,
+        "rss_mb": rss,
+        "over": over,
+        "parts": parts,
+    })
+}
--- /dev/null
+++ b/crates/masticfield-measure/src/capacity/slope.rs
@@ -0,0 +1,39 @@
+//! A straight line through measured points.
+
+use serde::Serialize;
+
+/// Least-squares line through points.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Slope {
+    /// Rise for one unit of size.
+    pub per_unit: f64,
+    /// Value at size zero.
+    pub at_zero: f64,
+}
+
+impl Slope {
+    /// Fits a line through points of size and value.
+    pub fn fit(points: impl IntoIterator<Item = (f64, f64)>) -> Self {
+        let (mut n, mut sx, mut sy, mut sxx, mut sxy) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        for (x, y) in points {
+            n += 1.0;
+            sx += x;
+            sy += y;
+            sxx += x * x;
+            sxy += x * y;
+        }
+        let spread = n * sxx - sx * sx;
+        if spread == 0.0 {
+            let at_zero = if n > 0.0 { sy / n } else { 0.0 };
+            return Self {
+                per_unit: 0.0,
+                at_zero,
+            };
+        }
+        let per_unit = (n * sxy - sx * sy) / spread;
+        Self {
+            per_unit,
+            at_zero: (sy - per_unit * sx) / n,
+        }
+    }
+}
--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(FleetName::Vitoria.config().services().len(), 5);
 //! ```
 
+pub mod capacity;
 pub mod claims;
 pub mod experiment;
 pub mod fleet_name;
