--- a/crates/masticfield-programs/tests/processes/support/installation.rs
+++ b/crates/masticfield-programs/tests/processes/support/installation.rs
@@ -1,7 +1,7 @@
 //! A small installation of processes.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
 use serde_json::Value;
@@ -15,6 +15,24 @@
 const FAKE: &str = env!("CARGO_BIN_EXE_masticfield-fake");
 const CLI: &str = env!("CARGO_BIN_EXE_masticfield");
 
+/// A program that tests run to its end.
+#[derive(Debug, Clone, Copy)]
+pub enum Program {
+    Cli,
+    Control,
+    Entry,
+}
+
+impl Program {
+    const fn path(self) -> &'static str {
+        match self {
+            Self::Cli => CLI,
+            Self::Control => CONTROL,
+            Self::Entry => ENTRY,
+        }
+    }
+}
+
 /// One control process in a folder of its own, and what is started beside it.
 #[derive(Debug)]
 pub struct Installation {
@@ -71,6 +89,10 @@
             "1",
             "--stop-linger",
             "300ms",
+            "--header-timeout",
+            "500ms",
+            "--body-timeout",
+            "500ms",
         ];
         Process::start(ENTRY, &format!("entry-{number}"), self.dir.path(), &args)
     }
@@ -132,6 +154,16 @@
             .unwrap()
     }
 
+    /// Runs a program that must end by itself.
+    pub fn run_to_end(program: Program, args: &[&str]) -> Output {
+        Command::new(program.path()).args(args).output().unwrap()
+    }
+
+    /// The folder of the installation.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
     /// Runs the command line, which must succeed, and returns what it printed.
     pub fn report(&self, args: &[&str]) -> Value {
         let output = self.masticfield(args);
@@ -173,15 +205,18 @@
 
 /// Gets a path over HTTP and returns the head and the body.
 pub fn get(address: SocketAddr, path: &str) -> String {
+    let head = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
+    exchange(address, head.as_bytes())
+}
+
+/// Sends bytes over TCP and returns what comes back until the peer closes.
+pub fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
     use std::io::{Read, Write};
 
     let mut stream = std::net::TcpStream::connect(address).unwrap();
-    write!(
-        stream,
-        "GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n"
-    )
-    .unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    answer
+    // A peer that has refused already may have closed its side.
+    drop(stream.write_all(bytes));
+    let mut answer = Vec::new();
+    drop(stream.read_to_end(&mut answer));
+    String::from_utf8_lossy(&answer).into_owned()
 }
--- a/crates/masticfield-programs/tests/processes/support/mod.rs
+++ b/crates/masticfield-programs/tests/processes/support/mod.rs
@@ -3,5 +3,5 @@
 mod installation;
 mod process;
 
-pub use installation::{Installation, get};
+pub use installation::{Installation, Program, exchange, get};
 pub use process::Process;
