--- a/crates/masticfield-cli/src/args.rs
+++ b/crates/masticfield-cli/src/args.rs
@@ -22,7 +22,7 @@
     #[arg(
         long,
         global = true,
-        env = "MASTICFIELD_CONTROL",
+        env = "MASTICFIELD_OPERATOR_ADDRESSES",
         default_value = "127.0.0.1:7411"
     )]
     control: String,
--- a/crates/masticfield-cli/src/commands.rs
+++ b/crates/masticfield-cli/src/commands.rs
@@ -11,7 +11,7 @@
 };
 use snafu::ResultExt;
 
-use crate::error::{FileSnafu, NoteSnafu};
+use crate::error::{FileSnafu, NoteSnafu, OutputSnafu};
 use crate::{CliError, Command, ControlClient, Settings, tables};
 
 /// Time between two looks at the roll-out of a note.
@@ -25,37 +25,37 @@
         settings.timeout,
     );
     let output = settings.output;
-    match command {
-        Command::Apply { file, wait, .. } => apply(settings, &control, &file, wait).await?,
+    let printed = match command {
+        Command::Apply { file, wait, .. } => return apply(settings, &control, &file, wait).await,
         Command::Plan { file } => {
             let preview: PlanPreview = control.post("/v1/plan", read_note(&file)?.1).await?;
-            output.print(&preview, tables::preview);
+            output.print(&preview, tables::preview)
         }
         Command::Status => {
             let status: FleetStatus = control.get("/v1/status").await?;
-            output.print(&status, tables::status);
+            output.print(&status, tables::status)
         }
         Command::Hosts => {
             let rows: Vec<HostRow> = control.get("/v1/hosts").await?;
-            output.print(&rows, |rows| tables::hosts(rows));
+            output.print(&rows, |rows| tables::hosts(rows))
         }
         Command::Upstreams => {
             let rows: Vec<UpstreamRow> = control.get("/v1/upstreams").await?;
-            output.print(&rows, |rows| tables::upstreams(rows));
+            output.print(&rows, |rows| tables::upstreams(rows))
         }
         Command::Jobs => {
             let rows: Vec<JobRow> = control.get("/v1/jobs").await?;
-            output.print(&rows, |rows| tables::jobs(rows));
+            output.print(&rows, |rows| tables::jobs(rows))
         }
         Command::History { .. } => {
             let path = format!("/v1/history?since={}", settings.since);
             let rows: Vec<HistoryRow> = control.get(&path).await?;
-            output.print(&rows, |rows| tables::history(rows));
+            output.print(&rows, |rows| tables::history(rows))
         }
         Command::Explain { kind, name } => {
             let path = format!("/v1/explain/{}/{name}", kind.segment());
             let rows: Vec<HistoryRow> = control.get(&path).await?;
-            output.print(&rows, |rows| tables::history(rows));
+            output.print(&rows, |rows| tables::history(rows))
         }
         Command::Drain { host } => {
             let path = format!("/v1/hosts/{host}/drain");
@@ -65,11 +65,11 @@
                     "host {} drains at generation {}",
                     accepted.host, accepted.generation
                 )
-            });
+            })
         }
-        Command::Completions { .. } => {}
-    }
-    Ok(())
+        Command::Completions { .. } => Ok(()),
+    };
+    printed.context(OutputSnafu)
 }
 
 async fn apply(
@@ -81,12 +81,12 @@
     let (note, text) = read_note(file)?;
     let accepted: NoteAccepted = control.post("/v1/notes", text).await?;
     if !wait {
-        settings.output.print(&accepted, tables::accepted);
-        return Ok(());
+        let printed = settings.output.print(&accepted, tables::accepted);
+        return printed.context(OutputSnafu);
     }
     let status = wait_in_force(settings, control, note.number).await?;
-    settings.output.print(&status, tables::rollout);
-    Ok(())
+    let printed = settings.output.print(&status, tables::rollout);
+    printed.context(OutputSnafu)
 }
 
 /// Shows the progress of a roll-out until the note is in force everywhere.
--- a/crates/masticfield-cli/src/error.rs
+++ b/crates/masticfield-cli/src/error.rs
@@ -65,6 +65,12 @@
         /// How long it was waited for.
         waited: Duration,
     },
+    /// The output cannot be written.
+    #[snafu(display("the output cannot be written"))]
+    Output {
+        /// The cause.
+        source: io::Error,
+    },
     /// The runtime cannot start.
     #[snafu(display("the program cannot start"))]
     Runtime {
--- a/crates/masticfield-cli/src/output.rs
+++ b/crates/masticfield-cli/src/output.rs
@@ -1,5 +1,6 @@
 //! What is printed.
 
+use std::io::{self, Write};
 use std::str::FromStr;
 
 use serde::Serialize;
@@ -23,16 +24,27 @@
 impl OutputFormat {
     /// Prints `value` as JSON, or as the text that `table` makes of it.
     ///
+    /// A reader that has closed the output, such as `head`, has seen enough; that is no error.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the output cannot be written.
+    ///
     /// # Panics
     ///
     /// Panics if `value` cannot be written as JSON, which is a bug of its type.
-    pub fn print<T: Serialize>(self, value: &T, table: impl FnOnce(&T) -> String) {
-        match self {
-            Self::Table => println!("{}", table(value)),
-            Self::Json => {
-                let json = serde_json::to_string_pretty(value).expect("reports are plain data");
-                println!("{json}");
-            }
+    pub fn print<T: Serialize>(
+        self,
+        value: &T,
+        table: impl FnOnce(&T) -> String,
+    ) -> io::Result<()> {
+        let text = match self {
+            Self::Table => table(value),
+            Self::Json => serde_json::to_string_pretty(value).expect("reports are plain data"),
+        };
+        match writeln!(io::stdout(), "{text}") {
+            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+            written => written,
         }
     }
 }
--- a/crates/masticfield-programs/tests/processes/main.rs
+++ b/crates/masticfield-programs/tests/processes/main.rs
@@ -1,5 +1,7 @@
 //! The programs as separate processes, with ports from the system.
 
 mod bad_input;
+mod operator;
 mod support;
+mod traces;
 mod whole_path;
--- a/crates/masticfield-programs/tests/processes/support/installation.rs
+++ b/crates/masticfield-programs/tests/processes/support/installation.rs
@@ -65,6 +65,18 @@
 
     /// Starts an entry process of an installation of `count` entries that knows some peers.
     pub fn start_entry(&self, number: u16, zone: &str, count: u16, peers: &[&Process]) -> Process {
+        self.start_entry_with(number, zone, count, peers, &[])
+    }
+
+    /// Starts an entry process with further flags.
+    pub fn start_entry_with(
+        &self,
+        number: u16,
+        zone: &str,
+        count: u16,
+        peers: &[&Process],
+        flags: &[&str],
+    ) -> Process {
         let control = self.control().address("entry").to_string();
         let peers = peers.iter().map(|peer| peer.address("peer").to_string());
         let peers = peers.collect::<Vec<_>>().join(",");
@@ -94,6 +106,7 @@
             "--body-timeout",
             "500ms",
         ];
+        let args = [&args[..], flags].concat();
         Process::start(ENTRY, &format!("entry-{number}"), self.dir.path(), &args)
     }
 
@@ -145,10 +158,13 @@
 
     /// Runs the command line.
     pub fn masticfield(&self, args: &[&str]) -> Output {
-        let operator = self.control().address("operator").to_string();
         Command::new(CLI)
-            .args(["--control", &operator, "--output", "json", "--token-file"])
-            .arg(self.dir.path().join("token"))
+            .env(
+                "MASTICFIELD_OPERATOR_ADDRESSES",
+                self.control().address("operator").to_string(),
+            )
+            .env("MASTICFIELD_OUTPUT", "json")
+            .env("MASTICFIELD_TOKEN_FILE", self.dir.path().join("token"))
             .args(args)
             .output()
             .unwrap()
