--- a/crates/masticfield-state/src/claims/table.rs
+++ b/crates/masticfield-state/src/claims/table.rs
@@ -92,7 +92,8 @@
 
     /// Records how a claimed request ended; a key that did not run is free again.
     ///
-    /// The first end stands, except that a request of unknown end may turn out to have run.
+    /// The first end stands, except that a request of unknown end may turn out to have run. A
+    /// fenced dispatch cannot free its key.
     pub fn end(&mut self, key: ClaimKey, request: RequestId, end: ClaimEnd) {
         let Some(key) = KeptKey::new(key) else {
             return;
@@ -105,7 +106,9 @@
             return;
         };
         let first = kept.end.is_none() || !self.guards.holds(Guard::FirstEnd);
+        let fenced = is_fenced(&self.fences, request) && self.guards.holds(Guard::Fence);
         match (end, kept.end) {
+            (ClaimEnd::NotRun, _) if fenced => {}
             (ClaimEnd::NotRun, _) if first => drop(self.claims.remove(&key)),
             (ClaimEnd::Ran, Some(ClaimEnd::Unknown)) => kept.end = Some(end),
             (ClaimEnd::Ran | ClaimEnd::Unknown, _) if first => kept.end = Some(end),
@@ -126,11 +129,11 @@
         if !kept.is_for(claim.fingerprint) {
             return ClaimVerdict::OtherRequest;
         }
-        let fence = self.fences.get(&by.entry()).copied().unwrap_or_default();
+        let fenced = is_fenced(&self.fences, by) && self.guards.holds(Guard::Fence);
         match kept.end {
             Some(ClaimEnd::Ran) => ClaimVerdict::Ran { by },
             Some(_) => ClaimVerdict::Unknown { by },
-            None if by.sequence() < fence => ClaimVerdict::Unknown { by },
+            None if fenced => ClaimVerdict::Unknown { by },
             None if by == claim.request => ClaimVerdict::AlreadyYours,
             None => ClaimVerdict::Held { by },
         }
@@ -178,3 +181,9 @@
         }
     }
 }
+
+/// Whether a dispatch is of an incarnation that ended.
+fn is_fenced(fences: &BTreeMap<EntryId, u64>, request: RequestId) -> bool {
+    let fence = fences.get(&request.entry());
+    fence.is_some_and(|fence| request.sequence() < *fence)
+}
--- a/crates/masticfield-state/src/guard.rs
+++ b/crates/masticfield-state/src/guard.rs
@@ -17,6 +17,8 @@
     ClaimOnce,
     /// The first proven end of a claimed request stands.
     FirstEnd,
+    /// Dispatches of an earlier incarnation are told from those of the next.
+    Fence,
     /// Keys older than the claims that are kept are refused.
     ClaimAge,
     /// A new leader waits until every lease of earlier leaders has run out.
