--- a/crates/masticfield-state/tests/model_claims.rs
+++ b/crates/masticfield-state/tests/model_claims.rs
@@ -193,18 +193,18 @@
         };
         if world.now_s < self.leaps * LEAP_S {
             add("the retention passes".into(), &|world| {
-                world.now_s += LEAP_S
+                world.now_s += LEAP_S;
             });
         }
         for entry in 0..2 {
             if world.dispatches.len() < self.attempts {
                 add(format!("the caller asks entry {entry}"), &|world| {
-                    world.attempt(entry)
+                    world.attempt(entry);
                 });
             }
             if world.crashes < self.crashes {
                 add(format!("entry {entry} restarts"), &|world| {
-                    world.crash(entry)
+                    world.crash(entry);
                 });
             }
         }
@@ -217,7 +217,7 @@
             add(format!("{msg:?} arrives"), &|world| world.deliver(*msg));
             if let Msg::Request(d) = msg {
                 add(format!("the upstream refuses {d}"), &|world| {
-                    world.refuse(*d)
+                    world.refuse(*d);
                 });
             }
         }
