--- a/crates/masticfield-routing/src/lib.rs
+++ b/crates/masticfield-routing/src/lib.rs
@@ -39,4 +39,5 @@
 pub mod queue;
 pub mod request;
 pub mod router;
+pub mod shares;
 pub mod slots;
--- a/crates/masticfield-routing/src/queue.rs
+++ b/crates/masticfield-routing/src/queue.rs
@@ -44,16 +44,6 @@
         self.places.is_empty()
     }
 
-    /// Number of waiting requests of one caller.
-    pub fn waiting_of(&self, caller: &str) -> usize {
-        self.callers.get(caller).copied().unwrap_or(0)
-    }
-
-    /// Number of callers with waiting requests, other than `caller`.
-    pub fn other_callers(&self, caller: &str) -> usize {
-        self.callers.len() - usize::from(self.callers.contains_key(caller))
-    }
-
     /// The place that a request due at `due` would get.
     pub fn next_place(&self, due: Duration) -> Place {
         let seq = self.seq;
--- a/crates/masticfield-routing/src/router/admit.rs
+++ b/crates/masticfield-routing/src/router/admit.rs
@@ -14,9 +14,8 @@
 
 /// Spread of the time after which refused callers come back, as a multiple of its least.
 const RETRY_AFTER_SPREAD: f64 = 2.0;
-/// Allowance for an estimated wait that turns out longer.
-const WAIT_ALLOWANCE: f64 = 1.25;
-
+/// How much longer than estimated a wait may turn out for a request to be answered in time.
+const WAIT_ALLOWANCE: f64 = 2.0;
 impl Router {
     /// Admits a request: it runs now, waits, or is refused with its final answer.
     pub fn admit(&mut self, now: Duration, req: Request) -> Admission {
@@ -55,6 +54,7 @@
         if served.queue.is_empty()
             && let Some(upstream) = self.choose(now, &pending)
         {
+            self.services[service].shares.add(now, &pending.caller);
             return Admission::Run(self.dispatch(now, upstream, pending));
         }
         self.enqueue(now, pending)
@@ -85,13 +85,14 @@
             return Admission::Refuse(self.refusal(Some(service), reason));
         }
         let caller = Arc::clone(&pending.caller);
-        let place = self.services[service]
-            .queue
-            .next_place(pending.due);
+        let place = self.services[service].queue.next_place(pending.due);
         pending.place = Some(place);
         let waiter = self.waiters.insert(pending);
-        self.services[service].queue.push(place, caller, waiter);
+        self.services[service]
+            .queue
+            .push(place, Arc::clone(&caller), waiter);
         self.counters.queued += 1;
+        self.services[service].shares.add(now, &caller);
         self.wish_soon(now, service);
         Admission::Wait(waiter)
     }
@@ -106,7 +107,8 @@
         let place = served.queue.next_place(pending.due);
         let wait = served.wait_behind(served.queue.ahead_of(place));
         let needed = wait.mul_f64(WAIT_ALLOWANCE) + served.run_allowance();
-        if self.is_over_share(now, pending) {
+        let contended = wait > served.run_allowance();
+        if contended && served.shares.is_over(now, &pending.caller) {
             self.counters.over_share += 1;
             return Some(NotRunReason::CallerShare);
         }
@@ -114,21 +116,6 @@
         (full || now + needed > pending.due).then_some(NotRunReason::Overloaded)
     }
 
-    /// Whether the caller has its share of the waiting requests that can be served in time.
-    ///
-    /// The share leaves room for one more caller, so that a new caller is never shut out by
-    /// those that came before it.
-    fn is_over_share(&self, now: Duration, pending: &Pending) -> bool {
-        let served = &self.services[pending.service];
-        let others = served.queue.other_callers(&pending.caller);
-        let callers = f64::from(u32::try_from(others + 2).unwrap_or(u32::MAX));
-        let longest = f64::from(u32::try_from(self.options.max_queue).unwrap_or(u32::MAX));
-        let in_time = served.served_within(pending.due.saturating_sub(now));
-        let share = (in_time.min(longest) / callers).max(1.0);
-        let waiting = u32::try_from(served.queue.waiting_of(&pending.caller));
-        f64::from(waiting.unwrap_or(u32::MAX)) >= share
-    }
-
     /// Refuses a waiting request.
     pub(super) fn shed(&mut self, waiter: WaiterKey, reason: NotRunReason) {
         if let Some(pending) = self.take_waiter(waiter) {
--- a/crates/masticfield-routing/src/router/exchange.rs
+++ b/crates/masticfield-routing/src/router/exchange.rs
@@ -16,6 +16,10 @@
 const MIN_WISH_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval between wishes while the home has not granted yet.
 const GREETED_INTERVAL: Duration = Duration::from_millis(20);
+/// Slots that an entry would like ahead of demand in its own availability zone.
+const AHEAD_LOCAL: u16 = 2;
+/// Slots that an entry would like ahead of demand in another availability zone.
+const AHEAD_REMOTE: u16 = 1;
 /// Wishes or grants in one datagram.
 const MAX_PER_MESSAGE: usize = 12;
 
@@ -230,6 +234,11 @@
         let waiting = served.queue.len().div_ceil(served.upstreams.len().max(1));
         let waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
         let need = upstream.in_flight.saturating_add(waiting).min(cap);
-        (need, (upstream.in_flight + 1).min(cap))
+        let least = if upstream.news.zone == self.identity.zone {
+            AHEAD_LOCAL
+        } else {
+            AHEAD_REMOTE
+        };
+        (need, (upstream.in_flight + least).min(cap))
     }
 }
--- a/crates/masticfield-routing/src/router/served.rs
+++ b/crates/masticfield-routing/src/router/served.rs
@@ -7,6 +7,7 @@
 use crate::budget::RetryBudget;
 use crate::options::RouterOptions;
 use crate::queue::WaitQueue;
+use crate::shares::CallerShares;
 
 /// Weight of the latest request in the mean service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
@@ -23,11 +24,14 @@
     pub(super) run_limit: Duration,
     pub(super) upstreams: Vec<UpstreamKey>,
     pub(super) queue: WaitQueue,
+    pub(super) shares: CallerShares,
     pub(super) budget: RetryBudget,
     pub(super) in_flight: usize,
     mean: Option<Duration>,
     /// Smoothed number of requests in flight while others wait.
     lanes: f64,
+    /// Requests that the entry may have in flight if all entries are busy.
+    pub(super) own_lanes: f64,
 }
 
 impl Served {
@@ -37,10 +41,12 @@
             run_limit: deadline,
             upstreams: Vec::new(),
             queue: WaitQueue::new(options.order),
+            shares: CallerShares::new(),
             budget: RetryBudget::new(options.retry_share),
             in_flight: 0,
             mean: None,
             lanes: 1.0,
+            own_lanes: f64::INFINITY,
         }
     }
 
@@ -80,16 +86,11 @@
     /// Estimated wait behind `ahead` others.
     pub(super) fn wait_behind(&self, ahead: usize) -> Duration {
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        self.mean().mul_f64(f64::from(turns) / self.lanes)
+        self.mean().mul_f64(f64::from(turns) / self.lasting_lanes())
     }
 
-    /// Requests that can be served within a time.
-    pub(super) fn served_within(&self, time: Duration) -> f64 {
-        let mean = self.mean();
-        if mean.is_zero() {
-            f64::INFINITY
-        } else {
-            time.div_duration_f64(mean) * self.lanes
-        }
+    /// The lanes without those that another entry may claim back.
+    const fn lasting_lanes(&self) -> f64 {
+        self.lanes.min(self.own_lanes.max(1.0))
     }
 }
--- a/crates/masticfield-routing/src/router/tick.rs
+++ b/crates/masticfield-routing/src/router/tick.rs
@@ -21,6 +21,7 @@
         }
         self.end_pauses(now);
         for service in self.services.keys().collect::<Vec<_>>() {
+            self.count_own_lanes(service);
             self.pump(now, service);
             self.shed_late(now, service);
         }
@@ -58,6 +59,16 @@
         }
     }
 
+    /// Counts the slots that fall to this entry if all entries are busy.
+    fn count_own_lanes(&mut self, service: ServiceKey) {
+        let served = &self.services[service];
+        let upstreams = served.upstreams.iter().map(|key| &self.upstreams[*key]);
+        let usable = upstreams.filter(|upstream| upstream.takes_new_work());
+        let slots: u32 = usable.map(|u| u32::from(u.health.cap(u.news.slots))).sum();
+        let entries = u32::try_from(self.live.len().max(1)).unwrap_or(u32::MAX);
+        self.services[service].own_lanes = f64::from(slots) / f64::from(entries);
+    }
+
     fn plan_tick(&mut self, now: Duration) {
         let waits = self
             .services
--- a/crates/masticfield-routing/src/slots/apportion.rs
+++ b/crates/masticfield-routing/src/slots/apportion.rs
@@ -1,7 +1,7 @@
 //! Division of an upstream's slots by need.
 
 /// Weight of an entry in the availability zone of the upstream; others weigh 1.
-const LOCAL_WEIGHT: u32 = 3;
+const LOCAL_WEIGHT: u32 = 6;
 
 /// What an entry asks of an upstream's slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
