feat(wire): keyed handshake and authenticated frames

Cause: whoever reached a replica's address could vote and read. Ruled out: a proof of the key alone, after which a stranger on the path could still insert frames; so every frame carries a code over its number and content. Encryption, as no library for it is among the dependencies. WireError gains Handshake and Forged. ReplicaHandle::traffic counts what is sent. A listener on the path still reads what is sent.

--- a/crates/masticfield-replica/src/handle.rs
+++ b/crates/masticfield-replica/src/handle.rs
@@ -1,13 +1,15 @@
 //! The handle of a running replica.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use masticfield_core::ids::ReplicaId;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::consensus::{Change, ChangeError};
-use crate::runtime::{self, Request};
+use crate::runtime::{self, Request, TrafficCounter};
 use crate::{
-    Applied, Identity, Membership, OpenError, ProposeError, ReplicaOptions, ReplicaStatus,
+    Applied, Identity, Membership, OpenError, ProposeError, ReplicaOptions, ReplicaStatus, Traffic,
 };
 
 /// Requests that wait for the replica, at most.
@@ -22,6 +24,7 @@
     tx: mpsc::Sender<Request>,
     status: watch::Receiver<ReplicaStatus>,
     members: watch::Receiver<Membership>,
+    traffic: Arc<TrafficCounter>,
 }
 
 impl ReplicaHandle {
@@ -47,6 +50,7 @@
             tx,
             status: started.status,
             members: started.members,
+            traffic: started.traffic,
         };
         Ok((handle, started.applied))
     }
@@ -98,6 +102,11 @@
         self.members.borrow().clone()
     }
 
+    /// What this replica has sent to its peers since its start.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.traffic()
+    }
+
     /// Lets a replica join: it learns, and votes once it has caught up.
     ///
     /// The replica must run and name this one among its peers. Asking again after a failure
--- a/crates/masticfield-replica/src/lib.rs
+++ b/crates/masticfield-replica/src/lib.rs
@@ -36,4 +36,4 @@
 pub use identity::Identity;
 pub use membership::Membership;
 pub use options::ReplicaOptions;
-pub use status::{Applied, AppliedKind, ReplicaStatus};
+pub use status::{Applied, AppliedKind, ReplicaStatus, Traffic};
--- a/crates/masticfield-replica/src/options.rs
+++ b/crates/masticfield-replica/src/options.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use masticfield_core::ids::ReplicaId;
+use masticfield_wire::Keys;
 
 use crate::consensus::Timing;
 use crate::storage::SyncFn;
@@ -19,6 +20,7 @@
     peers: Vec<(ReplicaId, SocketAddr)>,
     timing: Timing,
     sync: Option<SyncFn>,
+    keys: Option<Keys>,
 }
 
 impl ReplicaOptions {
@@ -32,6 +34,7 @@
             peers: Vec::new(),
             timing: Timing::default(),
             sync: None,
+            keys: None,
         }
     }
 
@@ -66,6 +69,15 @@
         self
     }
 
+    /// Sets the keys that replicas prove to each other.
+    ///
+    /// Without keys, whoever reaches the address can vote and read.
+    #[must_use]
+    pub fn keys(mut self, keys: Keys) -> Self {
+        self.keys = Some(keys);
+        self
+    }
+
     /// Sets how writes are made durable, for tests of a failing disk.
     #[must_use]
     pub fn sync(mut self, sync: SyncFn) -> Self {
@@ -97,6 +109,10 @@
         self.timing
     }
 
+    pub(crate) fn handshake_keys(&self) -> Option<Keys> {
+        self.keys.clone()
+    }
+
     pub(crate) fn sync_fn(&self) -> Option<SyncFn> {
         self.sync.clone()
     }
--- a/crates/masticfield-replica/src/runtime/link.rs
+++ b/crates/masticfield-replica/src/runtime/link.rs
@@ -1,13 +1,15 @@
 //! The sending side of the connections to peers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use masticfield_wire::{Connection, WireError};
+use masticfield_wire::{Connection, Keys, WireError};
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 
 use super::message::{Hello, PeerMessage};
+use super::traffic::TrafficCounter;
 
 /// Messages that wait for a connection, at most; more are lost.
 const MAX_QUEUED: usize = 256;
@@ -31,9 +33,14 @@
 
 impl Link {
     /// Starts a link, which says `hello` first on each connection.
-    pub(super) fn spawn(address: SocketAddr, hello: watch::Receiver<Hello>) -> Self {
+    pub(super) fn spawn(
+        address: SocketAddr,
+        hello: watch::Receiver<Hello>,
+        keys: Option<Keys>,
+        traffic: Arc<TrafficCounter>,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(MAX_QUEUED);
-        let task = tokio::spawn(run(address, hello, rx)).abort_handle();
+        let task = tokio::spawn(run(address, hello, rx, keys, traffic)).abort_handle();
         Self { address, tx, task }
     }
 
@@ -59,11 +66,13 @@
     address: SocketAddr,
     hello: watch::Receiver<Hello>,
     mut rx: mpsc::Receiver<PeerMessage>,
+    keys: Option<Keys>,
+    traffic: Arc<TrafficCounter>,
 ) {
     while !rx.is_closed() {
         let hello = hello.borrow().clone();
         let Ok(Ok(mut connection)) =
-            tokio::time::timeout(CONNECT_TIMEOUT, connect(address, hello)).await
+            tokio::time::timeout(CONNECT_TIMEOUT, connect(address, hello, keys.as_ref())).await
         else {
             tokio::time::sleep(RECONNECT).await;
             // What waited so long is out of date.
@@ -71,7 +80,9 @@
             continue;
         };
         while let Some(message) = rx.recv().await {
+            let before = connection.sent_bytes();
             let sent = tokio::time::timeout(SEND_TIMEOUT, connection.send(&message)).await;
+            traffic.add(connection.sent_bytes() - before);
             if !matches!(sent, Ok(Ok(()))) {
                 break;
             }
@@ -81,8 +92,15 @@
 
 type Peer = Connection<PeerMessage, PeerMessage>;
 
-async fn connect(address: SocketAddr, hello: Hello) -> Result<Peer, WireError> {
-    let mut connection = Peer::connect(address).await?;
+async fn connect(
+    address: SocketAddr,
+    hello: Hello,
+    keys: Option<&Keys>,
+) -> Result<Peer, WireError> {
+    let mut connection = match keys {
+        Some(keys) => Peer::connect_keyed(address, keys).await?,
+        None => Peer::connect(address).await?,
+    };
     connection.send(&PeerMessage::Hello(hello)).await?;
     Ok(connection)
 }
--- a/crates/masticfield-replica/src/runtime/listen.rs
+++ b/crates/masticfield-replica/src/runtime/listen.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use masticfield_wire::{Connection, WireError};
+use masticfield_wire::{Connection, Keys, WireError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -20,7 +20,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Accepts connections and passes their messages on until the receiver is dropped.
-pub(super) async fn run(listener: TcpListener, tx: mpsc::Sender<PeerMessage>) {
+pub(super) async fn run(listener: TcpListener, keys: Option<Keys>, tx: mpsc::Sender<PeerMessage>) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
@@ -28,21 +28,30 @@
             Some(_ended) = connections.join_next() => {}
             accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn(receive_all(stream, tx.clone()));
+                    connections.spawn(receive_all(stream, keys.clone(), tx.clone()));
                 }
             }
         }
     }
 }
 
-async fn receive_all(stream: TcpStream, tx: mpsc::Sender<PeerMessage>) {
-    if let Err(error) = receive(stream, tx).await {
+type Peer = Connection<PeerMessage, PeerMessage>;
+
+async fn receive_all(stream: TcpStream, keys: Option<Keys>, tx: mpsc::Sender<PeerMessage>) {
+    if let Err(error) = receive(stream, keys, tx).await {
         log::debug!(error:%; "a connection from a peer ended");
     }
 }
 
-async fn receive(stream: TcpStream, tx: mpsc::Sender<PeerMessage>) -> Result<(), WireError> {
-    let mut connection = Connection::<PeerMessage, PeerMessage>::new(stream)?;
+async fn receive(
+    stream: TcpStream,
+    keys: Option<Keys>,
+    tx: mpsc::Sender<PeerMessage>,
+) -> Result<(), WireError> {
+    let mut connection = match &keys {
+        Some(keys) => Peer::accept_keyed(stream, keys).await?,
+        None => Peer::new(stream)?,
+    };
     let hello = tokio::time::timeout(HELLO_TIMEOUT, connection.receive()).await;
     let Ok(hello) = hello else {
         return Ok(());
--- a/crates/masticfield-replica/src/runtime/mod.rs
+++ b/crates/masticfield-replica/src/runtime/mod.rs
@@ -9,7 +9,9 @@
 mod request;
 mod running;
 mod start;
+mod traffic;
 
 pub(crate) use request::Request;
 pub(crate) use running::TICK;
 pub(crate) use start::start;
+pub(crate) use traffic::TrafficCounter;
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use masticfield_core::ids::ReplicaId;
+use masticfield_wire::Keys;
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
@@ -15,6 +17,7 @@
 use super::link::Link;
 use super::message::{Hello, PeerMessage};
 use super::request::{Request, Waiter};
+use super::traffic::TrafficCounter;
 use crate::consensus::{Appended, ChangeError, Envelope, Event, Next, Replica, Timing};
 use crate::{Applied, AppliedKind, EntryBody, Identity, Membership, ReplicaStatus, Write};
 
@@ -54,6 +57,8 @@
     pub(super) deliveries: mpsc::UnboundedSender<Delivery>,
     pub(super) status: watch::Sender<ReplicaStatus>,
     pub(super) members: watch::Sender<Membership>,
+    pub(super) traffic: Arc<TrafficCounter>,
+    pub(super) keys: Option<Keys>,
 }
 
 /// A random delay of an election.
@@ -173,7 +178,8 @@
     fn connect(&mut self, id: ReplicaId, address: SocketAddr) {
         let known = self.links.get(&id).map(Link::address);
         if id != self.replica.me().id() && known != Some(address) {
-            let link = Link::spawn(address, self.hello.subscribe());
+            let (hello, keys) = (self.hello.subscribe(), self.keys.clone());
+            let link = Link::spawn(address, hello, keys, Arc::clone(&self.traffic));
             self.links.insert(id, link);
         }
     }
--- a/crates/masticfield-replica/src/runtime/start.rs
+++ b/crates/masticfield-replica/src/runtime/start.rs
@@ -1,6 +1,7 @@
 //! Start of a replica.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use snafu::ResultExt;
@@ -11,6 +12,7 @@
 use super::message::Hello;
 use super::request::Request;
 use super::running::{Running, jitter};
+use super::traffic::TrafficCounter;
 use super::{deliver, listen};
 use crate::consensus::Replica;
 use crate::error::ListenSnafu;
@@ -26,6 +28,7 @@
     pub(crate) status: watch::Receiver<ReplicaStatus>,
     pub(crate) members: watch::Receiver<Membership>,
     pub(crate) applied: mpsc::Receiver<Applied>,
+    pub(crate) traffic: Arc<TrafficCounter>,
 }
 
 /// Opens the data folder and starts the tasks of a replica.
@@ -58,10 +61,15 @@
     let (members_tx, members) = watch::channel(replica.log().members().clone());
     let (received_tx, received) = mpsc::channel(MAX_RECEIVED);
     if let Some(listener) = listener {
-        tokio::spawn(listen::run(listener, received_tx.clone()));
+        tokio::spawn(listen::run(
+            listener,
+            options.handshake_keys(),
+            received_tx.clone(),
+        ));
     }
     let (deliveries, applied) = deliver::spawn();
     let (hello_tx, _) = watch::channel(hello);
+    let traffic = Arc::new(TrafficCounter::default());
     let running = Running {
         replica,
         timing: options.periods(),
@@ -81,12 +89,16 @@
         deliveries,
         status: status_tx,
         members: members_tx,
+        traffic: Arc::clone(&traffic),
+        keys: options.handshake_keys(),
     };
+
     tokio::spawn(running.run(requests, received));
     Ok(Started {
         status,
         members,
         applied,
+        traffic,
     })
 }
 
--- a/crates/masticfield-replica/src/status.rs
+++ b/crates/masticfield-replica/src/status.rs
@@ -57,3 +57,12 @@
         self.lease_until.is_some_and(|until| Instant::now() < until)
     }
 }
+
+/// What a replica has sent to its peers since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages.
+    pub sent_messages: u64,
+    /// Bytes of the messages and their frames, without the headers of TCP.
+    pub sent_bytes: u64,
+}
--- a/crates/masticfield-replica/tests/group/main.rs
+++ b/crates/masticfield-replica/tests/group/main.rs
@@ -10,10 +10,14 @@
 use masticfield_core::ids::ReplicaId;
 use masticfield_replica::ProposeError;
 use masticfield_replica::consensus::ChangeError;
+use masticfield_wire::Keys;
 use rstest::rstest;
 
 use replicas::Replicas;
 
+const OLD: &str = "an old key that has enough bytes.";
+const NEW: &str = "a new key that has enough bytes, too";
+
 #[tokio::test]
 async fn one_replica_keeps_what_it_answered() {
     let mut group = Replicas::new(1).start_all().await;
@@ -210,3 +214,43 @@
     );
     group.check_acknowledged(1).await;
 }
+
+#[rstest]
+#[case::one_key([&[OLD][..], &[OLD], &[OLD]])]
+#[case::rotation([&[OLD][..], &[OLD, NEW], &[NEW, OLD]])]
+#[tokio::test]
+async fn replicas_with_a_common_key_form_a_group(#[case] keys: [&[&str]; 3]) {
+    let mut group = Replicas::new(3)
+        .with_keys(keys.map(parse_keys))
+        .start_all()
+        .await;
+    group.propose(10).await;
+    for at in 0..3 {
+        group.check_acknowledged(at).await;
+    }
+}
+
+#[tokio::test]
+async fn replica_without_the_key_neither_votes_nor_reads() {
+    let mut group = Replicas::new(3)
+        .with_keys([&[OLD][..], &[OLD], &[OLD]].map(parse_keys))
+        .start_all()
+        .await;
+    group.propose(10).await;
+    let leader = group.leader().await;
+    let (stranger, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    group.stop(stranger).await;
+    let mut group = group.with_key(stranger, parse_keys(&[NEW]));
+    group.start(stranger).await;
+    group.propose(10).await;
+    group.stop(leader).await;
+    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    assert_eq!(group.handle(other).status().leader, None);
+    // It holds what it had and nothing since.
+    assert_eq!(group.handle(stranger).status().leader, None);
+    assert!(group.applied(stranger) < 20);
+}
+
+fn parse_keys(keys: &[&str]) -> Keys {
+    Keys::parse(keys.join("\n")).unwrap()
+}
--- a/crates/masticfield-replica/tests/group/replicas.rs
+++ b/crates/masticfield-replica/tests/group/replicas.rs
@@ -10,6 +10,7 @@
 use masticfield_replica::{
     Applied, AppliedKind, OpenError, ReplicaHandle, ReplicaOptions, ReplicaStatus,
 };
+use masticfield_wire::Keys;
 use tempfile::TempDir;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -41,6 +42,7 @@
     acknowledged: BTreeMap<u64, Vec<u8>>,
     proposals: u64,
     sync: Option<SyncFn>,
+    keys: Vec<Keys>,
 }
 
 impl Application {
@@ -73,6 +75,7 @@
             acknowledged: BTreeMap::new(),
             proposals: 0,
             sync: None,
+            keys: Vec::new(),
         };
         (0..size).for_each(|_| group.grow());
         group
@@ -84,6 +87,18 @@
         self
     }
 
+    /// Gives each replica its keys.
+    pub fn with_keys(mut self, keys: impl IntoIterator<Item = Keys>) -> Self {
+        self.keys = keys.into_iter().collect();
+        self
+    }
+
+    /// Gives one replica other keys from its next start on.
+    pub fn with_key(mut self, at: usize, keys: Keys) -> Self {
+        self.keys[at] = keys;
+        self
+    }
+
     pub async fn start_all(mut self) -> Self {
         for at in 0..self.dirs.len() {
             self.start(at).await;
@@ -121,6 +136,9 @@
         if let Some(sync) = self.sync.clone().filter(|_| at == 0) {
             options = options.sync(sync);
         }
+        if let Some(keys) = self.keys.get(at) {
+            options = options.keys(keys.clone());
+        }
         let opened = timeout(PATIENCE, open(options)).await.unwrap();
         let (handle, applied) = opened.unwrap();
         let application = Arc::new(Mutex::new(Application::default()));
@@ -232,6 +250,12 @@
         }
     }
 
+    /// Payloads that a replica has applied.
+    pub fn applied(&self, at: usize) -> usize {
+        let running = self.running[at].as_ref().unwrap();
+        running.application.lock().unwrap().payloads.len()
+    }
+
     pub fn snapshots_applied(&self, at: usize) -> usize {
         let running = self.running[at].as_ref().unwrap();
         running.application.lock().unwrap().snapshots
--- a/crates/masticfield-wire/src/error.rs
+++ b/crates/masticfield-wire/src/error.rs
@@ -48,4 +48,27 @@
     /// The peer closed the connection.
     #[snafu(display("the peer closed the connection"))]
     Closed,
+    /// The peer did not prove a key.
+    #[snafu(display("the handshake failed: {failure}"))]
+    Handshake {
+        /// What went wrong.
+        failure: HandshakeFailure,
+    },
+    /// A frame was not written by the peer of the handshake, or is out of order.
+    #[snafu(display("a frame is not authentic"))]
+    Forged,
+}
+
+/// Why a handshake failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum HandshakeFailure {
+    /// The peer holds none of the keys.
+    #[snafu(display("the peer holds none of the keys"))]
+    WrongKey,
+    /// The peer sent something else.
+    #[snafu(display("the peer sent no handshake of this version"))]
+    Malformed,
+    /// The peer took too long.
+    #[snafu(display("the peer took too long"))]
+    TimedOut,
 }
--- a/crates/masticfield-wire/src/frame.rs
+++ b/crates/masticfield-wire/src/frame.rs
@@ -13,6 +13,9 @@
 
 use crate::WireError;
 use crate::error::{DecodeSnafu, EncodeSnafu, IoSnafu, VersionSnafu};
+use crate::handshake::{self, MAX_HANDSHAKE_BYTES, Sessions};
+use crate::keys::Keys;
+use crate::session::Session;
 
 /// Version of the protocols between masticfield processes.
 pub const WIRE_VERSION: u8 = 1;
@@ -20,6 +23,9 @@
 /// Largest body of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
+/// Bytes of the length before a frame.
+const LENGTH_BYTES: usize = 4;
+
 /// A stream of messages: `In` is received and `Out` is sent.
 #[derive(Debug)]
 pub struct Connection<In, Out> {
@@ -31,6 +37,7 @@
 #[derive(Debug)]
 pub struct FrameReader<In> {
     frames: FramedRead<ReadHalf<TcpStream>, LengthDelimitedCodec>,
+    session: Option<Session>,
     messages: PhantomData<fn() -> In>,
 }
 
@@ -38,7 +45,16 @@
 #[derive(Debug)]
 pub struct FrameWriter<Out> {
     frames: FramedWrite<WriteHalf<TcpStream>, LengthDelimitedCodec>,
+    session: Option<Session>,
     messages: PhantomData<fn(Out)>,
+    sent_bytes: u64,
+}
+
+/// The frames of both directions of a stream.
+#[derive(Debug)]
+pub(crate) struct Frames {
+    pub(crate) read: FramedRead<ReadHalf<TcpStream>, LengthDelimitedCodec>,
+    pub(crate) write: FramedWrite<WriteHalf<TcpStream>, LengthDelimitedCodec>,
 }
 
 impl<In: DeserializeOwned, Out: Serialize> Connection<In, Out> {
@@ -57,19 +73,62 @@
     ///
     /// Fails if the stream is closed already.
     pub fn new(stream: TcpStream) -> Result<Self, WireError> {
-        stream.set_nodelay(true).context(IoSnafu)?;
-        let (read, write) = tokio::io::split(stream);
-        let frames = FramedRead::new(read, codec());
+        Ok(Self::from_frames(
+            Frames::new(stream, MAX_FRAME_BYTES)?,
+            None,
+        ))
+    }
+
+    /// Connects to a peer, and each proves to the other that it holds one of the keys.
+    ///
+    /// Each frame is then authenticated, and none is encrypted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or proves no key.
+    pub async fn connect_keyed(
+        address: impl ToSocketAddrs,
+        keys: &Keys,
+    ) -> Result<Self, WireError> {
+        let stream = TcpStream::connect(address).await.context(IoSnafu)?;
+        let mut frames = Frames::new(stream, MAX_HANDSHAKE_BYTES)?;
+        let sessions = handshake::connect(&mut frames, keys).await?;
+        Ok(Self::from_frames(frames, Some(sessions)))
+    }
+
+    /// Wraps an accepted stream, and each proves to the other that it holds one of the keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer proves no key or takes too long.
+    pub async fn accept_keyed(stream: TcpStream, keys: &Keys) -> Result<Self, WireError> {
+        let mut frames = Frames::new(stream, MAX_HANDSHAKE_BYTES)?;
+        let sessions = handshake::accept(&mut frames, keys).await?;
+        Ok(Self::from_frames(frames, Some(sessions)))
+    }
+
+    fn from_frames(frames: Frames, sessions: Option<Sessions>) -> Self {
+        let Frames {
+            mut read,
+            mut write,
+        } = frames;
+        read.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
+        write.encoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
+        let (receive, send) = sessions.map_or((None, None), |sessions| {
+            (Some(sessions.receive), Some(sessions.send))
+        });
         let reader = FrameReader {
-            frames,
+            frames: read,
+            session: receive,
             messages: PhantomData,
         };
-        let frames = FramedWrite::new(write, codec());
         let writer = FrameWriter {
-            frames,
+            frames: write,
+            session: send,
             messages: PhantomData,
+            sent_bytes: 0,
         };
-        Ok(Self { reader, writer })
+        Self { reader, writer }
     }
 
     /// Receives a message, as [`FrameReader::receive`] does.
@@ -90,6 +149,11 @@
         self.writer.send(msg).await
     }
 
+    /// Bytes of all frames sent, as [`FrameWriter::sent_bytes`] counts them.
+    pub const fn sent_bytes(&self) -> u64 {
+        self.writer.sent_bytes
+    }
+
     /// Parts the connection into its halves.
     pub fn split(self) -> (FrameReader<In>, FrameWriter<Out>) {
         (self.reader, self.writer)
@@ -109,6 +173,10 @@
             .await
             .ok_or(WireError::Closed)?
             .context(IoSnafu)?;
+        let frame = match &mut self.session {
+            Some(session) => session.check(&frame)?,
+            None => &frame,
+        };
         let (theirs, body) = frame.split_first().ok_or(WireError::Empty)?;
         if *theirs != WIRE_VERSION {
             return VersionSnafu {
@@ -128,13 +196,32 @@
     ///
     /// Fails if the connection is closed, or the message is over [`MAX_FRAME_BYTES`].
     pub async fn send(&mut self, msg: &Out) -> Result<(), WireError> {
-        let buf = postcard::to_extend(msg, vec![WIRE_VERSION]).context(EncodeSnafu)?;
+        let mut buf = postcard::to_extend(msg, vec![WIRE_VERSION]).context(EncodeSnafu)?;
+        if let Some(session) = &mut self.session {
+            session.sign(&mut buf);
+        }
+        self.sent_bytes += (LENGTH_BYTES + buf.len()) as u64;
         self.frames.send(Bytes::from(buf)).await.context(IoSnafu)
     }
+
+    /// Bytes of all frames sent, with their lengths and without the headers of TCP.
+    pub const fn sent_bytes(&self) -> u64 {
+        self.sent_bytes
+    }
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
+impl Frames {
+    fn new(stream: TcpStream, max_bytes: usize) -> Result<Self, WireError> {
+        stream.set_nodelay(true).context(IoSnafu)?;
+        let (read, write) = tokio::io::split(stream);
+        let codec = || {
+            LengthDelimitedCodec::builder()
+                .max_frame_length(max_bytes)
+                .new_codec()
+        };
+        Ok(Self {
+            read: FramedRead::new(read, codec()),
+            write: FramedWrite::new(write, codec()),
+        })
+    }
 }
--- a/crates/masticfield-wire/src/lib.rs
+++ b/crates/masticfield-wire/src/lib.rs
@@ -20,6 +20,10 @@
 pub mod datagram;
 mod error;
 mod frame;
+mod handshake;
+mod keys;
+mod session;
 
-pub use error::WireError;
+pub use error::{HandshakeFailure, WireError};
 pub use frame::{Connection, FrameReader, FrameWriter, MAX_FRAME_BYTES, WIRE_VERSION};
+pub use keys::{KeyError, Keys, MAX_KEYS, MIN_KEY_BYTES};
