feat(fleet): placement of jobs by learnt size, with relief, quotas and attribution

Cause: declared sizes are far from the truth, some jobs never run, some workers fail everything. Ruled out: stopping a job after a number of failures; one bad host would stop sound jobs.

--- a/crates/masticfield-fleet/src/plan/planner.rs
+++ b/crates/masticfield-fleet/src/plan/planner.rs
@@ -5,6 +5,7 @@
 use masticfield_core::fleet::Planned;
 
 use super::{Draft, failures, first_fit, maintenance, moves, withdrawals};
+use crate::placement;
 use crate::reserve::ReservePolicy;
 use crate::view::FleetView;
 
@@ -110,6 +111,7 @@
         if self.moves == MovePolicy::Least {
             moves::fill_reserve(&mut draft);
         }
+        placement::plan(&mut draft);
         draft.into_planned()
     }
 }
