--- a/crates/masticfield-routing/src/router/admit.rs
+++ b/crates/masticfield-routing/src/router/admit.rs
@@ -14,9 +14,8 @@
 
 /// Spread of the time after which refused callers come back, as a multiple of its least.
 const RETRY_AFTER_SPREAD: f64 = 2.0;
-/// Allowance for an estimated wait that turns out longer.
-const WAIT_ALLOWANCE: f64 = 1.15;
-
+/// How much longer than estimated a wait may turn out for a request to be answered in time.
+const WAIT_ALLOWANCE: f64 = 2.0;
 impl Router {
     /// Admits a request: it runs now, waits, or is refused with its final answer.
     pub fn admit(&mut self, now: Duration, req: Request) -> Admission {
@@ -55,6 +54,7 @@
         if served.queue.is_empty()
             && let Some(upstream) = self.choose(now, &pending)
         {
+            self.services[service].shares.add(now, &pending.caller);
             return Admission::Run(self.dispatch(now, upstream, pending));
         }
         self.enqueue(now, pending)
@@ -84,17 +84,15 @@
         if let Some(reason) = self.reason_against(now, &pending) {
             return Admission::Refuse(self.refusal(Some(service), reason));
         }
-        if self.services[service].queue.len() >= self.options.max_queue {
-            self.make_room(service);
-        }
         let caller = Arc::clone(&pending.caller);
-        let place = self.services[service]
-            .queue
-            .next_place(&caller, pending.due);
+        let place = self.services[service].queue.next_place(pending.due);
         pending.place = Some(place);
         let waiter = self.waiters.insert(pending);
-        self.services[service].queue.push(place, caller, waiter);
+        self.services[service]
+            .queue
+            .push(place, Arc::clone(&caller), waiter);
         self.counters.queued += 1;
+        self.services[service].shares.add(now, &caller);
         self.wish_soon(now, service);
         Admission::Wait(waiter)
     }
@@ -106,37 +104,16 @@
         if !served.upstreams.iter().any(usable) {
             return Some(NotRunReason::NoUpstream);
         }
-        let place = served.queue.next_place(&pending.caller, pending.due);
+        let place = served.queue.next_place(pending.due);
         let wait = served.wait_behind(served.queue.ahead_of(place));
         let needed = wait.mul_f64(WAIT_ALLOWANCE) + served.run_allowance();
-        let waiting = served.queue.waiting_of(&pending.caller);
-        let over_share = waiting * served.queue.callers().max(1) > served.queue.len();
-        if now + needed > pending.due {
-            return Some(self.overload_reason(over_share && waiting > 1));
-        }
-        let largest = served.queue.last_of_largest();
-        let full = served.queue.len() >= self.options.max_queue;
-        if full && largest.is_none_or(|(_, _, most)| waiting + 1 >= most) {
-            return Some(self.overload_reason(over_share));
-        }
-        None
-    }
-
-    const fn overload_reason(&mut self, over_share: bool) -> NotRunReason {
-        if over_share {
+        let contended = wait > served.run_allowance();
+        if contended && served.shares.is_over(now, &pending.caller) {
             self.counters.over_share += 1;
-            NotRunReason::CallerShare
-        } else {
-            NotRunReason::Overloaded
-        }
-    }
-
-    /// Refuses the last request of the caller that has the most in a full queue.
-    fn make_room(&mut self, service: ServiceKey) {
-        if let Some((_, waiter, _)) = self.services[service].queue.last_of_largest() {
-            self.counters.over_share += 1;
-            self.shed(waiter, NotRunReason::CallerShare);
+            return Some(NotRunReason::CallerShare);
         }
+        let full = served.queue.len() >= self.options.max_queue;
+        (full || now + needed > pending.due).then_some(NotRunReason::Overloaded)
     }
 
     /// Refuses a waiting request.
--- a/crates/masticfield-routing/src/router/exchange.rs
+++ b/crates/masticfield-routing/src/router/exchange.rs
@@ -16,6 +16,10 @@
 const MIN_WISH_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval between wishes while the home has not granted yet.
 const GREETED_INTERVAL: Duration = Duration::from_millis(20);
+/// Slots that an entry would like ahead of demand in its own availability zone.
+const AHEAD_LOCAL: u16 = 2;
+/// Slots that an entry would like ahead of demand in another availability zone.
+const AHEAD_REMOTE: u16 = 1;
 /// Wishes or grants in one datagram.
 const MAX_PER_MESSAGE: usize = 12;
 
@@ -152,7 +156,10 @@
             return;
         }
         for key in self.services[service].upstreams.clone() {
-            self.change(now, key);
+            let (need, _) = self.demand(key);
+            if need > self.upstreams[key].wished_need {
+                self.change(now, key);
+            }
         }
     }
 
@@ -163,7 +170,7 @@
         }
         let upstream = &self.upstreams[key];
         let lowered = upstream.lease.holding(now, upstream.in_flight) < upstream.lease.reported();
-        let unused = upstream.in_flight < upstream.lease.limit(now);
+        let unused = self.demand(key).0 < upstream.wished_need;
         if lowered || (unused && upstream.lease.is_scarce()) {
             self.change(now, key);
         }
@@ -196,6 +203,7 @@
             let (need, ahead) = self.demand(key);
             let upstream = &mut self.upstreams[key];
             upstream.wished_at = now;
+            upstream.wished_need = need;
             upstream.next_wish = now + self.options.grant_refresh;
             let wish = upstream.lease.wish(now, upstream.in_flight, need, ahead);
             if let Some((home, wish)) = wish {
@@ -226,6 +234,11 @@
         let waiting = served.queue.len().div_ceil(served.upstreams.len().max(1));
         let waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
         let need = upstream.in_flight.saturating_add(waiting).min(cap);
-        (need, (upstream.in_flight + 1).min(cap))
+        let least = if upstream.news.zone == self.identity.zone {
+            AHEAD_LOCAL
+        } else {
+            AHEAD_REMOTE
+        };
+        (need, (upstream.in_flight + least).min(cap))
     }
 }
