test(entry): stop one entry of three

Ruled out: a lost hand-over; with three entries the next request is answered at once. Conclusion: as strict as before.

--- a/crates/masticfield-entry/tests/peers.rs
+++ b/crates/masticfield-entry/tests/peers.rs
@@ -102,11 +102,15 @@
 #[tokio::test]
 async fn an_entry_that_stops_tells_its_peers_and_finishes_its_requests() {
     let (control, upstream) = (Control::start().await, Upstream::start().await);
-    let (one, two) = start_two(&control, &[]).await;
+    let mut args = vec!["--entry-count=3".to_owned()];
+    let (one, two) = start_two(&control, &args).await;
+    args.push(format!("--peers={}", address(&one, "peer")));
+    let three = start_entry(3, &control, &args).await;
     let news = announcement("u1", "zone-1", upstream.address, UpstreamState::Serving);
     announce(&one, &news).await;
-    until_answered(&one).await;
-    until_answered(&two).await;
+    for entry in [&one, &two, &three] {
+        until_answered(entry).await;
+    }
     let (trigger, callers) = (one.trigger(), address(&one, "caller"));
     let in_flight =
         tokio::spawn(
