perf(entry): no detour of answers and ticks through the router

Cause: each answered request waited for the router although nothing was left to decide, and each change of the router's next deadline made a new subscription to the timer. Ruled out: copying and allocation (perf: memmove 4.5%, allocation under 5%, nothing dominates). Change: the end of an answered exchange is told without waiting; only an earlier deadline is told. Conclusion: kept for what it removes; the runs scatter too much to tell a gain, to be measured again on a quiet machine.

--- a/crates/masticfield-entry/src/callers/front.rs
+++ b/crates/masticfield-entry/src/callers/front.rs
@@ -104,7 +104,6 @@
     /// Sends a request to an executor, and again to others as far as that is safe.
     pub(super) async fn run(&self, req: &CallerRequest, id: RequestId, hop: &Hop) -> Final {
         let mut step = self.admit(req).await;
-        let mut reply = None;
         loop {
             step = match step {
                 Step::Wait(next) => {
@@ -117,17 +116,16 @@
                     let exchanged = self.exchange(req, &dispatch, id, hop).await;
                     let ending = ending_of(&exchanged);
                     if let Exchanged::Answered(answer) = exchanged {
-                        reply = Some(answer);
+                        // Nothing is left to decide, so the answer does not wait for the router.
+                        drop(self.router.send(Finish(key, ending)).detach().await);
+                        return Final::answered(&req.service, answer);
                     }
                     match self.router.send(Finish(key, ending)).await {
                         Ok(Some(next)) => next,
                         Ok(None) | Err(_) => Step::Done(outcome_of(ending)),
                     }
                 }
-                Step::Done(outcome) => {
-                    let reply = reply.filter(|_| outcome == Outcome::Answered);
-                    return Final::new(&req.service, outcome, reply);
-                }
+                Step::Done(outcome) => return Final::new(&req.service, outcome),
             };
         }
     }
@@ -174,11 +172,11 @@
 }
 
 impl Final {
-    fn new(service: &str, outcome: Outcome, reply: Option<Reply>) -> Self {
+    fn new(service: &str, outcome: Outcome) -> Self {
         Self {
             service: service.into(),
             outcome,
-            reply,
+            reply: None,
         }
     }
 
@@ -191,23 +189,18 @@
     }
 
     pub(super) fn not_run(service: &str, reason: NotRunReason) -> Self {
-        let outcome = Outcome::NotRun {
-            reason,
-            retry_after: RETRY_AFTER,
-        };
-        Self {
-            service: service.into(),
-            outcome,
-            reply: None,
-        }
+        let retry_after = RETRY_AFTER;
+        Self::new(
+            service,
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            },
+        )
     }
 
     pub(super) fn unknown(service: &str, reason: UnknownReason) -> Self {
-        Self {
-            service: service.into(),
-            outcome: Outcome::Unknown { reason },
-            reply: None,
-        }
+        Self::new(service, Outcome::Unknown { reason })
     }
 }
 
--- a/crates/masticfield-entry/src/router/router_actor.rs
+++ b/crates/masticfield-entry/src/router/router_actor.rs
@@ -141,8 +141,20 @@
             }
         }
         let wake_at = self.started + self.router.next_deadline();
-        let sooner = |due: &mut Instant| std::mem::replace(due, wake_at) != wake_at;
-        self.wake_at.send_if_modified(sooner);
+        // A tick that comes too early does no harm, so only an earlier moment is told.
+        self.wake_at.send_if_modified(|due| {
+            let earlier = wake_at < *due;
+            if earlier {
+                *due = wake_at;
+            }
+            earlier
+        });
+    }
+
+    /// Sets the moment of the next tick after one has come.
+    fn wait_for_next_tick(&self) {
+        let wake_at = self.started + self.router.next_deadline();
+        self.wake_at.send_replace(wake_at);
     }
 
     fn carry_out_one(&mut self, action: RouterAction) {
@@ -241,6 +253,7 @@
         let now = self.now();
         self.router.tick(now);
         self.carry_out();
+        self.wait_for_next_tick();
         let (waiting, in_flight) = (self.router.waiting(), self.router.in_flight());
         self.metrics
             .show(self.router.counters(), waiting, in_flight);
--- a/crates/masticfield-measure/src/path/installation.rs
+++ b/crates/masticfield-measure/src/path/installation.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use clap::Parser;
+use masticfield_cli::ControlClient;
 use masticfield_control::{ControlArgs, RunningControl};
+use masticfield_core::operator::NoteAccepted;
 use masticfield_entry::{EntryArgs, RunningEntry};
 use masticfield_fake::caller::Load;
 use masticfield_fake::upstream::{FakeUpstream, Runs, UpstreamOptions};
-use masticfield_node::http::Client;
 use masticfield_node::token::Token;
 use tempfile::TempDir;
 
@@ -48,11 +49,8 @@
         let dir = TempDir::new()?;
         let control = start_control(&dir).await?;
         let operator = bound(control.addresses().address("operator"))?;
-        let client = Client::new(READY_TIMEOUT).token(Token::new(TOKEN));
-        let uri = format!("http://{operator}/v1/notes");
-        client
-            .send(http::Method::POST, &uri, http::HeaderMap::new(), NOTE)
-            .await?;
+        let control_client = ControlClient::new(vec![operator], Token::new(TOKEN), READY_TIMEOUT);
+        let _accepted: NoteAccepted = control_client.post("/v1/notes", NOTE).await?;
         let entry = start_entry(bound(control.addresses().address("entry"))?).await?;
         let announce_to = bound(entry.addresses().address("upstream"))?;
         let options = UpstreamOptions::new("upstream", SERVICE)
@@ -81,6 +79,7 @@
 
     async fn wait_until_ready(&self) -> Result<(), ExperimentError> {
         let began = std::time::Instant::now();
+        let mut seen = serde_json::Value::Null;
         while began.elapsed() < READY_TIMEOUT {
             let report = self
                 .entry_load()
@@ -90,9 +89,10 @@
             if report.answered() == 1 {
                 return Ok(());
             }
+            seen = report.to_json();
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        Err("the entry did not become ready".into())
+        Err(format!("the entry did not become ready: {seen}").into())
     }
 }
 
