--- a/crates/masticfield-routing/tests/membership_rate.rs
+++ b/crates/masticfield-routing/tests/membership_rate.rs
@@ -82,3 +82,29 @@
     println!("{usable} of {samples} samples usable");
     assert!(usable * 100 >= samples * 99);
 }
+
+/// Lets half of 50 upstreams leave one after the other, and returns the longest use after that.
+fn longest_use_ms(lost: u32) -> u64 {
+    let longest = (0..8).map(|seed| {
+        let mut network = Network::new(seed, 9, 50, Timing::new(), Defect::None);
+        network.run_for(15_000);
+        network.faults.lost = lost;
+        for upstream in 0..25 {
+            network.leave(upstream);
+            network.run_for(200);
+        }
+        network.run_for(20_000);
+        network.longest_use_ms
+    });
+    longest.max().unwrap()
+}
+
+#[rstest]
+#[case::none_lost(0, 3_000)]
+#[case::a_third_lost(333, 3_000)]
+#[case::all_lost(1_000, 15_000)]
+fn leaving_upstreams_get_no_new_work(#[case] lost: u32, #[case] limit_ms: u64) {
+    let longest = longest_use_ms(lost);
+    println!("{lost} of 1,000 lost: used for at most {longest} ms after leaving");
+    assert!(longest <= limit_ms);
+}
--- a/crates/masticfield-routing/tests/network/mod.rs
+++ b/crates/masticfield-routing/tests/network/mod.rs
@@ -63,6 +63,8 @@
     /// Time after the end of an incarnation at which no entry may use it, in milliseconds.
     pub limit_ms: u64,
     pub violations: Vec<String>,
+    /// The longest use of an incarnation after its end, in milliseconds.
+    pub longest_use_ms: u64,
     pub sent: Vec<(usize, usize)>,
     pub received: Vec<(usize, usize)>,
     told: Vec<BTreeMap<Arc<str>, Incarnation>>,
@@ -91,6 +93,7 @@
             upstreams: Vec::new(),
             limit_ms: u64::try_from(timing.time_to_live().as_millis()).unwrap(),
             violations: Vec::new(),
+            longest_use_ms: 0,
             sent: vec![(0, 0); entries],
             received: vec![(0, 0); entries],
             told: vec![BTreeMap::new(); entries],
@@ -323,11 +326,13 @@
         let used = ended.filter_map(|upstream| {
             let news = membership.serving(now, &upstream.news.id)?;
             let ended = upstream.ended.get(&news.incarnation)?;
-            (self.now_ms > ended + self.limit_ms).then_some((upstream, self.now_ms - ended))
+            Some((Arc::clone(&upstream.news.id), self.now_ms - ended))
         });
-        let found = used.map(|(upstream, age)| format!("{} used after {age} ms", upstream.news.id));
-        for text in found.collect::<Vec<_>>() {
-            self.violate(format_args!("entry {entry}: {text}"));
+        for (id, age_ms) in used.collect::<Vec<_>>() {
+            self.longest_use_ms = self.longest_use_ms.max(age_ms);
+            if age_ms > self.limit_ms {
+                self.violate(format_args!("entry {entry}: {id} used after {age_ms} ms"));
+            }
         }
     }
 
