--- a/crates/masticfield-control/src/lib.rs
+++ b/crates/masticfield-control/src/lib.rs
@@ -20,6 +20,7 @@
 mod actor;
 mod args;
 mod entries;
+mod metrics;
 mod operator;
 mod running;
 
--- /dev/null
+++ b/crates/masticfield-control/src/metrics/mod.rs
@@ -0,0 +1,4 @@
+//! Metrics of a control process.
+
+mod gauges;
+mod plugin;
--- /dev/null
+++ b/crates/masticfield-control/src/metrics/plugin.rs
@@ -0,0 +1,41 @@
+//! The plug-in that keeps the gauges up to date.
+
+use std::time::Duration;
+
+use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use prometheus::Registry;
+
+use super::gauges::Gauges;
+use crate::ControlHandle;
+use crate::entries::EntryRegistry;
+
+/// Time between two looks at the values.
+const PERIOD: Duration = Duration::from_secs(1);
+
+inventory::submit! { Plugin::new("metrics", Program::Control, 3, start) }
+
+fn start(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let gauges = Gauges::register(cx.need::<Registry>()?);
+        let gauges = gauges.map_err(|source| KernelError::Start {
+            plugin: "metrics",
+            source: Box::new(source),
+        })?;
+        let control = cx.need::<ControlHandle>()?.clone();
+        let registry = cx.need::<EntryRegistry>()?.clone();
+        let mut ticks = cx.timer().every(PERIOD);
+        let mut shutdown = cx.shutdown();
+        tokio::spawn(async move {
+            loop {
+                tokio::select! {
+                    () = shutdown.begun() => return,
+                    _ = ticks.recv() => {}
+                }
+                let version = *control.version().borrow();
+                let entries = registry.entry_rows().len();
+                gauges.show(control.replica_status(), version, entries);
+            }
+        });
+        Ok(())
+    })
+}
