feat(fleet): placement of jobs by learnt size, with relief, quotas and attribution

Cause: declared sizes are far from the truth, some jobs never run, some workers fail everything. Ruled out: stopping a job after a number of failures; one bad host would stop sound jobs.

--- a/crates/masticfield-fleet/src/index/host.rs
+++ b/crates/masticfield-fleet/src/index/host.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use masticfield_core::fleet::{Generation, HostHealth, HostObservation, Ownership, Reason};
-use masticfield_core::note::HostSpec;
+use masticfield_core::note::{HostSpec, Resources};
 use slotmap::new_key_type;
 
 use super::PoolKey;
@@ -120,6 +120,17 @@
             .and_then(|record| record.maintained.values().max().copied())
     }
 
+    /// What the host has.
+    pub fn capacity(&self) -> Option<Resources> {
+        let spec = self.spec?;
+        let (cores, memory) = (spec.cores, spec.memory_gb);
+        Some(Resources::new(
+            cores.saturating_mul(1_000),
+            memory.saturating_mul(1_024),
+            spec.accelerators,
+        ))
+    }
+
     /// Region, availability zone and rack.
     pub fn place(&self) -> Option<(&str, &str, &str)> {
         self.spec
--- /dev/null
+++ b/crates/masticfield-fleet/src/placement/attribution.rs
@@ -0,0 +1,56 @@
+//! Whether a failure is the host's fault or the job's.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_core::fleet::{Action, Reason};
+
+use super::{Failures, Load};
+use crate::plan::Draft;
+
+/// How long a host that fails everything gets no tasks.
+const QUARANTINE: Duration = Duration::from_hours(1);
+
+/// Quarantines hosts that fail many jobs and stops jobs that fail on many hosts.
+pub fn plan(draft: &mut Draft<'_>, load: &mut Load<'_>) {
+    let learnt = draft.index().view().learnt;
+    for (host, jobs) in learnt.failures().bad_hosts() {
+        quarantine(draft, load, host, jobs);
+    }
+    let config = draft.index().view().config;
+    for job in config.jobs().keys() {
+        let hosts = learnt.failures().hosts_failed_by(job);
+        if hosts >= Failures::MANY && !load.is_stopped(job) {
+            let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+            stop(draft, load, job, Reason::FailsEverywhere { hosts });
+        }
+    }
+}
+
+/// Gives up on a job.
+pub(super) fn stop(draft: &mut Draft<'_>, load: &mut Load<'_>, job: &Arc<str>, reason: Reason) {
+    let action = Action::StopJob {
+        job: Arc::clone(job),
+    };
+    if draft.add(action, reason) {
+        load.set_stopped(job);
+    }
+}
+
+fn quarantine(draft: &mut Draft<'_>, load: &mut Load<'_>, host: &Arc<str>, jobs: usize) {
+    let record = draft.index().view().hosts.get(host);
+    let now = draft.index().now();
+    // One period for each time that the host is found out: a new leader may start it anew.
+    let known = record.is_none_or(|record| record.quarantined_until.is_some_and(|it| it > now));
+    if known {
+        return;
+    }
+    let action = Action::Quarantine {
+        host: Arc::clone(host),
+        period: QUARANTINE,
+    };
+    let jobs = u32::try_from(jobs).unwrap_or(u32::MAX);
+    if draft.add(action, Reason::FailsEverything { jobs }) {
+        load.set_quarantined(host);
+    }
+}
--- a/crates/masticfield-fleet/src/placement/learnt.rs
+++ b/crates/masticfield-fleet/src/placement/learnt.rs
@@ -8,6 +8,8 @@
 use masticfield_core::note::Resources;
 use serde::{Deserialize, Serialize};
 
+use super::Failures;
+
 /// Tasks whose usage is kept of a job.
 const SAMPLES: usize = 64;
 
@@ -24,6 +26,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Learnt {
     jobs: BTreeMap<Arc<str>, Samples>,
+    failures: Failures,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,10 +62,19 @@
         Some(times[rank(times.len())])
     }
 
-    /// Takes the usage of an observation.
+    /// Which jobs failed on which hosts.
+    pub const fn failures(&self) -> &Failures {
+        &self.failures
+    }
+
+    /// Takes the usage and the failures of an observation.
     pub fn take(&mut self, observation: &Observation) {
         for task in &observation.tasks {
             self.take_task(task);
+            self.failures.take(task);
+        }
+        for host in &observation.hosts {
+            self.failures.take_host(host);
         }
     }
 
--- a/crates/masticfield-fleet/src/plan/mod.rs
+++ b/crates/masticfield-fleet/src/plan/mod.rs
@@ -1,7 +1,7 @@
 //! The steps of a plan, in the order of their importance.
 //!
 //! Failed hosts first, then what the note withdraws, then pools that lack hosts, then
-//! maintenance and the reserve. Each step adds to a [`Draft`], which bounds the number of
+//! maintenance and the reserve, and last the tasks of jobs. Each step adds to a [`Draft`], which bounds the number of
 //! actions and counts what is planned so that later steps see it.
 //!
 //! # Examples
@@ -26,4 +26,5 @@
 mod withdrawals;
 
 pub use draft::Draft;
+pub use failures::LEASES_END;
 pub use planner::{Guards, MovePolicy, Planner, plan};
--- a/crates/masticfield-fleet/src/plan/planner.rs
+++ b/crates/masticfield-fleet/src/plan/planner.rs
@@ -5,6 +5,7 @@
 use masticfield_core::fleet::Planned;
 
 use super::{Draft, failures, first_fit, maintenance, moves, withdrawals};
+use crate::placement;
 use crate::reserve::ReservePolicy;
 use crate::view::FleetView;
 
@@ -14,7 +15,7 @@
     reserve: ReservePolicy,
     moves: MovePolicy,
     guards: Guards,
-    skips_maintenance: bool,
+    hosts_only: bool,
 }
 
 /// How hosts are matched to pools.
@@ -88,10 +89,10 @@
         self
     }
 
-    /// Leaves maintenance out.
+    /// Leaves maintenance and jobs out.
     #[must_use]
-    pub const fn without_maintenance(mut self) -> Self {
-        self.skips_maintenance = true;
+    pub const fn hosts_only(mut self) -> Self {
+        self.hosts_only = true;
         self
     }
 
@@ -104,12 +105,15 @@
             MovePolicy::Least => moves::repair(&mut draft),
             MovePolicy::FirstFit => first_fit::plan(&mut draft),
         }
-        if !self.skips_maintenance {
+        if !self.hosts_only {
             maintenance::plan(&mut draft);
         }
         if self.moves == MovePolicy::Least {
             moves::fill_reserve(&mut draft);
         }
+        if !self.hosts_only {
+            placement::plan(&mut draft);
+        }
         draft.into_planned()
     }
 }
--- a/crates/masticfield-fleet/src/preview.rs
+++ b/crates/masticfield-fleet/src/preview.rs
@@ -31,7 +31,7 @@
 
 /// Plays the plans for `next` on hosts that all work and drain at once.
 ///
-/// Maintenance is left out: a note does not bring it about by itself. Shortfalls name what the
+/// Maintenance and the starts of tasks are left out: a note does not move hosts by them. Shortfalls name what the
 /// fleet could not make up for afterwards.
 pub fn preview(now: &FleetConfig, next: &FleetConfig, hosts: &HostRecords) -> PlanPreview {
     let mut play = Play::new(next, hosts);
@@ -99,7 +99,7 @@
 
     fn round(&mut self) -> Vec<Planned> {
         let planned = Planner::new()
-            .without_maintenance()
+            .hosts_only()
             .plan(&self.view(), Duration::ZERO);
         for planned in &planned {
             self.hosts.apply(planned, Duration::ZERO);
--- a/crates/masticfield-fleet/src/view/task_record.rs
+++ b/crates/masticfield-fleet/src/view/task_record.rs
@@ -24,6 +24,8 @@
     pub placed_at: Duration,
     /// The order that was given to end or slow it.
     pub order: Option<TaskOrderKind>,
+    /// When that order was given, since the Unix epoch.
+    pub ordered_at: Option<Duration>,
 }
 
 /// An order to a running task.
@@ -80,17 +82,17 @@
                 job,
                 index,
                 attempt,
-            } => self.order((job, *index, *attempt), TaskOrderKind::Throttle),
+            } => self.order((job, *index, *attempt), TaskOrderKind::Throttle, now),
             Action::CheckpointTask {
                 job,
                 index,
                 attempt,
-            } => self.order((job, *index, *attempt), TaskOrderKind::Checkpoint),
+            } => self.order((job, *index, *attempt), TaskOrderKind::Checkpoint, now),
             Action::StopTask {
                 job,
                 index,
                 attempt,
-            } => self.order((job, *index, *attempt), TaskOrderKind::Stop),
+            } => self.order((job, *index, *attempt), TaskOrderKind::Stop, now),
             Action::StopJob { job } => {
                 let record = self.records.entry(Arc::clone(job)).or_default();
                 !std::mem::replace(&mut record.stopped, true)
@@ -122,12 +124,13 @@
             size: *size,
             placed_at: now,
             order: None,
+            ordered_at: None,
         };
         record.tasks.insert(*index, task);
         true
     }
 
-    fn order(&mut self, task: (&Arc<str>, u32, u32), kind: TaskOrderKind) -> bool {
+    fn order(&mut self, task: (&Arc<str>, u32, u32), kind: TaskOrderKind, now: Duration) -> bool {
         let (job, index, attempt) = task;
         let record = self.records.get_mut(job);
         let Some(task) = record.and_then(|record| record.tasks.get_mut(&index)) else {
@@ -137,6 +140,7 @@
             return false;
         }
         task.order = Some(kind);
+        task.ordered_at = Some(now);
         true
     }
 }
