test(programs): wait for the entry's readiness; measure processor time of the path

Ruled out: the garbage itself; the entry's readiness was asked before its first lease. Change: the tests wait for readiness. The experiment `path` gives the processor time of a request, which does not depend on what else the machine does. The header limit of the HTTP library is set only if it differs, since any number of one's own allocates for each request.

--- a/crates/masticfield-measure/src/path/mod.rs
+++ b/crates/masticfield-measure/src/path/mod.rs
@@ -39,16 +39,18 @@
         let installation = Installation::start().await?;
         let direct = installation.direct_load();
         let entry = installation.entry_load();
-        let (direct_rps, entry_rps) = (rate(&direct).await?, rate(&entry).await?);
+        let (direct_rate, entry_rate) = (rate(&direct).await?, rate(&entry).await?);
         let (direct_wait, entry_wait) = (waits(&direct).await?, waits(&entry).await?);
         let added = |quantile| {
             let (with, without) = (entry_wait.wait(quantile), direct_wait.wait(quantile));
             u64::try_from(with.saturating_sub(without).as_micros()).unwrap_or(u64::MAX)
         };
         Ok::<_, ExperimentError>(json!({
-            "direct_rps": direct_rps.round(),
-            "entry_rps": entry_rps.round(),
-            "ratio": entry_rps / direct_rps,
+            "direct_rps": direct_rate.per_s.round(),
+            "entry_rps": entry_rate.per_s.round(),
+            "ratio": entry_rate.per_s / direct_rate.per_s,
+            "direct_cpu_us": direct_rate.cpu_us,
+            "entry_cpu_us": entry_rate.cpu_us,
             "added_p50_us": added(0.5),
             "added_p99_us": added(0.99),
             "direct_p50_us": direct_wait.wait(0.5).as_micros(),
@@ -60,13 +62,25 @@
     figures
 }
 
+/// A rate, and what it costs.
+struct Rate {
+    /// Requests per second.
+    per_s: f64,
+    /// Processor time of the whole process for one request, in microseconds.
+    cpu_us: f64,
+}
+
 /// Requests per second with many callers.
-async fn rate(load: &Load) -> Result<f64, ExperimentError> {
+async fn rate(load: &Load) -> Result<Rate, ExperimentError> {
     let load = load.clone().callers(CALLERS);
     whole(load.clone().pace(Pace::Count(WARM_UP_REQUESTS)).run().await)?;
-    let began = Instant::now();
+    let (began, cpu) = (Instant::now(), cpu_time()?);
     whole(load.pace(Pace::Count(u64::from(RATE_REQUESTS))).run().await)?;
-    Ok(f64::from(RATE_REQUESTS) / began.elapsed().as_secs_f64())
+    let requests = f64::from(RATE_REQUESTS);
+    Ok(Rate {
+        per_s: requests / began.elapsed().as_secs_f64(),
+        cpu_us: cpu_time()?.saturating_sub(cpu).as_secs_f64() * 1e6 / requests,
+    })
 }
 
 /// Waits of one caller.
@@ -98,6 +112,14 @@
     Ok(after? - before)
 }
 
+/// Processor time that this process has used.
+fn cpu_time() -> Result<Duration, ExperimentError> {
+    let stat = procfs::process::Process::myself()?.stat()?;
+    let ticks = u32::try_from(stat.utime + stat.stime)?;
+    let per_s = u32::try_from(procfs::ticks_per_second())?;
+    Ok(Duration::from_secs_f64(f64::from(ticks) / f64::from(per_s)))
+}
+
 fn resident_mb() -> Result<f64, ExperimentError> {
     let pages = procfs::process::Process::myself()?.statm()?.resident;
     let kilobytes = u32::try_from(pages * procfs::page_size() / 1_000)?;
--- a/crates/masticfield-node/src/http/server.rs
+++ b/crates/masticfield-node/src/http/server.rs
@@ -21,6 +21,9 @@
 use super::error::BindSnafu;
 use super::{BindError, HttpLimits};
 
+/// Headers of a request that the protocol library accepts by itself.
+const PROTOCOL_MAX_HEADERS: usize = 100;
+
 /// A whole response.
 pub type Reply = Response<Full<Bytes>>;
 
@@ -144,8 +147,11 @@
         protocol
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.header())
-            .max_buf_size(self.limits.header_bytes())
-            .max_headers(self.limits.max_headers());
+            .max_buf_size(self.limits.header_bytes());
+        if self.limits.max_headers() != PROTOCOL_MAX_HEADERS {
+            // Any number of its own costs the library an allocation for each request.
+            protocol.max_headers(self.limits.max_headers());
+        }
         protocol
     }
 }
--- a/crates/masticfield-programs/tests/processes/bad_input.rs
+++ b/crates/masticfield-programs/tests/processes/bad_input.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use serde_json::json;
 
-use crate::support::{Installation, Process, Program, exchange, get};
+use crate::support::{Installation, Process, Program, exchange, get, wait_for};
 
 const VITORIA: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/vitoria.toml");
 const SERVICE: &str = "shop-counter-booking";
@@ -17,6 +17,12 @@
     let installation = Installation::start();
     let entry = installation.start_entry(1, "vit-a", 1, &[]);
     installation.report(&["apply", VITORIA, "--wait"]);
+    // A note is in force at once while no entry holds a lease yet.
+    wait_for(|| {
+        get(entry.address("admin"), "/readyz")
+            .starts_with("HTTP/1.1 200")
+            .then_some(())
+    });
     (installation, entry)
 }
 
--- a/crates/masticfield-programs/tests/processes/support/mod.rs
+++ b/crates/masticfield-programs/tests/processes/support/mod.rs
@@ -4,4 +4,4 @@
 mod process;
 
 pub use installation::{Installation, Program, exchange, get};
-pub use process::Process;
+pub use process::{Process, wait_for};
--- a/crates/masticfield-programs/tests/processes/whole_path.rs
+++ b/crates/masticfield-programs/tests/processes/whole_path.rs
@@ -3,7 +3,7 @@
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
-use crate::support::{Installation, get};
+use crate::support::{Installation, get, wait_for};
 
 const VITORIA: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/vitoria.toml");
 const SERVICE: &str = "shop-counter-booking";
@@ -68,6 +68,11 @@
     let installation = Installation::start();
     let entry = installation.start_entry(1, "vit-a", 1, &[]);
     installation.report(&["apply", VITORIA, "--wait"]);
+    wait_for(|| {
+        get(entry.address("admin"), "/readyz")
+            .starts_with("HTTP/1.1 200")
+            .then_some(())
+    });
     let upstream = installation.start_upstream("exec-1", SERVICE, &[&entry]);
     installation.wait_until(&["upstreams"], |rows| rows.as_array().unwrap().len() == 1);
     let answers: Vec<String> = std::thread::scope(|scope| {
