--- a/crates/masticfield-routing/src/router/exchange.rs
+++ b/crates/masticfield-routing/src/router/exchange.rs
@@ -233,7 +233,11 @@
         let cap = upstream.health.cap(upstream.news.slots);
         let waiting = served.queue.len().div_ceil(served.upstreams.len().max(1));
         let waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
-        let need = upstream.in_flight.saturating_add(waiting).min(cap);
+        let need = if cap == 0 {
+            0
+        } else {
+            upstream.in_flight.saturating_add(waiting)
+        };
         let least = if upstream.news.zone == self.identity.zone {
             AHEAD_LOCAL
         } else {
--- a/crates/masticfield-routing/tests/common/mod.rs
+++ b/crates/masticfield-routing/tests/common/mod.rs
@@ -1,12 +1,13 @@
 //! A few routers, a lossy network between them and two upstreams, all on one virtual clock.
 
+mod faults;
 mod op;
 mod world;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use masticfield_core::ids::{EntryId, Incarnation, WaiterKey};
+use masticfield_core::ids::{Incarnation, WaiterKey};
 use masticfield_core::outcome::{Outcome, UnknownReason};
 use masticfield_routing::guards::Guards;
 use masticfield_routing::options::RouterOptions;
@@ -17,10 +18,9 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use op::Op;
-use world::{id, news, spec};
+use world::{SLOTS, id, news, spec};
 
 pub const ENTRIES: usize = 5;
-pub const SLOTS: u16 = 4;
 const STEP: Duration = Duration::from_millis(5);
 
 /// A broken property.
@@ -366,69 +366,6 @@
         self.carry_out(done.entry)
     }
 
-    /// The host loses power: what is in flight runs on at the upstream.
-    fn kill(&mut self, entry: usize) {
-        self.entries[entry].alive = false;
-        self.abandon(entry);
-    }
-
-    /// The process restarts: its connections are closed.
-    fn restart(&mut self, entry: usize) {
-        if !self.entries[entry].alive {
-            return;
-        }
-        self.abandon(entry);
-        self.exchanges.retain(|e| e.entry != entry);
-        let incarnation = 1_000 + u64::try_from(self.now.as_millis()).unwrap_or(0);
-        let mut fresh = self.entry(entry, self.now, incarnation);
-        fresh.view = self.entries[entry].view;
-        self.entries[entry] = fresh;
-        self.views();
-    }
-
-    fn abandon(&mut self, entry: usize) {
-        let open = self.exchanges.iter().filter(|e| e.entry == entry);
-        let open: Vec<usize> = open.map(|e| e.request).collect();
-        let waiting = std::mem::take(&mut self.entries[entry].waiting);
-        for request in open.into_iter().chain(waiting.into_values()) {
-            self.fates[request].abandoned = true;
-        }
-    }
-
-    fn true_views(&mut self) {
-        let up = |e: &Entry| e.alive && !e.stopped;
-        let view = (0..ENTRIES).filter(|i| up(&self.entries[*i]));
-        let view = view.fold(0_u8, |view, i| view | 1 << i);
-        for entry in &mut self.entries {
-            entry.view = view;
-        }
-        self.views();
-    }
-
-    fn views(&mut self) {
-        let all: Vec<EntryId> = (0..ENTRIES).map(id).collect();
-        for number in 0..self.entries.len() {
-            let now = self.local(number);
-            let entry = &mut self.entries[number];
-            let seen = |i: &usize| entry.view & (1 << i) != 0 && !(*i == number && entry.stopped);
-            let live: Vec<EntryId> = (0..ENTRIES).filter(seen).map(id).collect();
-            entry.router.set_entries(now, &all, &live);
-        }
-    }
-
-    fn leave(&mut self, upstream: usize) -> Result<(), Violation> {
-        self.leaving[upstream] = true;
-        for entry in 0..ENTRIES {
-            let now = self.local(entry);
-            let news = news(upstream, true);
-            self.entries[entry].router.upsert_upstream(now, &news);
-            if self.entries[entry].alive {
-                self.carry_out(entry)?;
-            }
-        }
-        Ok(())
-    }
-
     fn check_slots(&self) -> Result<(), Violation> {
         let at = |upstream| {
             self.exchanges
--- a/crates/masticfield-routing/tests/common/world.rs
+++ b/crates/masticfield-routing/tests/common/world.rs
@@ -6,7 +6,8 @@
 use masticfield_core::membership::{Announcement, UpstreamState};
 use masticfield_core::note::{Promise, ServiceSpec};
 
-use super::SLOTS;
+/// Slots of each upstream.
+pub const SLOTS: u16 = 4;
 
 const DEADLINE: Duration = Duration::from_millis(400);
 
