--- a/crates/masticfield-entry/src/callers/front.rs
+++ b/crates/masticfield-entry/src/callers/front.rs
@@ -1,19 +1,19 @@
 //! A caller's request from its arrival to its final answer.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Request;
 use hyper::body::Incoming;
-use masticfield_core::claim::{Claim, ClaimEnd, ClaimKey, ClaimVerdict};
 use masticfield_core::ids::{EntryId, RequestId};
 use masticfield_core::kernel::Shutdown;
 use masticfield_core::outcome::{NotRunReason, Outcome, UnknownReason};
 use masticfield_node::http::Reply;
 use masticfield_node::trace::{Hop, Tracing};
-use masticfield_wire::control::EndedClaim;
-use sha2::{Digest, Sha256};
+use masticfield_routing::request::{Dispatch, Ending, Request as RouterRequest};
+use tokio_util::task::TaskTracker;
 use xtra::Address;
 
 use super::exchange::{Exchange, Exchanged};
@@ -21,7 +21,9 @@
 use super::request::CallerRequest;
 use crate::control::ControlLink;
 use crate::metrics::Metrics;
-use crate::router::{Admission, Admit, Finish, RouterActor};
+use crate::once::BookActor;
+use crate::peers::PeerActor;
+use crate::router::{Admit, Finish, RouterActor, Step};
 
 /// When a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -30,8 +32,10 @@
 #[derive(Debug, Clone)]
 pub(super) struct Front {
     pub entry: EntryId,
-    pub zone: Arc<str>,
     pub router: Address<RouterActor>,
+    pub book: Address<BookActor>,
+    pub peers: Address<PeerActor>,
+    pub tasks: TaskTracker,
     pub control: ControlLink,
     pub exchange: Exchange,
     pub metrics: Metrics,
@@ -42,19 +46,33 @@
 }
 
 /// A final answer and what it says.
-struct Final {
-    service: Arc<str>,
-    outcome: Outcome,
-    reply: Option<Reply>,
+pub(super) struct Final {
+    pub service: Arc<str>,
+    pub outcome: Outcome,
+    pub reply: Option<Reply>,
 }
 
 impl Front {
-    /// Answers one request.
-    pub(super) async fn answer(&self, req: Request<Incoming>) -> Reply {
+    /// Answers one request, to its end even if the caller vanishes.
+    ///
+    /// The slot, the claim and the metrics of a request that is dropped half-way would stay.
+    pub(super) async fn answer(&self, req: Request<Incoming>, peer: IpAddr) -> Reply {
+        let front = self.clone();
+        let answered = self
+            .tasks
+            .spawn(async move { front.answer_whole(req, peer).await });
+        answered.await.unwrap_or_else(|_panicked| {
+            problem_reply(Outcome::Unknown {
+                reason: UnknownReason::ConnectionLost,
+            })
+        })
+    }
+
+    async fn answer_whole(&self, req: Request<Incoming>, peer: IpAddr) -> Reply {
         let began = Instant::now();
         self.metrics.begin();
         let hop = self.tracing.arrive("caller request", req.headers());
-        let answered = self.decide(req, &hop).await;
+        let answered = self.decide(req, peer, &hop).await;
         let Final {
             service,
             outcome,
@@ -68,7 +86,7 @@
         reply
     }
 
-    async fn decide(&self, req: Request<Incoming>, hop: &Hop) -> Final {
+    async fn decide(&self, req: Request<Incoming>, peer: IpAddr, hop: &Hop) -> Final {
         if self.shutdown.is_begun() {
             return Final::not_run("", NotRunReason::Stopping);
         }
@@ -76,90 +94,85 @@
         if !served.holds(Instant::now()) {
             return Final::not_run("", NotRunReason::NoConfiguration);
         }
-        match CallerRequest::read(&served, req, self.body_timeout).await {
+        match CallerRequest::read(&served, req, peer, self.body_timeout).await {
             Ok(req) if req.is_idempotent() => self.run(&req, self.next_id(), hop).await,
             Ok(req) => self.run_once(&req, hop).await,
             Err(reason) => Final::not_run("", reason),
         }
     }
 
-    /// Runs a request under a durable claim of its key.
-    async fn run_once(&self, req: &CallerRequest, hop: &Hop) -> Final {
-        let id = self.next_id();
-        let claim = match claim(req, id) {
-            Ok(claim) => claim,
-            Err(reason) => return Final::not_run(&req.service, reason),
-        };
-        let step = hop.step("claim");
-        let left = req.deadline.saturating_duration_since(Instant::now());
-        let verdict = tokio::time::timeout(left, self.control.claim(claim)).await;
-        drop(step);
-        match verdict {
-            Ok(Ok(ClaimVerdict::Granted | ClaimVerdict::AlreadyYours)) => {}
-            Ok(Ok(verdict)) => return refused_claim(&req.service, verdict),
-            Ok(Err(_)) | Err(_) => {
-                return Final::not_run(&req.service, NotRunReason::ClaimUnavailable);
-            }
+    /// Sends a request to an executor, and again to others as far as that is safe.
+    pub(super) async fn run(&self, req: &CallerRequest, id: RequestId, hop: &Hop) -> Final {
+        let mut step = self.admit(req).await;
+        loop {
+            step = match step {
+                Step::Wait(next) => {
+                    let _waiting = hop.step("slot");
+                    next.await.unwrap_or(Step::Done(stopping()))
+                }
+                Step::Run(dispatch) => {
+                    let key = dispatch.key;
+                    let id = self.attempt_id(req, id, dispatch.attempt);
+                    let exchanged = self.exchange(req, &dispatch, id, hop).await;
+                    let ending = ending_of(&exchanged);
+                    if let Exchanged::Answered(answer) = exchanged {
+                        // Nothing is left to decide, so the answer does not wait for the router.
+                        drop(self.router.send(Finish(key, ending)).detach().await);
+                        return Final::answered(&req.service, answer);
+                    }
+                    match self.router.send(Finish(key, ending)).await {
+                        Ok(Some(next)) => next,
+                        Ok(None) | Err(_) => Step::Done(outcome_of(ending)),
+                    }
+                }
+                Step::Done(outcome) => return Final::new(&req.service, outcome),
+            };
         }
-        let answered = self.run(req, id, hop).await;
-        let end = match answered.outcome {
-            Outcome::Answered => ClaimEnd::Ran,
-            Outcome::NotRun { .. } => ClaimEnd::NotRun,
-            Outcome::Unknown { .. } => ClaimEnd::Unknown,
-        };
-        self.control
-            .end(EndedClaim {
-                key: claim.key,
-                request: id,
-                end,
-            })
-            .await;
-        answered
     }
 
-    /// Sends a request to one executor.
-    async fn run(&self, req: &CallerRequest, id: RequestId, hop: &Hop) -> Final {
-        let zone = req.zone.as_ref().unwrap_or(&self.zone);
-        let admit = Admit {
+    async fn admit(&self, req: &CallerRequest) -> Step {
+        let request = RouterRequest {
             service: Arc::clone(&req.service),
-            zone: Arc::clone(zone),
-        };
-        let slot = match self.router.send(admit).await {
-            Ok(Admission::Run(slot)) => slot,
-            Ok(Admission::Refuse(reason)) => return Final::not_run(&req.service, reason),
-            Err(_stopped) => return Final::not_run(&req.service, NotRunReason::Stopping),
+            caller: Arc::clone(&req.caller),
+            zone: req.zone.clone(),
+            deadline: Some(req.left()),
+            idempotent: req.is_idempotent(),
         };
+        let admitted = self.router.send(Admit(request)).await;
+        admitted.unwrap_or(Step::Done(stopping()))
+    }
+
+    async fn exchange(
+        &self,
+        req: &CallerRequest,
+        dispatch: &Dispatch,
+        id: RequestId,
+        hop: &Hop,
+    ) -> Exchanged {
+        if req.left().is_zero() {
+            return Exchanged::NotSent;
+        }
         let call = hop.call("upstream request");
-        call.note("masticfield.upstream", slot.upstream.to_string());
-        let exchanged = self.exchange.run(req, &slot, id, &call).await;
-        // A router that is gone needs no slot back.
-        drop(self.router.send(Finish(slot)).await);
-        match exchanged {
-            Exchanged::Answered(reply) => Final::answered(&req.service, reply),
-            Exchanged::NotRun => Final::not_run(&req.service, NotRunReason::RefusedByUpstream),
-            Exchanged::Unknown(reason) => Final::unknown(&req.service, reason),
+        call.note("masticfield.upstream", dispatch.id.to_string());
+        self.exchange.run(req, dispatch.address, id, &call).await
+    }
+
+    /// The identifier of an attempt; a repeated request is told apart from its first attempt.
+    fn attempt_id(&self, req: &CallerRequest, first: RequestId, attempt: u32) -> RequestId {
+        if attempt > 1 && req.is_idempotent() {
+            self.next_id()
+        } else {
+            first
         }
     }
 
-    fn next_id(&self) -> RequestId {
+    pub(super) fn next_id(&self) -> RequestId {
         RequestId::new(self.entry, self.sequence.fetch_add(1, Ordering::Relaxed))
     }
 }
 
 impl Final {
-    fn answered(service: &Arc<str>, reply: Reply) -> Self {
-        Self {
-            service: Arc::clone(service),
-            outcome: Outcome::Answered,
-            reply: Some(reply),
-        }
-    }
-
-    fn not_run(service: &str, reason: NotRunReason) -> Self {
-        let outcome = Outcome::NotRun {
-            reason,
-            retry_after: RETRY_AFTER,
-        };
+    fn new(service: &str, outcome: Outcome) -> Self {
         Self {
             service: service.into(),
             outcome,
@@ -167,51 +180,53 @@
         }
     }
 
-    fn unknown(service: &str, reason: UnknownReason) -> Self {
+    pub(super) fn answered(service: &Arc<str>, reply: Reply) -> Self {
         Self {
-            service: service.into(),
-            outcome: Outcome::Unknown { reason },
-            reply: None,
+            service: Arc::clone(service),
+            outcome: Outcome::Answered,
+            reply: Some(reply),
         }
     }
+
+    pub(super) fn not_run(service: &str, reason: NotRunReason) -> Self {
+        let retry_after = RETRY_AFTER;
+        Self::new(
+            service,
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            },
+        )
+    }
+
+    pub(super) fn unknown(service: &str, reason: UnknownReason) -> Self {
+        Self::new(service, Outcome::Unknown { reason })
+    }
 }
 
-fn refused_claim(service: &str, verdict: ClaimVerdict) -> Final {
-    match verdict {
-        ClaimVerdict::Expired => Final::not_run(service, NotRunReason::KeyExpired),
-        ClaimVerdict::OtherRequest => Final::not_run(service, NotRunReason::BadRequest),
-        _ => Final::unknown(service, UnknownReason::EarlierAttempt),
+const fn stopping() -> Outcome {
+    Outcome::NotRun {
+        reason: NotRunReason::Stopping,
+        retry_after: RETRY_AFTER,
     }
 }
 
-/// The claim of a request's key.
-fn claim(req: &CallerRequest, request: RequestId) -> Result<Claim, NotRunReason> {
-    let text = req.key()?;
-    let issued = text
-        .split_once('-')
-        .and_then(|(seconds, _)| seconds.parse().ok());
-    let key = ClaimKey::from_digest(digest([&*req.service, &*text]), issued.unwrap_or(0));
-    let fingerprint = digest([
-        req.method.as_str().as_bytes(),
-        req.path.as_bytes(),
-        &req.body,
-    ]);
-    Ok(Claim {
-        key,
-        fingerprint,
-        request,
-    })
+fn ending_of(exchanged: &Exchanged) -> Ending {
+    match exchanged {
+        Exchanged::Answered(reply) => Ending::Answered {
+            faulty: reply.status().is_server_error(),
+        },
+        Exchanged::Refused => Ending::Refused,
+        Exchanged::NotSent => Ending::NotSent,
+        Exchanged::Unknown(reason) => Ending::Lost(*reason),
+    }
 }
 
-/// The first 128 bits of the digest of parts with their lengths.
-fn digest<const N: usize, P: AsRef<[u8]>>(parts: [P; N]) -> [u8; 16] {
-    let mut hasher = Sha256::new();
-    for part in parts {
-        let part = part.as_ref();
-        hasher.update((part.len() as u64).to_le_bytes());
-        hasher.update(part);
+/// The outcome of a dispatch whose router is gone.
+const fn outcome_of(ending: Ending) -> Outcome {
+    match ending {
+        Ending::Answered { .. } => Outcome::Answered,
+        Ending::Lost(reason) => Outcome::Unknown { reason },
+        _ => stopping(),
     }
-    let mut first = [0; 16];
-    first.copy_from_slice(&hasher.finalize()[..16]);
-    first
 }
--- a/crates/masticfield-entry/src/router/router_actor.rs
+++ b/crates/masticfield-entry/src/router/router_actor.rs
@@ -1,154 +1,271 @@
-//! Upstreams and their slots.
+//! The thin shell round the router.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use masticfield_core::ids::Incarnation;
-use masticfield_core::membership::Announcement;
-use masticfield_core::outcome::NotRunReason;
+use masticfield_core::config::FleetConfig;
+use masticfield_core::ids::{EntryId, WaiterKey};
+use masticfield_core::membership::MembershipEvent;
+use masticfield_core::outcome::{NotRunReason, Outcome};
+use masticfield_routing::request::{
+    Admission, Dispatch, DispatchKey, Ending, Next, Request, RouterAction,
+};
+use masticfield_routing::router::Router;
+use masticfield_routing::slots::SlotMessage;
+use tokio::sync::{mpsc, oneshot, watch};
 use xtra::prelude::*;
 
-/// Chooses an executor for each request.
+use super::entries::Entries;
+use super::metrics::RouterMetrics;
+
+/// Holds the router and those who wait for its decisions.
 #[derive(Debug, Actor)]
 pub(crate) struct RouterActor {
-    ttl: Duration,
-    upstreams: HashMap<Arc<str>, KnownUpstream>,
+    router: Router,
+    started: Instant,
+    entries: Entries,
+    waiting: HashMap<WaiterKey, oneshot::Sender<Step>>,
+    slots: mpsc::UnboundedSender<(EntryId, SlotMessage)>,
+    wake_at: watch::Sender<Instant>,
+    metrics: RouterMetrics,
 }
 
+/// What to do next with a request.
 #[derive(Debug)]
-struct KnownUpstream {
-    announcement: Announcement,
-    heard_at: Instant,
-    in_flight: u16,
+pub(crate) enum Step {
+    /// Send it, and tell how that ended.
+    Run(Dispatch),
+    /// Wait for the next step.
+    Wait(oneshot::Receiver<Step>),
+    /// Tell the caller the outcome.
+    Done(Outcome),
 }
 
-/// An upstream announced itself.
+/// Admits a request.
 #[derive(Debug)]
-pub(crate) struct Announce(pub Announcement);
+pub(crate) struct Admit(pub Request);
 
-/// Asks for a slot of a service.
+/// A dispatch ended.
 #[derive(Debug)]
-pub(crate) struct Admit {
-    /// Name of the service.
-    pub service: Arc<str>,
-    /// Availability zone that is preferred.
-    pub zone: Arc<str>,
-}
+pub(crate) struct Finish(pub DispatchKey, pub Ending);
 
-/// Returns a slot.
+/// The membership changed.
 #[derive(Debug)]
-pub(crate) struct Finish(pub Slot);
+pub(crate) struct Learn(pub MembershipEvent);
 
-/// Forgets upstreams whose time to live has run out.
+/// The configuration changed.
 #[derive(Debug)]
-pub(crate) struct Sweep(pub Instant);
-
-/// The answer to [`Admit`].
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Admission {
-    /// The request may be sent.
-    Run(Slot),
-    /// The request is refused.
-    Refuse(NotRunReason),
-}
+pub(crate) struct Configure(pub Arc<FleetConfig>);
 
-/// A slot at an executor.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Slot {
-    /// Identifier of the upstream.
-    pub upstream: Arc<str>,
-    /// Incarnation of the upstream.
-    pub incarnation: Incarnation,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-}
+/// Another entry sent a message about slots.
+#[derive(Debug)]
+pub(crate) struct ReceiveSlots(pub EntryId, pub SlotMessage);
+
+/// The moment has come that the router waited for.
+#[derive(Debug)]
+pub(super) struct Tick;
+
+/// The entry stops.
+#[derive(Debug)]
+pub(super) struct Stop;
 
 impl RouterActor {
-    /// Creates a router that knows no upstream.
-    pub(crate) fn new(ttl: Duration) -> Self {
-        Self {
-            ttl,
-            upstreams: HashMap::new(),
+    /// Creates the actor; messages to other entries and the next wake-up go out by channels.
+    pub(super) fn new(
+        router: Router,
+        entries: Entries,
+        slots: mpsc::UnboundedSender<(EntryId, SlotMessage)>,
+        wake_at: watch::Sender<Instant>,
+        metrics: RouterMetrics,
+    ) -> Self {
+        let mut actor = Self {
+            router,
+            started: Instant::now(),
+            entries,
+            waiting: HashMap::new(),
+            slots,
+            wake_at,
+            metrics,
+        };
+        actor.tell_entries();
+        actor
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn tell_entries(&mut self) {
+        let now = self.now();
+        let (all, live) = (self.entries.all(), self.entries.live());
+        self.router.set_entries(now, &all, &live);
+    }
+
+    fn learn(&mut self, event: MembershipEvent) {
+        let now = self.now();
+        match event {
+            MembershipEvent::Upstream(announcement) => {
+                self.router.upsert_upstream(now, &announcement);
+            }
+            MembershipEvent::UpstreamExpired(id, incarnation) => {
+                self.router.remove_upstream(&id, incarnation);
+            }
+            MembershipEvent::EntryUp(info) => {
+                self.entries.up(info.id);
+                self.tell_entries();
+            }
+            MembershipEvent::EntryLeft(id, _) | MembershipEvent::EntrySuspected(id, _) => {
+                self.entries.down(id);
+                self.tell_entries();
+            }
         }
     }
 
-    fn admit(&mut self, service: &str, zone: &str) -> Admission {
-        let serving = self.upstreams.values_mut().filter(|upstream| {
-            &*upstream.announcement.service == service
-                && upstream.announcement.state.takes_new_work()
-        });
-        let mut serving = serving.peekable();
-        if serving.peek().is_none() {
-            return Admission::Refuse(NotRunReason::NoUpstream);
+    /// Keeps the sender of a waiting request's next step.
+    fn wait(&mut self, waiter: WaiterKey) -> Step {
+        let (tx, rx) = oneshot::channel();
+        self.waiting.insert(waiter, tx);
+        Step::Wait(rx)
+    }
+
+    /// Carries out what the router decided beside its answer.
+    fn carry_out(&mut self) {
+        loop {
+            let actions = self.router.take_actions();
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.carry_out_one(action);
+            }
         }
-        let free = serving.filter(|upstream| upstream.in_flight < upstream.announcement.slots);
-        let best =
-            free.min_by_key(|upstream| (&*upstream.announcement.zone != zone, upstream.in_flight));
-        match best {
-            Some(upstream) => {
-                upstream.in_flight += 1;
-                Admission::Run(Slot {
-                    upstream: Arc::clone(&upstream.announcement.id),
-                    incarnation: upstream.announcement.incarnation,
-                    address: upstream.announcement.address,
-                })
+        let wake_at = self.started + self.router.next_deadline();
+        // A tick that comes too early does no harm, so only an earlier moment is told.
+        self.wake_at.send_if_modified(|due| {
+            let earlier = wake_at < *due;
+            if earlier {
+                *due = wake_at;
+            }
+            earlier
+        });
+    }
+
+    /// Sets the moment of the next tick after one has come.
+    fn wait_for_next_tick(&self) {
+        let wake_at = self.started + self.router.next_deadline();
+        self.wake_at.send_replace(wake_at);
+    }
+
+    fn carry_out_one(&mut self, action: RouterAction) {
+        match action {
+            RouterAction::Run(waiter, dispatch) => {
+                let key = dispatch.key;
+                if !self.tell(waiter, Step::Run(dispatch)) {
+                    let ending = Ending::Withdrawn(NotRunReason::Stopping);
+                    let now = self.now();
+                    self.router.finish(now, key, ending);
+                }
+            }
+            RouterAction::Done(waiter, outcome) => {
+                self.tell(waiter, Step::Done(outcome));
+            }
+            RouterAction::Send(to, msg) => {
+                // Without the task that sends, the message counts as lost.
+                drop(self.slots.send((to, msg)));
             }
-            None => Admission::Refuse(NotRunReason::Overloaded),
         }
     }
+
+    /// Tells a waiting request its next step; false if nobody waits for it any more.
+    fn tell(&mut self, waiter: WaiterKey, step: Step) -> bool {
+        let waiting = self.waiting.remove(&waiter);
+        waiting.is_some_and(|tx| tx.send(step).is_ok())
+    }
 }
 
-impl Handler<Announce> for RouterActor {
-    type Return = ();
+impl Handler<Admit> for RouterActor {
+    type Return = Step;
 
-    async fn handle(&mut self, message: Announce, _ctx: &mut Context<Self>) {
-        let announcement = message.0;
-        let known = self.upstreams.get(&announcement.id);
-        let known = known.map(|known| (known.announcement.incarnation, known.in_flight));
-        let in_flight = match known {
-            Some((incarnation, _)) if incarnation > announcement.incarnation => return,
-            Some((incarnation, in_flight)) if incarnation == announcement.incarnation => in_flight,
-            _ => 0,
+    async fn handle(&mut self, message: Admit, _ctx: &mut Context<Self>) -> Step {
+        let now = self.now();
+        let step = match self.router.admit(now, message.0) {
+            Admission::Run(dispatch) => Step::Run(dispatch),
+            Admission::Wait(waiter) => self.wait(waiter),
+            Admission::Refuse(refusal) => Step::Done(Outcome::NotRun {
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            }),
         };
-        let id = Arc::clone(&announcement.id);
-        let upstream = KnownUpstream {
-            announcement,
-            heard_at: Instant::now(),
-            in_flight,
-        };
-        self.upstreams.insert(id, upstream);
+        self.carry_out();
+        step
     }
 }
 
-impl Handler<Admit> for RouterActor {
-    type Return = Admission;
+impl Handler<Finish> for RouterActor {
+    type Return = Option<Step>;
 
-    async fn handle(&mut self, message: Admit, _ctx: &mut Context<Self>) -> Admission {
-        self.admit(&message.service, &message.zone)
+    async fn handle(&mut self, message: Finish, _ctx: &mut Context<Self>) -> Option<Step> {
+        let now = self.now();
+        let next = self.router.finish(now, message.0, message.1);
+        let step = next.map(|next| match next {
+            Next::Done(outcome) => Step::Done(outcome),
+            Next::Run(dispatch) => Step::Run(dispatch),
+            Next::Wait(waiter) => self.wait(waiter),
+        });
+        self.carry_out();
+        step
     }
 }
 
-impl Handler<Finish> for RouterActor {
+impl Handler<Learn> for RouterActor {
     type Return = ();
 
-    async fn handle(&mut self, message: Finish, _ctx: &mut Context<Self>) {
-        let slot = message.0;
-        if let Some(upstream) = self.upstreams.get_mut(&slot.upstream)
-            && upstream.announcement.incarnation == slot.incarnation
-        {
-            upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        }
+    async fn handle(&mut self, message: Learn, _ctx: &mut Context<Self>) {
+        self.learn(message.0);
+        self.carry_out();
+    }
+}
+
+impl Handler<Configure> for RouterActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Configure, _ctx: &mut Context<Self>) {
+        self.router.configure(message.0.services().values());
+        self.carry_out();
+    }
+}
+
+impl Handler<ReceiveSlots> for RouterActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ReceiveSlots, _ctx: &mut Context<Self>) {
+        let now = self.now();
+        self.router.receive(now, message.0, message.1);
+        self.carry_out();
+    }
+}
+
+impl Handler<Tick> for RouterActor {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, _ctx: &mut Context<Self>) {
+        let now = self.now();
+        self.router.tick(now);
+        self.carry_out();
+        self.wait_for_next_tick();
+        let (waiting, in_flight) = (self.router.waiting(), self.router.in_flight());
+        self.metrics
+            .show(self.router.counters(), waiting, in_flight);
     }
 }
 
-impl Handler<Sweep> for RouterActor {
+impl Handler<Stop> for RouterActor {
     type Return = ();
 
-    async fn handle(&mut self, message: Sweep, _ctx: &mut Context<Self>) {
-        let (now, ttl) = (message.0, self.ttl);
-        self.upstreams
-            .retain(|_, upstream| now.duration_since(upstream.heard_at) < ttl);
+    async fn handle(&mut self, _stop: Stop, _ctx: &mut Context<Self>) {
+        let now = self.now();
+        self.router.stop(now);
+        self.carry_out();
     }
 }
--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -11,6 +11,9 @@
 //! assert_eq!(FleetName::Vitoria.config().services().len(), 5);
 //! ```
 
+pub mod capacity;
+pub mod claims;
 pub mod experiment;
 pub mod fleet_name;
+pub mod path;
 pub mod routing;
--- a/crates/masticfield-routing/src/lib.rs
+++ b/crates/masticfield-routing/src/lib.rs
@@ -35,6 +35,8 @@
 pub mod counters;
 pub mod guards;
 pub mod health;
+pub mod membership;
+pub mod once;
 pub mod options;
 pub mod queue;
 pub mod request;
