feat(control): leases in force, registration of entries, peers of replicas

Cause: the control process granted leases without registration, margin or the term of the lead, and could run alone only. Ruled out: telling leases from the replies of proposals, which may come in another order than the log; the state actor tells its changes in the order of the log instead.

--- a/crates/masticfield-control/src/actor/handle.rs
+++ b/crates/masticfield-control/src/actor/handle.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use masticfield_core::ids::ReplicaId;
 use masticfield_replica::{ProposeError, ReplicaHandle, ReplicaStatus};
-use masticfield_state::{Command, Envelope, Reply, State};
+use masticfield_state::{Command, Envelope, LeaderAddresses, Reply, State};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::{oneshot, watch};
 use xtra::Address;
@@ -14,10 +14,16 @@
 use super::ControlActor;
 use super::control_actor::{Expect, Forget, ProposalId, Proposed, Query};
 
+/// Time for which a proposer waits for a command to be decided.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for which an operator's request waits for a leader to be elected.
+const ELECTION_WAIT: Duration = Duration::from_secs(2);
+
 /// Proposes commands and reads the state.
 #[derive(Debug, Clone)]
 pub struct ControlHandle {
-    replica: ReplicaHandle,
+    replica: Arc<ReplicaHandle>,
     actor: Address<ControlActor>,
     version: watch::Receiver<u64>,
     process: u64,
@@ -39,6 +45,9 @@
         /// The cause.
         source: postcard::Error,
     },
+    /// It was proposed, and is neither committed nor lost within the time that callers wait.
+    #[snafu(display("the command was not decided in time"))]
+    Late,
     /// The process stops.
     #[snafu(display("the control process is stopping"))]
     Stopping,
@@ -46,7 +55,7 @@
 
 impl ControlHandle {
     pub(crate) fn new(
-        replica: ReplicaHandle,
+        replica: Arc<ReplicaHandle>,
         actor: Address<ControlActor>,
         version: watch::Receiver<u64>,
     ) -> Self {
@@ -82,15 +91,44 @@
             .await
             .ok()
             .ok_or(ProposalError::Stopping)?;
-        if let Err(source) = self.replica.propose(payload).await {
-            self.actor
-                .send(Forget(id))
-                .await
-                .ok()
-                .ok_or(ProposalError::Stopping)?;
-            return Err(ProposalError::Propose { source });
-        }
-        replied.await.map_err(|_dropped| ProposalError::Stopping)
+        let decided = tokio::time::timeout(PROPOSAL_TIMEOUT, self.replica.propose(payload));
+        let error = match decided.await {
+            Ok(Ok(_index)) => return replied.await.map_err(|_dropped| ProposalError::Stopping),
+            Ok(Err(source)) => ProposalError::Propose { source },
+            Err(_elapsed) => ProposalError::Late,
+        };
+        let forgotten = self.actor.send(Forget(id)).await;
+        forgotten.map_err(|_gone| ProposalError::Stopping)?;
+        Err(error)
+    }
+
+    /// Where the leader is reached, as far as this replica knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process stops.
+    pub async fn leader(&self) -> Result<LeaderAddresses, ProposalError> {
+        let term = self.replica.status().term;
+        let led = self.query(|state| (state.term(), state.leader())).await?;
+        let (known, addresses) = led;
+        Ok(if known == term {
+            addresses
+        } else {
+            LeaderAddresses::default()
+        })
+    }
+
+    /// Waits until a leader is known, as long as an ordinary election takes.
+    pub(crate) async fn await_leader(&self) {
+        let mut status = self.replica.watch_status();
+        let known = status.wait_for(|status| status.leader.is_some());
+        // Without a leader the command is refused, as it would be without the wait.
+        drop(tokio::time::timeout(ELECTION_WAIT, known).await);
+    }
+
+    /// Changes of what the replica knows of its group.
+    pub(crate) fn watch_status(&self) -> watch::Receiver<ReplicaStatus> {
+        self.replica.watch_status()
     }
 
     /// Reads the state as this replica has applied it.
--- a/crates/masticfield-control/src/actor/mod.rs
+++ b/crates/masticfield-control/src/actor/mod.rs
@@ -1,8 +1,10 @@
 //! The actor that holds the state of a replica.
 
+mod changes;
 mod control_actor;
 mod handle;
 mod plugin;
 
-pub(crate) use control_actor::ControlActor;
+pub(crate) use changes::StateChanges;
+pub(crate) use control_actor::{ControlActor, StateChange};
 pub use handle::{ControlHandle, ProposalError};
--- a/crates/masticfield-control/src/actor/plugin.rs
+++ b/crates/masticfield-control/src/actor/plugin.rs
@@ -4,10 +4,10 @@
 
 use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
 use masticfield_replica::{ReplicaHandle, ReplicaOptions};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use xtra::Mailbox;
 
-use super::{ControlActor, ControlHandle};
+use super::{ControlActor, ControlHandle, StateChanges};
 use crate::ControlSettings;
 
 inventory::submit! { Plugin::new("state", Program::Control, 0, start) }
@@ -15,14 +15,21 @@
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let settings = Arc::clone(cx.need::<Arc<ControlSettings>>()?);
-        let options = ReplicaOptions::new(settings.replica, &settings.data_dir);
+        let mut options = ReplicaOptions::new(settings.replica, &settings.data_dir)
+            .peers(settings.peers.iter().copied());
+        if let Some(address) = settings.replica_listen {
+            options = options.listen(address);
+        }
         let opened = ReplicaHandle::open(options).await;
         let (replica, mut applied) = opened.map_err(|source| KernelError::Start {
             plugin: "state",
             source: Box::new(source),
         })?;
+        let replica = Arc::new(replica);
         let (version_tx, version) = watch::channel(0);
-        let actor = xtra::spawn_tokio(ControlActor::new(version_tx), Mailbox::unbounded());
+        let (changes_tx, changes) = mpsc::unbounded_channel();
+        let actor = ControlActor::new(Arc::downgrade(&replica), version_tx, changes_tx);
+        let actor = xtra::spawn_tokio(actor, Mailbox::unbounded());
         let handle = ControlHandle::new(replica, actor.clone(), version);
         tokio::spawn(async move {
             while let Some(entry) = applied.recv().await {
@@ -32,6 +39,7 @@
             }
         });
         cx.provide(handle);
+        cx.provide(StateChanges::new(changes));
         Ok(())
     })
 }
--- a/crates/masticfield-control/src/args.rs
+++ b/crates/masticfield-control/src/args.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 use clap::Parser;
@@ -9,6 +10,7 @@
 use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
 use masticfield_node::args::{NodeArgs, NodeSettings};
 use masticfield_node::token::Token;
+use snafu::{OptionExt, Snafu};
 
 /// A replica of the durable state; the leader plans the fleet.
 #[derive(Debug, Clone, Parser)]
@@ -22,6 +24,12 @@
     /// Folder of the durable state
     #[arg(long, env = "MASTICFIELD_DATA_DIR")]
     data_dir: Option<PathBuf>,
+    /// Address for the other replicas; without it this replica is alone
+    #[arg(long, env = "MASTICFIELD_REPLICA_LISTEN")]
+    replica_listen: Option<String>,
+    /// The other replicas, as NUMBER=ADDRESS separated by commas
+    #[arg(long, env = "MASTICFIELD_PEERS", default_value = "")]
+    peers: String,
     /// Address for entries
     #[arg(
         long,
@@ -53,6 +61,10 @@
     pub replica: ReplicaId,
     /// Folder of the durable state.
     pub data_dir: PathBuf,
+    /// Address for the other replicas.
+    pub replica_listen: Option<SocketAddr>,
+    /// The other replicas and their addresses.
+    pub peers: Vec<(ReplicaId, SocketAddr)>,
     /// Address for entries.
     pub entry_listen: SocketAddr,
     /// Address for operators.
@@ -79,6 +91,10 @@
         let node = self.node.check(checker);
         let replica = checker.parse("--replica", &self.replica);
         let data_dir = checker.require("--data-dir", self.data_dir.clone());
+        let replica_listen = self.replica_listen.as_ref();
+        let replica_listen =
+            replica_listen.and_then(|text| checker.parse("--replica-listen", text));
+        let peers: Vec<Peer> = checker.parse_list("--peers", &self.peers);
         let entry_listen = checker.parse("--entry-listen", &self.entry_listen);
         let operator_listen = checker.parse("--operator-listen", &self.operator_listen);
         let token = check_token(self.token_file.clone(), checker);
@@ -88,6 +104,8 @@
             node: node?,
             replica: replica?,
             data_dir: data_dir?,
+            replica_listen,
+            peers: peers.iter().map(|peer| (peer.id, peer.address)).collect(),
             entry_listen: entry_listen?,
             operator_listen: operator_listen?,
             token: token?,
@@ -96,6 +114,29 @@
     }
 }
 
+/// Another replica, as it is written in the settings.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    id: ReplicaId,
+    address: SocketAddr,
+}
+
+/// The text names no replica.
+#[derive(Debug, Snafu)]
+#[snafu(display("a replica has the form NUMBER=ADDRESS:PORT"))]
+struct ParsePeerError;
+
+impl FromStr for Peer {
+    type Err = ParsePeerError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (id, address) = text.split_once('=').context(ParsePeerSnafu)?;
+        let id = id.trim().parse().ok().context(ParsePeerSnafu)?;
+        let address = address.trim().parse().ok().context(ParsePeerSnafu)?;
+        Ok(Self { id, address })
+    }
+}
+
 fn check_token(path: Option<PathBuf>, checker: &mut Checker) -> Option<Token> {
     let path = checker.require("--token-file", path)?;
     let token = Token::read(&path);
--- a/crates/masticfield-control/src/entries/connection.rs
+++ b/crates/masticfield-control/src/entries/connection.rs
@@ -1,5 +1,7 @@
 //! The connection of one entry.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use masticfield_core::claim::{Claim, ClaimVerdict};
@@ -10,9 +12,12 @@
 use masticfield_wire::{Connection, WireError};
 use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
+use xtra::Address;
 
-use super::EntryRegistry;
+use super::UpstreamReports;
+use super::lease_actor::{Connected, Disconnected, LeaseActor, Renewed};
+use super::link::Link;
 use crate::{ControlHandle, ProposalError};
 
 /// Messages to an entry that wait to be written, at most.
@@ -25,8 +30,9 @@
 #[derive(Debug, Clone)]
 pub(super) struct Acceptor {
     pub control: ControlHandle,
-    pub registry: EntryRegistry,
-    pub lease: Duration,
+    pub reports: UpstreamReports,
+    pub leases: Address<LeaseActor>,
+    pub next_number: Arc<AtomicU64>,
 }
 
 /// Why a connection ended.
@@ -47,16 +53,18 @@
         /// The cause.
         source: ProposalError,
     },
-    /// The writing half is gone.
-    #[snafu(display("the connection cannot be written"))]
-    Unwritable,
+    /// A later incarnation of the entry is registered.
+    #[snafu(display("a later incarnation of the entry is registered"))]
+    Superseded,
+    /// Another replica leads, or a later connection took the place of this one.
+    #[snafu(display("the connection was given up"))]
+    GivenUp,
 }
 
 struct EntryConnection {
     acceptor: Acceptor,
     info: EntryInfo,
     tx: mpsc::Sender<ControlToEntry>,
-    sent_version: u64,
 }
 
 /// Accepts connections until the shutdown begins.
@@ -90,6 +98,13 @@
         return NoHelloSnafu.fail();
     };
     log::info!(entry:% = info.id, zone:% = info.zone; "an entry connected");
+    if !register(&acceptor.control, &info).await? {
+        let leader = acceptor.control.leader().await?.entry;
+        connection
+            .send(&ControlToEntry::NotLeader { leader })
+            .await?;
+        return Ok(());
+    }
     let (mut reader, mut writer) = connection.split();
     let (tx, mut rx) = mpsc::channel::<ControlToEntry>(SEND_QUEUE);
     tokio::spawn(async move {
@@ -99,68 +114,85 @@
             }
         }
     });
-    let mut version = acceptor.control.version();
-    let mut entry = EntryConnection {
-        acceptor,
-        info,
-        tx,
-        sent_version: 0,
-    };
-    loop {
-        tokio::select! {
-            msg = reader.receive() => entry.receive(msg?).await?,
-            changed = version.changed() => {
-                if changed.is_err() {
-                    return Ok(());
-                }
-                entry.send_config().await?;
-            }
+    let number = acceptor.next_number.fetch_add(1, Ordering::Relaxed);
+    let (alive, mut given_up) = oneshot::channel();
+    let link = Link::new(info.clone(), number, tx.clone(), alive);
+    let leases = acceptor.leases.clone();
+    let entry = info.id;
+    let conversation = EntryConnection { acceptor, info, tx };
+    conversation.tell(Connected(link)).await?;
+    let result = loop {
+        let received = tokio::select! {
+            _ = &mut given_up => break GivenUpSnafu.fail(),
+            received = reader.receive() => received,
+        };
+        let handled = match received {
+            Ok(msg) => conversation.receive(msg).await,
+            Err(error) => Err(error.into()),
+        };
+        if handled.is_err() {
+            break handled;
         }
+    };
+    // An actor that is gone needs no notice.
+    drop(leases.send(Disconnected { entry, number }).await);
+    result
+}
+
+/// Registers an incarnation, so that a later leader knows of it; says whether this one leads.
+async fn register(control: &ControlHandle, info: &EntryInfo) -> Result<bool, ConnectionError> {
+    let (entry, incarnation) = (info.id, info.incarnation);
+    match control
+        .propose(Command::EntryUp { entry, incarnation })
+        .await
+    {
+        Ok(_verdict) => {}
+        Err(ProposalError::Propose { .. } | ProposalError::Late) => return Ok(false),
+        Err(error) => return Err(error.into()),
+    }
+    let latest = control
+        .query(move |state| state.entries().latest(entry))
+        .await?;
+    if latest.is_some_and(|latest| latest > incarnation) {
+        return SupersededSnafu.fail();
     }
+    Ok(true)
 }
 
 impl EntryConnection {
-    async fn receive(&mut self, msg: EntryToControl) -> Result<(), ConnectionError> {
+    async fn receive(&self, msg: EntryToControl) -> Result<(), ConnectionError> {
         match msg {
-            EntryToControl::Hello(info) => self.info = info,
-            EntryToControl::Renew { sequence, version } => self.renew(sequence, version).await?,
+            EntryToControl::Hello(_) => Ok(()),
+            EntryToControl::Renew { sequence, version } => {
+                let renewed = Renewed {
+                    entry: self.info.id,
+                    incarnation: self.info.incarnation,
+                    sequence,
+                    version,
+                };
+                self.tell(renewed).await
+            }
             EntryToControl::Upstreams { changed, expired } => {
-                self.acceptor.registry.report(changed, &expired);
+                self.acceptor.reports.report(changed, &expired);
+                Ok(())
+            }
+            EntryToControl::Claims { sequence, claims } => {
+                self.claim(sequence, claims);
+                Ok(())
+            }
+            EntryToControl::Ends(ends) => {
+                self.end(&ends);
+                Ok(())
             }
-            EntryToControl::Claims { sequence, claims } => self.claim(sequence, claims),
-            EntryToControl::Ends(ends) => self.end(&ends),
         }
-        Ok(())
     }
 
-    async fn renew(&mut self, sequence: u64, version: u64) -> Result<(), ConnectionError> {
-        if !self.acceptor.control.leads() {
-            return self.send(ControlToEntry::NotLeader { leader: None }).await;
-        }
-        let ttl = self.acceptor.lease;
-        self.acceptor.registry.renew(&self.info, version, ttl);
-        self.send_config().await?;
-        let version = self.sent_version;
-        self.send(ControlToEntry::Lease {
-            sequence,
-            version,
-            ttl,
-        })
-        .await
-    }
-
-    /// Sends the configuration if the entry was not sent this version yet.
-    async fn send_config(&mut self) -> Result<(), ConnectionError> {
-        let config = self
-            .acceptor
-            .control
-            .query(|state| state.config().clone())
-            .await?;
-        if config.version() == 0 || config.version() == self.sent_version {
-            return Ok(());
-        }
-        self.sent_version = config.version();
-        self.send(ControlToEntry::Config(Box::new(config))).await
+    async fn tell<M: Send + 'static>(&self, message: M) -> Result<(), ConnectionError>
+    where
+        LeaseActor: xtra::Handler<M, Return = ()>,
+    {
+        let told = self.acceptor.leases.send(message).await;
+        told.map_err(|_gone| ProposalError::Stopping.into())
     }
 
     /// Proposes claims beside the reading of further messages.
@@ -189,13 +221,6 @@
             }
         });
     }
-
-    async fn send(&self, msg: ControlToEntry) -> Result<(), ConnectionError> {
-        self.tx
-            .send(msg)
-            .await
-            .map_err(|_closed| ConnectionError::Unwritable)
-    }
 }
 
 /// The verdicts on claims; none if the claims could not be made durable.
--- a/crates/masticfield-control/src/entries/plugin.rs
+++ b/crates/masticfield-control/src/entries/plugin.rs
@@ -1,19 +1,31 @@
 //! The plug-in that listens to entries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
+use masticfield_core::timer::Timer;
 use masticfield_node::addresses::Addresses;
 use masticfield_node::admin::Readiness;
 use masticfield_node::http::BindError;
+use masticfield_state::LeaderAddresses;
+use masticfield_state::in_force::Timing;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
+use xtra::{Mailbox, WeakAddress};
 
-use super::EntryRegistry;
 use super::connection::{Acceptor, serve};
+use super::lease_actor::LeaseActor;
+use super::{LeaseHandle, UpstreamReports, leading};
+use crate::actor::StateChanges;
 use crate::{ControlHandle, ControlSettings};
 
+/// Interval at which leases that ran out are looked for.
+const TICK: Duration = Duration::from_millis(250);
+
 inventory::submit! { Plugin::new("entries", Program::Control, 1, start) }
+inventory::submit! { Plugin::new("leading", Program::Control, 3, start_leading) }
 
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
@@ -29,12 +41,25 @@
             }),
         })?;
         let address = listener.local_addr().unwrap_or(address);
-        let registry = EntryRegistry::default();
-        cx.provide(registry.clone());
-        let acceptor = Acceptor {
-            control: cx.need::<ControlHandle>()?.clone(),
-            registry,
+        let control = cx.need::<ControlHandle>()?.clone();
+        let timing = Timing {
             lease: settings.config_lease,
+            ..Timing::default()
+        };
+        let actor = LeaseActor::new(control.clone(), timing);
+        let leases = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        let changes = cx.need::<StateChanges>()?.take();
+        // The actor ends with the connections and handles, not with these tasks.
+        tokio::spawn(forward(changes, leases.downgrade()));
+        tokio::spawn(tick(Timer::spawn(), leases.downgrade()));
+        let reports = UpstreamReports::default();
+        cx.provide(reports.clone());
+        cx.provide(LeaseHandle::new(control.clone(), leases.clone()));
+        let acceptor = Acceptor {
+            control,
+            reports,
+            leases,
+            next_number: Arc::default(),
         };
         let tasks = cx.need::<TaskTracker>()?.clone();
         tasks.spawn(serve(listener, acceptor, cx.shutdown()));
@@ -44,3 +69,43 @@
         Ok(())
     })
 }
+
+/// Starts to lead, once every address is known.
+fn start_leading(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let addresses = cx.need::<Addresses>()?;
+        let reachable = |name| {
+            let address = addresses.address(name);
+            address.filter(|address| !address.ip().is_unspecified())
+        };
+        let leader = LeaderAddresses {
+            entry: reachable("entry"),
+            operator: reachable("operator"),
+        };
+        let control = cx.need::<ControlHandle>()?.clone();
+        let tasks = cx.need::<TaskTracker>()?.clone();
+        tasks.spawn(leading::run(control, leader, Timer::spawn(), cx.shutdown()));
+        Ok(())
+    })
+}
+
+/// Hands the changes of the state on, in their order.
+async fn forward(
+    mut changes: mpsc::UnboundedReceiver<crate::actor::StateChange>,
+    leases: WeakAddress<LeaseActor>,
+) {
+    while let Some(change) = changes.recv().await {
+        if leases.send(change).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick(timer: Timer, leases: WeakAddress<LeaseActor>) {
+    let mut ticks = timer.every(TICK);
+    while let Some(tick) = ticks.recv().await {
+        if leases.send(tick).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/masticfield-control/src/operator/plugin.rs
+++ b/crates/masticfield-control/src/operator/plugin.rs
@@ -8,7 +8,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::routes::Routes;
-use crate::entries::EntryRegistry;
+use crate::entries::{LeaseHandle, UpstreamReports};
 use crate::{ControlHandle, ControlSettings};
 
 inventory::submit! { Plugin::new("operator", Program::Control, 2, start) }
@@ -24,7 +24,8 @@
         })?;
         let routes = Routes {
             control: cx.need::<ControlHandle>()?.clone(),
-            registry: cx.need::<EntryRegistry>()?.clone(),
+            reports: cx.need::<UpstreamReports>()?.clone(),
+            leases: cx.need::<LeaseHandle>()?.clone(),
             token: settings.token.clone(),
             body_timeout: limits.body(),
         };
--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
+use masticfield_core::ids::ReplicaId;
 use masticfield_core::note::ReleaseNote;
 use masticfield_core::operator::{
     DrainAccepted, FleetStatus, NoteAccepted, Problem, RolloutStatus,
@@ -18,14 +19,15 @@
 use serde::Serialize;
 
 use super::reports;
-use crate::entries::EntryRegistry;
+use crate::entries::{LeaseHandle, UpstreamReports};
 use crate::{ControlHandle, ProposalError};
 
 /// Answers operators' requests.
 #[derive(Debug, Clone)]
 pub(super) struct Routes {
     pub control: ControlHandle,
-    pub registry: EntryRegistry,
+    pub reports: UpstreamReports,
+    pub leases: LeaseHandle,
     pub token: Token,
     pub body_timeout: Duration,
 }
@@ -59,7 +61,7 @@
             (&Method::GET, ["v1", "notes", number]) => ok(&self.rollout(number).await?),
             (&Method::GET, ["v1", "status"]) => ok(&self.status().await?),
             (&Method::GET, ["v1", "hosts"]) => ok(&self.query(reports::hosts).await?),
-            (&Method::GET, ["v1", "upstreams"]) => ok(&self.registry.upstream_rows()),
+            (&Method::GET, ["v1", "upstreams"]) => ok(&self.reports.upstream_rows()),
             (&Method::GET, ["v1", "jobs"]) => ok(&self.query(reports::jobs).await?),
             (&Method::GET, ["v1", "history"]) => {
                 let since = reports::since(&query);
@@ -82,12 +84,12 @@
     async fn apply(&self, req: Request<Incoming>) -> Result<NoteAccepted, Problem> {
         let note = self.read_note(req).await?;
         let number = note.number;
+        self.control.await_leader().await;
         let reply = self.control.propose(Command::Note(Box::new(note))).await;
-        match reply.map_err(|error| Self::problem(&error))? {
+        match self.decided(reply).await? {
             Reply::Note(result) => {
                 let accepted = result?;
                 log::info!(number, repeated = accepted.repeated; "a release note was accepted");
-                self.registry.accepted(number);
                 Ok(accepted)
             }
             _ => Err(Problem::Undecided),
@@ -96,8 +98,9 @@
 
     async fn drain(&self, host: &str) -> Result<DrainAccepted, Problem> {
         let command = Command::Drain { host: host.into() };
+        self.control.await_leader().await;
         let reply = self.control.propose(command).await;
-        match reply.map_err(|error| Self::problem(&error))? {
+        match self.decided(reply).await? {
             Reply::Drain(result) => result,
             _ => Err(Problem::Undecided),
         }
@@ -128,17 +131,25 @@
         if wanted == 0 || wanted > latest {
             return Err(not_found());
         }
-        Ok(self.registry.rollout(wanted))
+        self.control.await_leader().await;
+        self.check_lead().await?;
+        let rollout = self.leases.rollout(wanted).await;
+        rollout.map_err(|error| Self::problem(&error))
     }
 
     async fn status(&self) -> Result<FleetStatus, Problem> {
         let replica = self.control.replica_status();
-        let upstreams = self.registry.upstream_rows();
+        let upstreams = self.reports.upstream_rows();
         let mut status = self
             .query(move |state| reports::status(state, replica, &upstreams))
             .await?;
-        status.entries = self.registry.entry_rows();
-        status.in_force = self.registry.rollout(status.version).in_force;
+        if self.check_lead().await.is_err() {
+            return Ok(status);
+        }
+        let entries = self.leases.entry_rows().await;
+        status.entries = entries.map_err(|error| Self::problem(&error))?;
+        let rollout = self.leases.rollout(status.version).await;
+        status.in_force = rollout.map_err(|error| Self::problem(&error))?.in_force;
         Ok(status)
     }
 
@@ -152,13 +163,43 @@
             .map_err(|error| Self::problem(&error))
     }
 
+    /// Refuses what only the leader knows on a replica that does not lead, or may not.
+    async fn check_lead(&self) -> Result<(), Problem> {
+        let status = self.control.replica_status();
+        if status.holds_lease() {
+            return Ok(());
+        }
+        Err(self
+            .not_leader(status.leader.filter(|id| *id != status.id))
+            .await)
+    }
+
+    /// The reply to a proposal, or the problem with the leader's address.
+    async fn decided(&self, reply: Result<Reply, ProposalError>) -> Result<Reply, Problem> {
+        match reply {
+            Ok(reply) => Ok(reply),
+            Err(ProposalError::Propose {
+                source: ProposeError::NotLeader { leader },
+            }) => Err(self.not_leader(leader).await),
+            Err(error) => Err(Self::problem(&error)),
+        }
+    }
+
+    /// Names the leader, or says that there is none.
+    async fn not_leader(&self, leader: Option<ReplicaId>) -> Problem {
+        if leader.is_none() {
+            return Problem::NoQuorum;
+        }
+        let addresses = self.control.leader().await.unwrap_or_default();
+        Problem::NotLeader {
+            leader: addresses.operator,
+        }
+    }
+
     fn problem(error: &ProposalError) -> Problem {
         let error_chain = chain(error);
         log::info!(error = error_chain; "an operator's request was not carried out");
         match error {
-            ProposalError::Propose {
-                source: ProposeError::NotLeader { .. },
-            } => Problem::NotLeader { leader: None },
             ProposalError::Propose {
                 source: ProposeError::Stopped,
             } => Problem::NoQuorum,
--- /dev/null
+++ b/crates/masticfield-control/tests/control/main.rs
@@ -0,0 +1,5 @@
+//! A control process over loopback, with operators and entries.
+
+mod entries;
+mod operators;
+mod support;
--- /dev/null
+++ b/crates/masticfield-control/tests/control/support/mod.rs
@@ -0,0 +1,196 @@
+//! Control processes in this process, an operator and an entry.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use http::{HeaderMap, Method, StatusCode};
+use masticfield_control::{ControlArgs, RunningControl};
+use masticfield_core::ids::{EntryId, Incarnation};
+use masticfield_core::membership::EntryInfo;
+use masticfield_core::operator::RolloutStatus;
+use masticfield_node::http::Client;
+use masticfield_node::token::Token;
+use masticfield_state::in_force::{HolderEvent, HolderNext, LeaseHolder, Timing};
+use masticfield_wire::control::{ControlToEntry, EntryToControl};
+use masticfield_wire::{Connection, WireError};
+
+const TOKEN: &str = "a-token-for-tests-0123";
+/// Pause between two looks at something that is to come.
+pub const PAUSE: Duration = Duration::from_millis(20);
+
+/// A control process.
+pub struct Control {
+    running: RunningControl,
+    client: Client,
+}
+
+impl Control {
+    /// Starts replica `number` on a folder, with a lease of a second.
+    pub async fn start(dir: &Path, number: u64, more: &[&str]) -> Self {
+        let token_file = dir.join("token");
+        std::fs::write(&token_file, TOKEN).unwrap();
+        let (data_dir, replica) = (dir.join("data"), number.to_string());
+        let mut args = vec!["masticfield-control", "--replica", &replica];
+        args.extend(["--entry-listen", "127.0.0.1:0"]);
+        args.extend(["--operator-listen", "127.0.0.1:0", "--config-lease", "1s"]);
+        args.extend(["--data-dir", data_dir.to_str().unwrap()]);
+        args.extend(["--token-file", token_file.to_str().unwrap()]);
+        args.extend(more);
+        let settings = ControlArgs::parse_from(args).check().unwrap();
+        let running = RunningControl::start(settings).await.unwrap();
+        let client = Client::new(Duration::from_secs(10)).token(Token::new(TOKEN));
+        Self { running, client }
+    }
+
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.running.addresses().address(name).unwrap()
+    }
+
+    /// Stops the process, and waits until its folder is free.
+    pub async fn stop(self) {
+        self.running.trigger().pull();
+        self.running.wait().await;
+    }
+
+    pub async fn post(&self, path: &str, body: &str) -> (StatusCode, serde_json::Value) {
+        self.send(Method::POST, path, body).await
+    }
+
+    pub async fn get(&self, path: &str) -> (StatusCode, serde_json::Value) {
+        self.send(Method::GET, path, "").await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> (StatusCode, serde_json::Value) {
+        let uri = format!("http://{}{path}", self.address("operator"));
+        let sent = self
+            .client
+            .send(method, &uri, HeaderMap::new(), body.to_owned());
+        let (status, _headers, body) = sent.await.unwrap();
+        (status, serde_json::from_slice(&body).unwrap())
+    }
+
+    /// Sends a note until the group has a leader that accepts it.
+    pub async fn apply(&self, note: &str) {
+        loop {
+            let (status, body) = self.post("/v1/notes", note).await;
+            if status == StatusCode::OK {
+                return;
+            }
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// How far the roll-out of a note is.
+    pub async fn rollout(&self, number: u64) -> RolloutStatus {
+        let (status, body) = self.get(&format!("/v1/notes/{number}")).await;
+        assert_eq!(status, StatusCode::OK, "{body}");
+        serde_json::from_value(body).unwrap()
+    }
+}
+
+/// A note that adds one pool on top of `builds_on`.
+pub fn note(number: u64, builds_on: u64, pool: &str) -> String {
+    format!(
+        "number = {number}\nbuilds_on = {builds_on}\nsummary = \"adds {pool}\"\n\
+         [added]\npools = [{{ name = \"{pool}\", hosts = 1 }}]\n"
+    )
+}
+
+/// Addresses on loopback that nothing listens to.
+pub fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let listeners: [_; N] = std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
+}
+
+/// An entry that holds leases by the rules, and notes every version that it was sent.
+pub struct Entry {
+    link: Connection<ControlToEntry, EntryToControl>,
+    pub holder: LeaseHolder,
+    pub versions: Vec<u64>,
+    started: Instant,
+}
+
+impl Entry {
+    /// Connects an incarnation of entry 1 that has just started.
+    pub async fn connect(control: &Control, incarnation: u64) -> Self {
+        let mut link = Connection::connect(control.address("entry")).await.unwrap();
+        let hello = EntryInfo {
+            id: EntryId::new(1),
+            incarnation: Incarnation::new(incarnation),
+            peer_address: "127.0.0.1:1".parse().unwrap(),
+            zone: "z".into(),
+        };
+        link.send(&EntryToControl::Hello(hello)).await.unwrap();
+        let mut entry = Self {
+            link,
+            holder: LeaseHolder::new(Timing::default()),
+            versions: Vec::new(),
+            started: Instant::now(),
+        };
+        entry.step(HolderEvent::Connected).await;
+        entry
+    }
+
+    pub fn serving(&self) -> Option<u64> {
+        self.holder.serving(self.started.elapsed())
+    }
+
+    /// Sends a message.
+    pub async fn send(&mut self, msg: &EntryToControl) {
+        self.link.send(msg).await.unwrap();
+    }
+
+    /// Receives one message and follows the rules; returns it.
+    pub async fn receive(&mut self) -> Result<ControlToEntry, WireError> {
+        let msg = self.link.receive().await?;
+        match &msg {
+            ControlToEntry::Config(config) => {
+                let version = config.version();
+                self.versions.push(version);
+                self.step(HolderEvent::Config { version }).await;
+            }
+            ControlToEntry::Lease {
+                sequence,
+                version,
+                ttl,
+            } => {
+                let (sequence, version, ttl) = (*sequence, *version, *ttl);
+                self.step(HolderEvent::Lease {
+                    sequence,
+                    version,
+                    ttl,
+                })
+                .await;
+            }
+            _ => {}
+        }
+        Ok(msg)
+    }
+
+    /// Receives, and renews in between, until it serves `version`.
+    pub async fn serve(&mut self, version: u64) {
+        while self.serving() != Some(version) {
+            match tokio::time::timeout(PAUSE, self.receive()).await {
+                Ok(msg) => drop(msg.unwrap()),
+                Err(_silence) => self.step(HolderEvent::Tick).await,
+            }
+        }
+    }
+
+    async fn step(&mut self, event: HolderEvent) {
+        for next in self.holder.step(self.started.elapsed(), event) {
+            if let HolderNext::Renew { sequence, version } = next {
+                self.send(&EntryToControl::Renew { sequence, version })
+                    .await;
+            }
+        }
+    }
+}
--- a/crates/masticfield-state/src/command.rs
+++ b/crates/masticfield-state/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands to the replicated state.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use masticfield_core::claim::{Claim, ClaimEnd, ClaimKey};
@@ -64,6 +65,8 @@
     Lead {
         /// Its term.
         term: u64,
+        /// Where it is reached.
+        addresses: LeaderAddresses,
     },
     /// An entry asks for leases under a new incarnation.
     EntryUp {
@@ -88,6 +91,15 @@
     },
 }
 
+/// Where the leader is reached.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeaderAddresses {
+    /// By entries.
+    pub entry: Option<SocketAddr>,
+    /// By operators.
+    pub operator: Option<SocketAddr>,
+}
+
 impl Envelope {
     /// Wraps a command proposed at `at_ms` milliseconds since the Unix epoch.
     pub const fn new(at_ms: u64, command: Command) -> Self {
--- a/crates/masticfield-state/src/entries.rs
+++ b/crates/masticfield-state/src/entries.rs
@@ -27,6 +27,11 @@
         Some(*latest)
     }
 
+    /// Whether an incarnation is registered.
+    pub fn contains(&self, entry: EntryId, incarnation: Incarnation) -> bool {
+        self.entries.contains(&(entry, incarnation))
+    }
+
     /// Registers an incarnation that is later than the others of its entry.
     pub(crate) fn register(&mut self, entry: EntryId, incarnation: Incarnation) -> bool {
         let later = self.latest(entry).is_none_or(|last| last < incarnation);
--- a/crates/masticfield-state/src/lib.rs
+++ b/crates/masticfield-state/src/lib.rs
@@ -38,7 +38,7 @@
 mod verdict;
 
 pub use claims::ClaimTable;
-pub use command::{Command, Envelope};
+pub use command::{Command, Envelope, LeaderAddresses};
 pub use entries::EntryRoster;
 pub use guard::{Guard, Guards};
 pub use history::{History, ParseSubjectError, Subject};
--- a/crates/masticfield-state/src/state.rs
+++ b/crates/masticfield-state/src/state.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ClaimTable, Command, EntryRoster, Envelope, Guards, History, HostTable, NoteLog, Refusal,
-    Reply, Subject, TaskTable, Verdict,
+    ClaimTable, Command, EntryRoster, Envelope, Guards, History, HostTable, LeaderAddresses,
+    NoteLog, Refusal, Reply, Subject, TaskTable, Verdict,
 };
 
 /// The state that every control replica holds.
@@ -19,6 +19,7 @@
 pub struct State {
     applied: u64,
     term: u64,
+    leader: LeaderAddresses,
     pub(crate) notes: NoteLog,
     pub(crate) hosts: HostTable,
     pub(crate) tasks: TaskTable,
@@ -52,6 +53,11 @@
         self.term
     }
 
+    /// Where the leader of that term is reached.
+    pub const fn leader(&self) -> LeaderAddresses {
+        self.leader
+    }
+
     /// The configuration of the latest accepted note.
     pub const fn config(&self) -> &FleetConfig {
         self.notes.config()
@@ -129,7 +135,7 @@
             }
             Command::Drain { host } => Reply::Drain(self.drain_host(at_ms, host)),
             Command::Undrain { host } => Reply::Verdict(self.undrain_host(at_ms, host)),
-            Command::Lead { term } => Reply::Verdict(self.lead(*term)),
+            Command::Lead { term, addresses } => Reply::Verdict(self.lead(*term, *addresses)),
             Command::EntryUp { entry, incarnation } => {
                 Reply::Verdict(self.register(at_ms, *entry, *incarnation))
             }
@@ -195,7 +201,7 @@
         verdicts.collect()
     }
 
-    fn lead(&mut self, term: u64) -> Verdict {
+    fn lead(&mut self, term: u64, addresses: LeaderAddresses) -> Verdict {
         if term < self.term {
             let term = self.term;
             return Verdict::Refused(Refusal::OtherTerm { term });
@@ -204,6 +210,7 @@
             return Verdict::Repeated;
         }
         self.term = term;
+        self.leader = addresses;
         Verdict::Done
     }
 
--- a/crates/masticfield-state/tests/common/commands.rs
+++ b/crates/masticfield-state/tests/common/commands.rs
@@ -7,7 +7,7 @@
 use masticfield_core::fleet::{Action, Generation, Planned, Reason, TaskPhase};
 use masticfield_core::ids::{EntryId, Incarnation, RequestId};
 use masticfield_core::note::Resources;
-use masticfield_state::{Command, TaskEnd};
+use masticfield_state::{Command, LeaderAddresses, TaskEnd};
 use proptest::prelude::*;
 
 use crate::notes::note;
@@ -84,7 +84,7 @@
             .prop_map(|(host, drained)| Command::HostReport { host, drained }),
         2 => (host(), generation(), 0_u64..2)
             .prop_map(|(host, generation, term)| Command::LeasesEnded { host, generation, term }),
-        1 => (0_u64..2).prop_map(|term| Command::Lead { term }),
+        1 => (0_u64..2).prop_map(|term| Command::Lead { term, addresses: LeaderAddresses::default() }),
         1 => host().prop_map(|host| Command::Drain { host }),
         1 => host().prop_map(|host| Command::Undrain { host }),
         1 => (0_u32..3).prop_map(|attempt| Command::TasksEnded(vec![TaskEnd {
