fix(entry): do not blame an upstream for a deadline that passed before

Cause: a dispatch with no time left ended as "not sent", which counts against the upstream in outlier detection (note_health in the router). Change: it is withdrawn with "deadline-passed"; a test sends a deadline of 0 ms.

--- a/crates/masticfield-entry/src/callers/exchange.rs
+++ b/crates/masticfield-entry/src/callers/exchange.rs
@@ -47,6 +47,8 @@
     Refused,
     /// No byte of the request was sent.
     NotSent,
+    /// No time was left to send the request.
+    TooLate,
     /// No proof either way.
     Unknown(UnknownReason),
 }
--- a/crates/masticfield-entry/src/callers/front.rs
+++ b/crates/masticfield-entry/src/callers/front.rs
@@ -152,7 +152,7 @@
         hop: &Hop,
     ) -> Exchanged {
         if req.left().is_zero() {
-            return Exchanged::NotSent;
+            return Exchanged::TooLate;
         }
         let call = hop.call("upstream request");
         call.note("masticfield.upstream", dispatch.id.to_string());
@@ -225,6 +225,8 @@
         },
         Exchanged::Refused => Ending::Refused,
         Exchanged::NotSent => Ending::NotSent,
+        // The upstream is not to blame.
+        Exchanged::TooLate => Ending::Withdrawn(NotRunReason::DeadlinePassed),
         Exchanged::Unknown(reason) => Ending::Lost(*reason),
     }
 }
--- a/crates/masticfield-entry/tests/bounds.rs
+++ b/crates/masticfield-entry/tests/bounds.rs
@@ -49,6 +49,7 @@
 #[case::body_too_long("content-length: 1001\r\n", &"x".repeat(1_001), "400", "not-run")]
 #[case::body_too_slow("content-length: 9\r\n", "half", "400", "not-run")]
 #[case::deadline_no_number("masticfield-deadline-ms: soon\r\n", "", "400", "not-run")]
+#[case::no_time_left("masticfield-deadline-ms: 0\r\n", "", "503", "not-run")]
 #[tokio::test]
 async fn a_request_over_a_bound_is_not_run(
     #[case] headers: &str,
