test(entry): requests are answered elsewhere while an entry stops

Cause: the hand-over of slot homes was looked at only after the stop. Change: the second entry is asked all the while, and the time until the first is gone is printed.

--- a/crates/masticfield-entry/tests/peers.rs
+++ b/crates/masticfield-entry/tests/peers.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use masticfield_core::membership::UpstreamState;
 use masticfield_entry::RunningEntry;
@@ -118,7 +118,16 @@
         );
     until(async || upstream.runs("/slow") == 1).await;
     trigger.pull();
-    one.wait().await;
+    let began = Instant::now();
+    let stopped = tokio::spawn(one.wait());
+    // Meanwhile the slots that the stopping entry was home of are granted by another.
+    while !stopped.is_finished() {
+        assert_eq!(get(&two, "/whole").await.outcome(), "answered");
+    }
+    println!(
+        "gone after {} ms, with a request of 700 ms",
+        began.elapsed().as_millis()
+    );
     let answered = in_flight
         .await
         .unwrap()
