fix(replica): a group forms even if the founder's first word is lost

Cause: three control processes started one after another often never led. The founder with the lowest number hears the others before its own connections to them stand; its one message about the group was dropped with the failed connection, and nothing made it speak again. Ruled out: the operators' face and the test (by hand, with the three started at once, it worked). Change: a replica that knows no group greets its peers every 200 ms; the founder answers each greeting with the group, as it did for new connections.

--- a/crates/masticfield-programs/tests/processes/main.rs
+++ b/crates/masticfield-programs/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! The programs as separate processes, with ports from the system.
 
 mod bad_input;
+mod failover;
 mod operator;
 mod support;
 mod traces;
--- a/crates/masticfield-programs/tests/processes/support/installation.rs
+++ b/crates/masticfield-programs/tests/processes/support/installation.rs
@@ -10,10 +10,10 @@
 use super::Process;
 use super::process::wait_for;
 
-const CONTROL: &str = env!("CARGO_BIN_EXE_masticfield-control");
-const ENTRY: &str = env!("CARGO_BIN_EXE_masticfield-entry");
-const FAKE: &str = env!("CARGO_BIN_EXE_masticfield-fake");
-const CLI: &str = env!("CARGO_BIN_EXE_masticfield");
+pub(super) const CONTROL: &str = env!("CARGO_BIN_EXE_masticfield-control");
+pub(super) const ENTRY: &str = env!("CARGO_BIN_EXE_masticfield-entry");
+pub(super) const FAKE: &str = env!("CARGO_BIN_EXE_masticfield-fake");
+pub(super) const CLI: &str = env!("CARGO_BIN_EXE_masticfield");
 
 /// A program that tests run to its end.
 #[derive(Debug, Clone, Copy)]
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -27,6 +27,9 @@
 /// Requests or messages that one pass of the loop takes, at most.
 const MAX_BATCH: usize = 1_024;
 
+/// Time between two greetings of a replica that knows no group.
+const HELLO_PERIOD: Duration = Duration::from_millis(200);
+
 /// Proposals and changes that wait to be committed, at most.
 const MAX_WAITERS: usize = 8_192;
 
@@ -58,6 +61,8 @@
     pub(super) status: watch::Sender<ReplicaStatus>,
     pub(super) members: watch::Sender<Membership>,
     pub(super) traffic: Arc<TrafficCounter>,
+    /// When the peers are greeted again while no group is known.
+    pub(super) hello_due: Duration,
     pub(super) keys: Option<Keys>,
 }
 
@@ -97,6 +102,7 @@
                 _ = ticks.tick() => {
                     let jitter = jitter(self.timing);
                     self.step(Event::Tick { jitter });
+                    self.repeat_hello();
                 }
                 () = self.deliveries.closed() => return,
             }
@@ -161,6 +167,22 @@
         }
     }
 
+    /// Greets the peers again while no group is known.
+    ///
+    /// The founder tells of the group once, and on each greeting; the first time is lost if its
+    /// connection to this replica is not there yet.
+    fn repeat_hello(&mut self) {
+        let now = self.now();
+        if self.replica.log().last_index() > 0 || now < self.hello_due {
+            return;
+        }
+        self.hello_due = now + HELLO_PERIOD;
+        let hello = self.hello.borrow().clone();
+        for link in self.links.values() {
+            link.send(PeerMessage::Hello(hello.clone()));
+        }
+    }
+
     /// Connects to the peers, and forms a group if all founders are there.
     fn form(&mut self) {
         for (id, address) in self.peers.clone() {
--- a/crates/masticfield-replica/src/runtime/start.rs
+++ b/crates/masticfield-replica/src/runtime/start.rs
@@ -90,6 +90,7 @@
         status: status_tx,
         members: members_tx,
         traffic: Arc::clone(&traffic),
+        hello_due: std::time::Duration::ZERO,
         keys: options.handshake_keys(),
     };
 
