--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod fleet_name;
 pub mod path;
 pub mod routing;
+pub mod state;
--- /dev/null
+++ b/crates/masticfield-measure/src/state/group.rs
@@ -0,0 +1,138 @@
+//! Three replicas over loopback.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use masticfield_core::ids::ReplicaId;
+use masticfield_replica::{OpenError, ReplicaOptions};
+use snafu::ResultExt;
+use tempfile::TempDir;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::error::{IoSnafu, OpenSnafu, StateError, TimeoutSnafu};
+use super::node::Node;
+
+/// Replicas of the group.
+pub(super) const SIZE: usize = 3;
+
+/// Longest wait for anything.
+pub(super) const PATIENCE: Duration = Duration::from_mins(2);
+
+/// Pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(1);
+
+/// The replicas, their folders and their sockets.
+#[derive(Debug)]
+pub(super) struct Group {
+    dirs: Vec<TempDir>,
+    listeners: Vec<Arc<TcpListener>>,
+    nodes: watch::Sender<Vec<Option<Node>>>,
+}
+
+impl Group {
+    /// Starts all replicas with empty folders.
+    pub(super) async fn start() -> Result<Self, StateError> {
+        let (mut dirs, mut listeners) = (Vec::new(), Vec::new());
+        for _ in 0..SIZE {
+            dirs.push(tempfile::tempdir().context(IoSnafu)?);
+            let listener = TcpListener::bind("127.0.0.1:0").context(IoSnafu)?;
+            listeners.push(Arc::new(listener));
+        }
+        let (nodes, _) = watch::channel(vec![None; SIZE]);
+        let group = Self {
+            dirs,
+            listeners,
+            nodes,
+        };
+        group.open_all().await?;
+        Ok(group)
+    }
+
+    /// Starts every replica.
+    pub(super) async fn open_all(&self) -> Result<(), StateError> {
+        for at in 0..SIZE {
+            self.open(at).await?;
+        }
+        self.leader().await.map(drop)
+    }
+
+    /// Starts a replica.
+    pub(super) async fn open(&self, at: usize) -> Result<(), StateError> {
+        let id = |at: usize| ReplicaId::new(at as u64 + 1);
+        let mut peers = Vec::new();
+        for peer in (0..SIZE).filter(|peer| *peer != at) {
+            let address = self.listeners[peer].local_addr().context(IoSnafu)?;
+            peers.push((id(peer), address));
+        }
+        let options = ReplicaOptions::new(id(at), self.dirs[at].path())
+            .listener(Arc::clone(&self.listeners[at]))
+            .peers(peers);
+        let node = open_unlocked(options).await.context(OpenSnafu)?;
+        self.nodes.send_modify(|nodes| nodes[at] = Some(node));
+        Ok(())
+    }
+
+    /// Drops a replica without any notice to the others.
+    pub(super) async fn kill(&self, at: usize) {
+        let mut killed = None;
+        self.nodes.send_modify(|nodes| killed = nodes[at].take());
+        let Some(node) = killed else { return };
+        let mut status = node.handle().watch_status();
+        drop(node);
+        while status.changed().await.is_ok() {}
+    }
+
+    /// All running replicas.
+    pub(super) fn nodes(&self) -> Vec<Node> {
+        self.nodes.borrow().iter().flatten().cloned().collect()
+    }
+
+    /// Sees the replicas come and go.
+    pub(super) fn watch(&self) -> watch::Receiver<Vec<Option<Node>>> {
+        self.nodes.subscribe()
+    }
+
+    /// The replica that leads and holds a lease.
+    pub(super) async fn leader(&self) -> Result<(usize, Node), StateError> {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            let nodes = self.nodes.borrow().clone();
+            let mut running = nodes.into_iter().enumerate();
+            let leader = running.find_map(|(at, node)| {
+                node.filter(|node| node.handle().status().holds_lease())
+                    .map(|node| (at, node))
+            });
+            if let Some(leader) = leader {
+                return Ok(leader);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        TimeoutSnafu {
+            what: "elect a leader",
+        }
+        .fail()
+    }
+
+    /// Waits until every running replica has applied a command.
+    pub(super) async fn wait_applied(&self, index: u64) -> Result<(), StateError> {
+        for node in self.nodes() {
+            let waited = timeout(PATIENCE, node.wait_applied(index)).await;
+            if waited.is_err() {
+                return TimeoutSnafu { what: "catch up" }.fail();
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Opens a replica once the one before it has closed the folder.
+async fn open_unlocked(options: ReplicaOptions) -> Result<Node, OpenError> {
+    loop {
+        match Node::open(options.clone()).await {
+            Err(OpenError::Locked { .. }) => tokio::time::sleep(POLL).await,
+            opened => return opened,
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-measure/src/state/load.rs
@@ -0,0 +1,198 @@
+//! Writers of commands.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use hdrhistogram::Histogram;
+use masticfield_core::claim::{Claim, ClaimKey, ClaimVerdict};
+use masticfield_core::ids::{EntryId, RequestId};
+use masticfield_core::note::ReleaseNote;
+use masticfield_state::{Command, Envelope, Reply};
+use tokio::sync::watch;
+
+use super::node::Node;
+
+/// Writers that wait for their reply before they write again.
+pub(super) const WRITERS: u16 = 64;
+
+/// What all writers of one phase came to.
+#[derive(Debug)]
+pub(super) struct Written {
+    /// Replies.
+    pub(super) count: u64,
+    /// Time from proposal to reply, in microseconds.
+    pub(super) latency_us: Histogram<u64>,
+    /// Claims that were granted.
+    pub(super) granted: Vec<Claim>,
+}
+
+/// What the writers write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// Commands that change nothing.
+    Nothing,
+    /// One claim in each command.
+    Claims,
+}
+
+/// Milliseconds since the Unix epoch.
+pub(super) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// A claim with a key of its own.
+pub(super) fn claim(seed: u64, writer: u16, sequence: u64) -> Claim {
+    let mut digest = [0; 16];
+    digest[..8].copy_from_slice(&seed.to_le_bytes());
+    digest[8..].copy_from_slice(&(sequence << 16 | u64::from(writer)).to_le_bytes());
+    Claim {
+        key: ClaimKey::from_digest(digest, now_ms() / 1_000),
+        fingerprint: digest,
+        request: RequestId::new(EntryId::new(writer), sequence),
+    }
+}
+
+/// Runs all writers against one replica for a period, or until enough is written.
+pub(super) async fn write(node: &Node, kind: Kind, seed: u64, until: Until) -> Written {
+    let left = Arc::new(AtomicU64::new(until.count));
+    let end = Instant::now() + until.period;
+    let writers: Vec<_> = (0..WRITERS)
+        .map(|writer| {
+            let (node, left) = (node.clone(), Arc::clone(&left));
+            tokio::spawn(write_alone(node, kind, (seed, writer), left, end))
+        })
+        .collect();
+    let mut total = Written::new();
+    for writer in writers {
+        let written = writer.await.expect("a writer does not panic");
+        total.count += written.count;
+        total.granted.extend(written.granted);
+        let added = total.latency_us.add(&written.latency_us);
+        added.expect("the histograms have the same bounds");
+    }
+    total
+}
+
+/// When writers end: after a period or a count, whichever comes first.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Until {
+    pub(super) period: Duration,
+    pub(super) count: u64,
+}
+
+impl Written {
+    fn new() -> Self {
+        Self {
+            count: 0,
+            latency_us: Histogram::new(3).expect("three digits are within bounds"),
+            granted: Vec::new(),
+        }
+    }
+}
+
+async fn write_alone(
+    node: Node,
+    kind: Kind,
+    (seed, writer): (u64, u16),
+    left: Arc<AtomicU64>,
+    end: Instant,
+) -> Written {
+    let mut written = Written::new();
+    while Instant::now() < end && take_one(&left) {
+        let claim = claim(seed, writer, written.count);
+        let command = match kind {
+            Kind::Nothing => Command::Nothing,
+            Kind::Claims => Command::Claims(vec![claim]),
+        };
+        let start = Instant::now();
+        let reply = node.propose(&Envelope::new(now_ms(), command)).await;
+        let Ok(reply) = reply else { break };
+        let us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        written.latency_us.saturating_record(us);
+        written.count += 1;
+        if reply == Reply::Claims(vec![ClaimVerdict::Granted]) {
+            written.granted.push(claim);
+        }
+    }
+    written
+}
+
+fn take_one(left: &AtomicU64) -> bool {
+    let taken = left.try_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+        left.checked_sub(1)
+    });
+    taken.is_ok()
+}
+
+/// What was acknowledged while leaders came and went.
+#[derive(Debug, Default)]
+pub(super) struct Stream {
+    /// Claims that were granted.
+    pub(super) granted: Vec<Claim>,
+    /// Highest number of a note that was accepted.
+    pub(super) accepted_note: u64,
+    /// Reads that gave a lower version than one acknowledged before.
+    pub(super) reverted: u64,
+}
+
+/// Writes notes and claims, and reads the version, at whichever replica leads.
+pub(super) async fn stream(
+    nodes: watch::Receiver<Vec<Option<Node>>>,
+    seed: u64,
+    first_note: u64,
+    stop: Arc<AtomicBool>,
+) -> Stream {
+    let mut stream = Stream {
+        accepted_note: first_note - 1,
+        ..Stream::default()
+    };
+    let mut sequence = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let all = nodes.borrow().clone();
+        let leader = all
+            .into_iter()
+            .flatten()
+            .find(|node| node.handle().status().holds_lease());
+        let Some(leader) = leader else {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            continue;
+        };
+        sequence += 1;
+        stream
+            .write_claim(&leader, claim(seed, u16::MAX, sequence))
+            .await;
+        stream.write_note(&leader).await;
+        if let Some(version) = leader.read_version() {
+            stream.reverted += u64::from(version < stream.accepted_note);
+        }
+    }
+    stream
+}
+
+impl Stream {
+    async fn write_claim(&mut self, leader: &Node, claim: Claim) {
+        let command = Command::Claims(vec![claim]);
+        let reply = leader.propose(&Envelope::new(now_ms(), command)).await;
+        if reply == Ok(Reply::Claims(vec![ClaimVerdict::Granted])) {
+            self.granted.push(claim);
+        }
+    }
+
+    async fn write_note(&mut self, leader: &Node) {
+        let note = ReleaseNote {
+            number: self.accepted_note + 1,
+            builds_on: self.accepted_note,
+            summary: "nothing changes".into(),
+            ..ReleaseNote::default()
+        };
+        let command = Command::Note(Box::new(note));
+        let reply = leader.propose(&Envelope::new(now_ms(), command)).await;
+        if matches!(reply, Ok(Reply::Note(Ok(_)))) {
+            self.accepted_note += 1;
+        }
+    }
+}
