feat(measure): the experiment fleet, and drains that end

Cause: one drain that did not end held up a note for 16 simulated hours and the wave with it. Change: a task that does not end by its checkpoint is stopped; repairs take surplus from pools in maintenance; the experiment plays notes, losses, flapping, wrong sizes and a cancellation wave. Ruled out: a cover borrowed from the spare pool; its budget does not bear the wave.

--- a/crates/masticfield-fake/src/platform/task.rs
+++ b/crates/masticfield-fake/src/platform/task.rs
@@ -65,7 +65,9 @@
         }
         match command {
             TaskCommand::Throttle => self.phase = TaskPhase::Throttled,
-            TaskCommand::Checkpoint => self.ends = Some(now + timings.checkpoint),
+            TaskCommand::Checkpoint => {
+                self.ends.get_or_insert(now + timings.checkpoint);
+            }
             TaskCommand::Stop => self.phase = TaskPhase::Stopped,
         }
     }
--- a/crates/masticfield-fleet/src/control_loop.rs
+++ b/crates/masticfield-fleet/src/control_loop.rs
@@ -13,7 +13,7 @@
 use crate::orders;
 use crate::placement::Learnt;
 use crate::plan::Planner;
-use crate::reserve::ReservePolicy;
+use crate::reserve::{self, ReservePolicy};
 use crate::view::{FleetView, HostRecords, JobRecords};
 
 /// Drives a fleet in one process; planned actions take effect at once.
@@ -79,6 +79,15 @@
         self.observer.cursor()
     }
 
+    /// Hosts that the policy asks for beyond the need of pools, and hosts that are held so.
+    pub fn buffer(&self, now: Duration) -> (u32, u32) {
+        let budgets = BTreeMap::new();
+        let observation = self.observer.observation(now);
+        let view = self.view(&observation, &budgets);
+        let index = FleetIndex::new(&view, now, self.planner.reserve_policy());
+        (reserve::asked(&index), reserve::buffer(&index))
+    }
+
     /// Forgets all that a new leader does not know: reports, flaps and learnt sizes.
     pub fn fail_over(&mut self) {
         self.observer = Observer::new();
--- a/crates/masticfield-fleet/src/placement/relief.rs
+++ b/crates/masticfield-fleet/src/placement/relief.rs
@@ -15,6 +15,9 @@
 /// Tasks of withdrawn jobs that are stopped in one plan, at most.
 const CANCELLATIONS: usize = 32;
 
+/// Time within which a checkpoint ends a task.
+const CHECKPOINT_LIMIT: Duration = Duration::from_mins(2);
+
 /// Time for a measure to show in the usage, which is reported with a lag.
 const RELIEF_SHOWS: Duration = Duration::from_secs(30);
 
@@ -43,19 +46,29 @@
 }
 
 /// Checkpoints the tasks of draining hosts, so that they go on elsewhere.
+///
+/// A task that does not end by its checkpoint is stopped, so that no drain waits for ever.
 pub fn leave_draining(draft: &mut Draft<'_>, load: &mut Load<'_>) {
+    let now = draft.index().now();
     let draining = |task: &&LiveTask<'_>| {
         let host = draft.index().host_key(&task.record.host);
         let host = host.map(|key| draft.host(key));
         let drains = host.is_some_and(|it| it.standing() == Standing::Draining && !it.is_failed());
-        drains && !task.is_leaving()
+        let ordered = task.record.ordered_at.filter(|_| task.is_leaving());
+        let waits = ordered.is_some_and(|at| now < at + CHECKPOINT_LIMIT);
+        drains && !waits && task.record.order < Some(TaskOrderKind::Stop)
     };
     let tasks: Vec<_> = load.live().iter().filter(draining).cloned().collect();
     for task in tasks {
         let host = draft.index().host_key(&task.record.host);
         let reason = host.and_then(|key| draft.host(key).drained_for().cloned());
         let reason = reason.unwrap_or(Reason::Operator);
-        order(draft, load, &task, TaskOrderKind::Checkpoint, reason);
+        let kind = if task.is_leaving() {
+            TaskOrderKind::Stop
+        } else {
+            TaskOrderKind::Checkpoint
+        };
+        order(draft, load, &task, kind, reason);
     }
 }
 
--- a/crates/masticfield-fleet/src/plan/maintenance.rs
+++ b/crates/masticfield-fleet/src/plan/maintenance.rs
@@ -176,7 +176,10 @@
         if let Some(host) = moves::best_free(draft, pool) {
             draft.own(host, pool, Reason::MaintenanceDue { programme });
         } else if draft.may_move() {
-            moves::take_surplus(draft, pool);
+            let idle = draft.index().pools().filter(|(_, pool)| pool.out == 0);
+            let idle: Vec<_> = idle.map(|(key, _)| key).collect();
+            let done = |giver: PoolKey| idle.contains(&giver) && !self.due_in.contains_key(giver);
+            moves::take_surplus_of(draft, pool, done);
         }
     }
 
--- a/crates/masticfield-fleet/src/plan/moves.rs
+++ b/crates/masticfield-fleet/src/plan/moves.rs
@@ -46,9 +46,17 @@
 
 /// Drains the host of another pool's surplus that spreads `pool` best.
 pub fn take_surplus(draft: &mut Draft<'_>, pool: PoolKey) -> bool {
+    take_surplus_of(draft, pool, |_| true)
+}
+
+/// Drains a host of the surplus of those pools that pass a test.
+pub fn take_surplus_of(
+    draft: &mut Draft<'_>,
+    pool: PoolKey,
+    test: impl Fn(PoolKey) -> bool,
+) -> bool {
     let givers = givers(draft, pool, |draft, giver| {
-        let giver = draft.pool(giver);
-        giver.surplus() > 0 && giver.out == 0
+        draft.pool(giver).surplus() > 0 && test(giver)
     });
     take_from(draft, pool, givers)
 }
--- a/crates/masticfield-fleet/src/plan/planner.rs
+++ b/crates/masticfield-fleet/src/plan/planner.rs
@@ -96,6 +96,11 @@
         self
     }
 
+    /// Where the reserve is kept.
+    pub const fn reserve_policy(&self) -> ReservePolicy {
+        self.reserve
+    }
+
     /// The next actions, most important first; none on a fleet that matches.
     pub fn plan(&self, view: &FleetView<'_>, now: Duration) -> Vec<Planned> {
         let mut draft = Draft::new(view, now, self.reserve, self.guards);
--- a/crates/masticfield-fleet/src/reserve/mod.rs
+++ b/crates/masticfield-fleet/src/reserve/mod.rs
@@ -8,4 +8,4 @@
 mod sizing;
 
 pub use shortfall::shortfalls;
-pub use sizing::{ReservePolicy, ReserveSize, buffer, shared, target};
+pub use sizing::{ReservePolicy, ReserveSize, asked, buffer, shared, target};
--- a/crates/masticfield-fleet/src/reserve/sizing.rs
+++ b/crates/masticfield-fleet/src/reserve/sizing.rs
@@ -78,6 +78,16 @@
     held.sum()
 }
 
+/// Hosts that the policy asks for beyond the need of pools other than spare ones.
+pub fn asked(index: &FleetIndex<'_>) -> u32 {
+    let pools = index.pools().map(|(_, pool)| pool);
+    let asked = pools.map(|pool| {
+        let needed = if pool.is_spare() { 0 } else { pool.needed };
+        pool.target.saturating_sub(needed)
+    });
+    asked.sum()
+}
+
 /// Hosts that programmes take out at the same time, at most.
 fn batch(index: &FleetIndex<'_>) -> u32 {
     let programmes = index.view().config.maintenance().values();
--- /dev/null
+++ b/crates/masticfield-measure/src/fleet/bounds.rs
@@ -0,0 +1,115 @@
+//! Bounds that no policy can beat, worked out without the planner.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use masticfield_core::config::FleetConfig;
+use masticfield_core::fleet::Ownership;
+use masticfield_fleet::view::HostRecords;
+
+/// Least hosts beyond the need of the pools that make up for a rack during a batch.
+///
+/// However the pools are spread, some rack holds at least the average number of their hosts.
+pub(super) fn buffer(config: &FleetConfig) -> u32 {
+    let racks: BTreeSet<_> = config
+        .hosts()
+        .values()
+        .map(|it| (&it.zone, &it.rack))
+        .collect();
+    let racks = u32::try_from(racks.len()).unwrap_or(u32::MAX).max(1);
+    let needed: u32 = config
+        .pools()
+        .values()
+        .filter(|it| !it.spare)
+        .map(|it| it.hosts)
+        .sum();
+    let spare: u32 = config
+        .pools()
+        .values()
+        .filter(|it| it.spare)
+        .map(|it| it.hosts)
+        .sum();
+    let batch = config
+        .maintenance()
+        .values()
+        .map(|it| it.batch)
+        .max()
+        .unwrap_or(0);
+    spare.max(needed.div_ceil(racks) + batch)
+}
+
+/// Least moves after hosts are lost.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LossMoves {
+    /// Hosts that are needed in place of lost ones.
+    pub(super) replaced: usize,
+    /// Hosts that fill the spare pool again once the lost ones are back.
+    pub(super) refilled: usize,
+}
+
+/// Least moves after hosts are lost.
+pub(super) fn moves_after_loss(
+    config: &FleetConfig,
+    hosts: &HostRecords,
+    lost: &[Arc<str>],
+) -> LossMoves {
+    let count = Counts::new(config, hosts, lost);
+    let mut missing = 0;
+    let mut surplus = 0;
+    for pool in config.pools().values().filter(|it| !it.spare) {
+        let left = count.left.get(&pool.name).copied().unwrap_or(0);
+        let needed = pool.hosts as usize;
+        missing += needed.saturating_sub(left);
+        surplus += left.saturating_sub(needed);
+    }
+    let spare = config.pools().values().find(|it| it.spare);
+    let Some(spare) = spare else {
+        return LossMoves {
+            replaced: missing,
+            refilled: 0,
+        };
+    };
+    let left = count.left.get(&spare.name).copied().unwrap_or(0);
+    let borrowed = missing.saturating_sub(count.free + surplus).min(left);
+    LossMoves {
+        replaced: missing.min(count.free + surplus + left),
+        refilled: (spare.hosts as usize).saturating_sub(left - borrowed),
+    }
+}
+
+/// Pools whose budget does not bear a wave over their hosts, a batch at a time.
+///
+/// Each needs one more host at least that stands in for those that are out.
+pub(super) fn covers(config: &FleetConfig) -> usize {
+    let Some(programme) = config.maintenance().values().next() else {
+        return 0;
+    };
+    let pools = config.pools().values().filter(|pool| {
+        let outage = programme.expected_outage * pool.hosts.div_ceil(programme.batch.max(1));
+        let mut services = config.services().values().filter(|it| it.pool == pool.name);
+        services.any(|service| service.promise.budget() < outage)
+    });
+    pools.filter(|pool| !pool.spare).count()
+}
+
+struct Counts {
+    left: BTreeMap<Arc<str>, usize>,
+    free: usize,
+}
+
+impl Counts {
+    fn new(config: &FleetConfig, hosts: &HostRecords, lost: &[Arc<str>]) -> Self {
+        let mut left = BTreeMap::new();
+        let mut free = 0;
+        for host in config.hosts().keys().filter(|it| !lost.contains(it)) {
+            match hosts.get(host).map(|record| &record.ownership) {
+                Some(Ownership::Owned { pool, .. }) => {
+                    *left.entry(Arc::clone(pool)).or_default() += 1;
+                }
+                None | Some(Ownership::Released { .. }) => free += 1,
+                Some(Ownership::Draining { .. }) => {}
+            }
+        }
+        Self { left, free }
+    }
+}
--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod capacity;
 pub mod claims;
 pub mod experiment;
+pub mod fleet;
 pub mod fleet_name;
 pub mod path;
 pub mod routing;
