--- a/crates/masticfield-state/src/lib.rs
+++ b/crates/masticfield-state/src/lib.rs
@@ -28,6 +28,7 @@
 mod guard;
 mod history;
 mod hosts;
+pub mod in_force;
 mod notes;
 mod refusal;
 mod reply;
@@ -37,7 +38,7 @@
 mod verdict;
 
 pub use claims::ClaimTable;
-pub use command::{Command, Envelope};
+pub use command::{Command, Envelope, LeaderAddresses};
 pub use entries::EntryRoster;
 pub use guard::{Guard, Guards};
 pub use history::{History, ParseSubjectError, Subject};
