refactor(entry): keep the time left with the caller's request

Cause: CallerRequest::left stood in the file about claims. Change: moved to the file of its type; nothing else.

--- a/crates/masticfield-entry/src/callers/once.rs
+++ b/crates/masticfield-entry/src/callers/once.rs
@@ -1,7 +1,7 @@
 //! A request that must run at most once, from its claim to its final answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use masticfield_core::claim::{Claim, ClaimEnd};
 use masticfield_core::ids::RequestId;
@@ -150,10 +150,3 @@
         }
     }
 }
-
-impl CallerRequest {
-    /// The time that is left until the deadline.
-    pub(super) fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-}
--- a/crates/masticfield-entry/src/callers/request.rs
+++ b/crates/masticfield-entry/src/callers/request.rs
@@ -77,6 +77,11 @@
         })
     }
 
+    /// The time that is left until the deadline.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Whether the request may run twice without harm.
     pub(super) fn is_idempotent(&self) -> bool {
         self.method.is_idempotent()
