--- a/crates/masticfield-control/src/entries/plugin.rs
+++ b/crates/masticfield-control/src/entries/plugin.rs
@@ -51,7 +51,7 @@
         let changes = cx.need::<StateChanges>()?.take();
         // The actor ends with the connections and handles, not with these tasks.
         tokio::spawn(forward(changes, leases.downgrade()));
-        tokio::spawn(tick(Timer::spawn(), leases.downgrade()));
+        tokio::spawn(tick(cx.timer().clone(), leases.downgrade()));
         let reports = UpstreamReports::default();
         cx.provide(reports.clone());
         cx.provide(LeaseHandle::new(control.clone(), leases.clone()));
@@ -84,7 +84,12 @@
         };
         let control = cx.need::<ControlHandle>()?.clone();
         let tasks = cx.need::<TaskTracker>()?.clone();
-        tasks.spawn(leading::run(control, leader, Timer::spawn(), cx.shutdown()));
+        tasks.spawn(leading::run(
+            control,
+            leader,
+            cx.timer().clone(),
+            cx.shutdown(),
+        ));
         Ok(())
     })
 }
--- a/crates/masticfield-control/src/metrics/plugin.rs
+++ b/crates/masticfield-control/src/metrics/plugin.rs
@@ -7,7 +7,7 @@
 
 use super::gauges::Gauges;
 use crate::ControlHandle;
-use crate::entries::EntryRegistry;
+use crate::entries::LeaseHandle;
 
 /// Time between two looks at the values.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -22,7 +22,7 @@
             source: Box::new(source),
         })?;
         let control = cx.need::<ControlHandle>()?.clone();
-        let registry = cx.need::<EntryRegistry>()?.clone();
+        let leases = cx.need::<LeaseHandle>()?.clone();
         let mut ticks = cx.timer().every(PERIOD);
         let mut shutdown = cx.shutdown();
         tokio::spawn(async move {
@@ -32,7 +32,7 @@
                     _ = ticks.recv() => {}
                 }
                 let version = *control.version().borrow();
-                let entries = registry.entry_rows().len();
+                let entries = leases.entry_rows().await.map_or(0, |rows| rows.len());
                 gauges.show(control.replica_status(), version, entries);
             }
         });
