fix(control): wait for connected entries before a note counts as in force for operators

Ruled out: counting every registered entry; one that crashes again and again would hold it up. Change: connected entries without a lease are pending; an entry's registration waits for an election as an operator's request does.

--- a/crates/masticfield-control/src/entries/connection.rs
+++ b/crates/masticfield-control/src/entries/connection.rs
@@ -142,6 +142,7 @@
 /// Registers an incarnation, so that a later leader knows of it; says whether this one leads.
 async fn register(control: &ControlHandle, info: &EntryInfo) -> Result<bool, ConnectionError> {
     let (entry, incarnation) = (info.id, info.incarnation);
+    control.await_leader().await;
     match control
         .propose(Command::EntryUp { entry, incarnation })
         .await
--- a/crates/masticfield-control/src/entries/lease_actor.rs
+++ b/crates/masticfield-control/src/entries/lease_actor.rs
@@ -74,6 +74,8 @@
     pub in_force: u64,
     /// The entries that may hold a lease, with the version that each acknowledged.
     pub leased: Vec<EntryRow>,
+    /// The connected entries that hold no lease yet.
+    pub joining: Vec<EntryId>,
 }
 
 impl LeaseActor {
@@ -313,8 +315,9 @@
         let Some(leading) = &self.leading else {
             return Progress::default();
         };
-        let progress = leading.granter.progress(self.now());
-        let leased = progress.filter(|entry| entry.leased).map(|entry| {
+        let entries = leading.granter.progress(self.now());
+        let (leased, idle): (Vec<_>, Vec<_>) = entries.partition(|entry| entry.leased);
+        let leased = leased.into_iter().map(|entry| {
             let link = self.links.get(&entry.entry);
             EntryRow {
                 entry: entry.entry,
@@ -322,9 +325,13 @@
                 version: entry.acked,
             }
         });
+        let idle = idle.into_iter().map(|entry| entry.entry);
         Progress {
             in_force: leading.granter.in_force(),
             leased: leased.collect(),
+            joining: idle
+                .filter(|entry| self.links.contains_key(entry))
+                .collect(),
         }
     }
 }
--- a/crates/masticfield-control/src/entries/lease_handle.rs
+++ b/crates/masticfield-control/src/entries/lease_handle.rs
@@ -35,11 +35,15 @@
             .iter()
             .partition(|entry| entry.version >= number);
         let ids = |entries: Vec<&EntryRow>| entries.iter().map(|entry| entry.entry).collect();
+        let mut pending: Vec<_> = ids(pending);
+        // They cannot serve an earlier version, but whoever waits wants them to serve this one.
+        let joining = !progress.joining.is_empty();
+        pending.extend(progress.joining);
         Ok(RolloutStatus {
             number,
             acknowledged: ids(served),
-            pending: ids(pending),
-            in_force: recorded || progress.in_force >= number,
+            pending,
+            in_force: (recorded || progress.in_force >= number) && !joining,
             in_force_after_ms,
         })
     }
