test(programs): apply the sample once the entry has connected

Cause: serving() applied a note while its entry was still connecting; the note was in force at once, truly, since nobody held a lease, and the readiness of the entry was checked too early. Change: serving() waits until the status lists the entry; every check stays as it was.

--- a/crates/masticfield-programs/tests/processes/bad_input.rs
+++ b/crates/masticfield-programs/tests/processes/bad_input.rs
@@ -16,6 +16,8 @@
 fn serving() -> (Installation, Process) {
     let installation = Installation::start();
     let entry = installation.start_entry(1, "vit-a", 1, &[]);
+    // Without it the note could be in force before the installation knows of the entry.
+    installation.wait_until(&["status"], |status| status["entries"] != json!([]));
     installation.report(&["apply", VITORIA, "--wait"]);
     (installation, entry)
 }
