test(state): long histories of hand-overs

Cause: the model explores two generations and four seconds only. Change: random histories over the same steps, 150 steps, eight generations, 30 s; the removal of two guards is found by at most 60 of them.

--- a/crates/masticfield-state/tests/model_hand_over.rs
+++ b/crates/masticfield-state/tests/model_hand_over.rs
@@ -13,6 +13,9 @@
 use explore::{Model, explore};
 use masticfield_core::fleet::{Generation, Ownership};
 use masticfield_state::{Guard, Guards, HostRecord, HostStep, HostTable};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
 use rstest::rstest;
 
 /// Seconds that a lease of the host lasts.
@@ -21,8 +24,6 @@
 const DELAY: u64 = 1;
 /// Seconds that the host's clock may lose during a lease and a delay.
 const MARGIN: u64 = 1;
-/// Generations that are explored.
-const MAX_GENERATION: u64 = 2;
 const HOST: &str = "host-1";
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -66,6 +67,8 @@
 struct HandOver {
     guards: Guards,
     time: u64,
+    /// Generations that are reached.
+    generations: u64,
 }
 
 impl World {
@@ -225,15 +228,16 @@
         add("release".into(), &|world| {
             world.commit(&HostStep::Release { generation });
         });
-        if g < MAX_GENERATION {
+        if g < self.generations {
             add("resume".into(), &|world| {
                 world.commit(&HostStep::Resume { generation });
             });
+            let pool = if g % 2 == 0 { "p0" } else { "p1" };
             let own = HostStep::Own {
-                pool: "p1".into(),
+                pool: pool.into(),
                 generation: generation.next(),
             };
-            add("own by p1".into(), &|world| world.commit(&own));
+            add(format!("own by {pool}"), &|world| world.commit(&own));
         }
         if world.renews() {
             add("renew".into(), &World::renew);
@@ -302,6 +306,7 @@
         &HandOver {
             guards: Guards::all(),
             time: 4,
+            generations: 2,
         },
     );
     assert_eq!(explored.counterexample, None);
@@ -316,7 +321,54 @@
     let model = HandOver {
         guards: Guards::without(guard),
         time: 4,
+        generations: 2,
     };
     let explored = explore(&format!("hand-over without {guard:?}"), &model);
     assert!(explored.counterexample.is_some());
 }
+
+/// Takes the steps that `choices` pick; returns the first violation.
+fn walk(guards: Guards, choices: &[u16]) -> Option<String> {
+    let model = HandOver {
+        guards,
+        time: 30,
+        generations: 8,
+    };
+    let mut world = World::start(guards);
+    for choice in choices {
+        let mut next = model.next(&world);
+        if next.is_empty() {
+            return None;
+        }
+        world = next.swap_remove(usize::from(*choice) % next.len()).1;
+        if let Some(violation) = model.violation(&world) {
+            return Some(violation);
+        }
+    }
+    None
+}
+
+fn histories() -> impl Strategy<Value = Vec<u16>> {
+    proptest::collection::vec(any::<u16>(), 150)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(60))]
+
+    #[test]
+    fn long_histories_never_put_a_host_into_two_pools(choices in histories()) {
+        prop_assert_eq!(walk(Guards::all(), &choices), None);
+    }
+}
+
+#[rstest]
+#[case::generation(Guard::Generation)]
+#[case::release(Guard::Release)]
+fn long_histories_find_a_removed_guard(#[case] guard: Guard) {
+    let mut runner = TestRunner::deterministic();
+    let found = (0..60).any(|_| {
+        let choices = histories().new_tree(&mut runner).unwrap().current();
+        walk(Guards::without(guard), &choices).is_some()
+    });
+    assert!(found, "no history finds it");
+}
