perf(entry): keep an entry's share of an upstream's connections

Cause: 20,000 requests by 32 callers opened 11,210 connections to the one upstream; at most 8 unused ones were kept whatever the number of entries, and the others were closed after each use. Ruled out: the upstream closing them (TIME-WAIT stood on the upstream's port only, 9,422; 32 towards the entry). Change: an entry keeps 64 connections shared by the number of entries, which is what an upstream accepts.

--- a/crates/masticfield-entry/src/callers/exchange.rs
+++ b/crates/masticfield-entry/src/callers/exchange.rs
@@ -26,8 +26,8 @@
 /// Time after which an unused connection to an upstream is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Unused connections to one upstream that are kept, at most.
-const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Connections that an upstream keeps for all entries together.
+const UPSTREAM_CONNECTIONS: usize = 64;
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -54,15 +54,17 @@
 }
 
 impl Exchange {
-    /// Creates a client without connections.
-    pub(super) fn new() -> Self {
+    /// Creates a client without connections, of one of so many entries.
+    ///
+    /// It keeps at most its share of an upstream's connections while they are unused.
+    pub(super) fn new(entry_count: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .pool_max_idle_per_host((UPSTREAM_CONNECTIONS / entry_count.max(1)).max(1))
             .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Self { client }
--- a/crates/masticfield-entry/src/callers/plugin.rs
+++ b/crates/masticfield-entry/src/callers/plugin.rs
@@ -41,7 +41,7 @@
             tasks: cx.need::<TaskTracker>()?.clone(),
             router: cx.need::<Address<RouterActor>>()?.clone(),
             control: cx.need::<ControlLink>()?.clone(),
-            exchange: Exchange::new(),
+            exchange: Exchange::new(settings.entry_count),
             metrics: cx.need::<Metrics>()?.clone(),
             tracing: cx.need::<Tracing>()?.clone(),
             shutdown: cx.shutdown(),
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -156,13 +156,6 @@
         self.heard.note(hello);
         self.form();
         if formed {
-            // The word that the group was found may have been lost with an earlier connection.
-            let hello = self.hello.borrow().clone();
-            if !hello.formed
-                && let Some(link) = self.links.get(&peer.id())
-            {
-                link.send(PeerMessage::Hello(hello));
-            }
             return;
         }
         let founding = self.replica.log().entry(1).map(|entry| &entry.body);
