fix(routing): an entry that has just started gives no vote, a lapsed home begins anew

Ruled out: pledges on disk; most entries have none, and one second at the start is short. Change: no home is followed for the first pledge after the start; a lapse ends the office; handed over slots count only if most entries come straight from that home; a removed upstream keeps its lease until nothing of it can be left. Requests of the experiment begin 2 s after the entries.

--- a/crates/masticfield-measure/src/routing/scenario.rs
+++ b/crates/masticfield-measure/src/routing/scenario.rs
@@ -11,7 +11,9 @@
 
 /// Entries that share the executors.
 const ENTRIES: u16 = 8;
-/// Quiet time before the first surge.
+/// Time after the start of the entries at which the first requests arrive.
+const FIRST_REQUESTS: Duration = Duration::from_secs(2);
+/// Time from the start of the entries until the first surge.
 const LEAD_IN: Duration = Duration::from_secs(6);
 /// Length of each surge.
 const SURGE: Duration = Duration::from_secs(8);
@@ -144,6 +146,11 @@
         (0..self.services.len()).find(within)
     }
 
+    /// When the first requests arrive.
+    pub const fn start(&self) -> Duration {
+        FIRST_REQUESTS
+    }
+
     /// When the last request arrives.
     pub fn end(&self) -> Duration {
         self.surge(self.services.len()).0
--- a/crates/masticfield-measure/src/routing/simulation/mod.rs
+++ b/crates/masticfield-measure/src/routing/simulation/mod.rs
@@ -143,7 +143,8 @@
 
     fn plan(&mut self) {
         for service in 0..self.scenario.services().len() {
-            self.events.push(Duration::ZERO, Event::Arrival(service));
+            let start = self.scenario.start();
+            self.events.push(start, Event::Arrival(service));
             let first = self.executors.iter().position(|e| e.service == service);
             let leaves = Event::Leaves(first.unwrap_or(0));
             self.events.push(self.scenario.leaves_at(service), leaves);
--- a/crates/masticfield-routing/src/guards.rs
+++ b/crates/masticfield-routing/src/guards.rs
@@ -7,6 +7,10 @@
     Majority,
     /// A new home waits out the longest grant of the old one.
     WaitOut,
+    /// A home whose majority has lapsed takes office anew.
+    Lapse,
+    /// An entry that started a moment ago gives no vote, as it may have given one before.
+    Restart,
     /// A lowered grant counts in full until the receiver has taken it over.
     TakenOver,
     /// A grant lasts from the sending of the wish, not from its receipt.
--- a/crates/masticfield-routing/src/router/finish.rs
+++ b/crates/masticfield-routing/src/router/finish.rs
@@ -42,7 +42,6 @@
         }
         self.pump(now, service);
         self.report_release(now, done.upstream);
-        self.drop_if_idle(done.upstream);
     }
 
     fn note_health(&mut self, now: Duration, key: UpstreamKey, ending: Ending) {
--- a/crates/masticfield-routing/src/router/mod.rs
+++ b/crates/masticfield-routing/src/router/mod.rs
@@ -84,6 +84,7 @@
     actions: Vec<RouterAction>,
     counters: Counters,
     stopping: bool,
+    ticked_at: Duration,
     next_tick: Duration,
 }
 
@@ -107,6 +108,7 @@
             actions: Vec::new(),
             counters: Counters::default(),
             stopping: false,
+            ticked_at: Duration::ZERO,
             next_tick: Duration::ZERO,
         }
     }
--- a/crates/masticfield-routing/src/router/table.rs
+++ b/crates/masticfield-routing/src/router/table.rs
@@ -64,6 +64,9 @@
             }
             self.remove_key(key);
         }
+        if let Some(key) = self.revive(now, news) {
+            return Some(key);
+        }
         Some(self.insert_upstream(now, news))
     }
 
@@ -76,11 +79,32 @@
         }
     }
 
+    /// Brings back an upstream that was removed a moment ago, with what is in flight there.
+    fn revive(&mut self, now: Duration, news: &Announcement) -> Option<UpstreamKey> {
+        let same = |upstream: &Upstream| {
+            upstream.news.id == news.id && upstream.news.incarnation == news.incarnation
+        };
+        let mut upstreams = self.upstreams.iter();
+        let (key, _) = upstreams.find(|(_, upstream)| same(upstream))?;
+        let upstream = &mut self.upstreams[key];
+        upstream.removed_at = None;
+        upstream.next_wish = now;
+        if upstream.news.state.takes_new_work() {
+            upstream.news.state = news.state;
+        }
+        let service = upstream.service;
+        self.upstream_ids.insert(Arc::clone(&news.id), key);
+        if let Some(served) = service.and_then(|service| self.services.get_mut(service)) {
+            served.upstreams.push(key);
+        }
+        Some(key)
+    }
+
     fn insert_upstream(&mut self, now: Duration, news: &Announcement) -> UpstreamKey {
         let service = self.service_names.get(&news.service).copied();
         let upstream = Upstream {
             service,
-            removed: false,
+            removed_at: None,
             in_flight: 0,
             share: static_share(&news.id, news.slots, self.identity.entry, &self.entries),
             lease: self.new_lease(news),
@@ -131,20 +155,23 @@
 
     fn remove_key(&mut self, key: UpstreamKey) {
         let upstream = &mut self.upstreams[key];
-        upstream.removed = true;
+        upstream.removed_at = Some(self.ticked_at);
         self.upstream_ids.remove(&upstream.news.id);
         if let Some(served) = upstream.service.and_then(|s| self.services.get_mut(s)) {
             served.upstreams.retain(|known| *known != key);
         }
-        self.drop_if_idle(key);
     }
 
-    /// Drops a removed upstream once nothing is in flight there.
-    pub(super) fn drop_if_idle(&mut self, key: UpstreamKey) {
-        let upstream = &self.upstreams[key];
-        if upstream.removed && upstream.in_flight == 0 {
-            self.upstreams.remove(key);
-        }
+    /// Drops removed upstreams once no grant or request of theirs can be left.
+    pub(super) fn drop_removed(&mut self, now: Duration) {
+        let services = &self.services;
+        let ttl = self.options.grant_ttl + self.options.pledge;
+        self.upstreams.retain(|_, upstream| {
+            let served = upstream.service.and_then(|service| services.get(service));
+            let run_limit = served.map_or(Duration::ZERO, |served| served.run_limit);
+            let gone = |at: Duration| now > at + ttl + run_limit && upstream.in_flight == 0;
+            !upstream.removed_at.is_some_and(gone)
+        });
     }
 
     /// Assigns upstreams to services anew after the services have changed.
@@ -159,7 +186,7 @@
                 continue;
             };
             upstream.home.raise_run_limit(served.run_limit);
-            if !upstream.removed {
+            if upstream.removed_at.is_none() {
                 served.upstreams.push(key);
             }
         }
--- a/crates/masticfield-routing/src/router/tick.rs
+++ b/crates/masticfield-routing/src/router/tick.rs
@@ -19,6 +19,8 @@
         for upstream in self.upstreams.values_mut() {
             upstream.health.wake(now);
         }
+        self.ticked_at = now;
+        self.drop_removed(now);
         self.end_pauses(now);
         for service in self.services.keys().collect::<Vec<_>>() {
             self.count_own_lanes(service);
--- a/crates/masticfield-routing/src/router/upstream.rs
+++ b/crates/masticfield-routing/src/router/upstream.rs
@@ -13,8 +13,10 @@
 pub(super) struct Upstream {
     pub(super) news: Announcement,
     pub(super) service: Option<ServiceKey>,
-    /// Whether it is out of the table and stays only until nothing is in flight.
-    pub(super) removed: bool,
+    /// When it was taken out of the table.
+    ///
+    /// It stays until nothing can be in flight there, as it may come back.
+    pub(super) removed_at: Option<Duration>,
     pub(super) in_flight: u16,
     pub(super) share: u16,
     pub(super) lease: Lease,
@@ -30,6 +32,6 @@
 
 impl Upstream {
     pub(super) const fn takes_new_work(&self) -> bool {
-        self.news.state.takes_new_work() && !self.removed
+        self.news.state.takes_new_work() && self.removed_at.is_none()
     }
 }
--- a/crates/masticfield-routing/src/slots/account.rs
+++ b/crates/masticfield-routing/src/slots/account.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use masticfield_core::ids::Incarnation;
+use masticfield_core::slot::Epoch;
 
 use super::SlotWish;
 
@@ -23,6 +24,8 @@
     pub(super) voted_until: Duration,
     /// Whether the entry told its holding since the home took office.
     pub(super) heard: bool,
+    /// Epoch of the home that the entry followed before this one.
+    pub(super) came_from: Epoch,
     pub(super) wished_at: Duration,
     pub(super) need: u16,
     pub(super) ahead: u16,
@@ -39,6 +42,7 @@
             seq: 0,
             voted_until: Duration::ZERO,
             heard: false,
+            came_from: Epoch::new(0),
             wished_at: Duration::ZERO,
             need: 0,
             ahead: 0,
--- a/crates/masticfield-routing/src/slots/home.rs
+++ b/crates/masticfield-routing/src/slots/home.rs
@@ -51,8 +51,6 @@
     run_limit: Duration,
     entries: Vec<EntryId>,
     epoch: Epoch,
-    /// Highest epoch of another home that an entry has reported.
-    seen: Epoch,
     first_stamp: Duration,
     number: u64,
     tenure: Option<Tenure>,
@@ -70,7 +68,6 @@
             run_limit: Duration::ZERO,
             entries: Vec::new(),
             epoch: Epoch::new(0),
-            seen: Epoch::new(0),
             first_stamp: Duration::ZERO,
             number: 0,
             tenure: None,
@@ -101,6 +98,9 @@
 
     /// Takes a wish and returns the grants that follow from it.
     pub fn wish(&mut self, now: Duration, from: EntryId, wish: &SlotWish) -> Vec<(EntryId, Grant)> {
+        if self.tenure.is_some() && !self.has_majority(now) && self.guards.has(Guard::Lapse) {
+            self.leave_office(now);
+        }
         self.raise_epoch(now, wish.epoch);
         if !self.note(now, from, wish) {
             return Vec::new();
@@ -142,6 +142,9 @@
             return false;
         }
         account.note(now, wish);
+        if wish.epoch != self.epoch {
+            account.came_from = wish.epoch;
+        }
         account.settle(wish.taken, wish.holding, expires);
         account.expire(now);
         if let Some(stamp) = wish.echo
@@ -155,9 +158,6 @@
 
     /// Starts a new epoch if an entry has seen a higher one.
     fn raise_epoch(&mut self, now: Duration, theirs: Epoch) {
-        if theirs != self.epoch {
-            self.seen = self.seen.max(theirs);
-        }
         if theirs > self.epoch || self.epoch == Epoch::new(0) {
             let round = (theirs.number() >> ENTRY_BITS) + 1;
             let me = u64::from(self.options.me.number());
@@ -197,14 +197,15 @@
     }
 
     /// Counts the slots that the home before this one left free.
+    ///
+    /// Most entries must come straight from that home, so that none was in office in between.
     fn use_handover(&mut self) {
-        let Some(tenure) = &mut self.tenure else {
+        let (Some(tenure), Some(resigned)) = (&mut self.tenure, &self.handover) else {
             return;
         };
-        if let Some(resigned) = &self.handover
-            && !tenure.handed_over
-            && resigned.epoch == self.seen
-        {
+        let accounts = self.accounts.values();
+        let came = accounts.filter(|a| a.came_from == resigned.epoch).count();
+        if !tenure.handed_over && came > self.entries.len() / 2 {
             tenure.known += resigned.free;
             tenure.handed_over = true;
         }
--- a/crates/masticfield-routing/src/slots/lease.rs
+++ b/crates/masticfield-routing/src/slots/lease.rs
@@ -62,7 +62,16 @@
 
 impl Lease {
     /// Creates a lease that allows nothing.
-    pub const fn new(options: LeaseOptions, guards: Guards) -> Self {
+    ///
+    /// The entry follows no home in the first moments after its start: before the start it may
+    /// have pledged itself to another one. Times are counted from the start of the process.
+    pub fn new(options: LeaseOptions, guards: Guards) -> Self {
+        let trusts_memory = !guards.has(Guard::Restart);
+        let pledged_until = if trusts_memory {
+            Duration::ZERO
+        } else {
+            options.pledge
+        };
         Self {
             options,
             guards,
@@ -72,7 +81,7 @@
             seq: 0,
             sent: VecDeque::new(),
             echo: None,
-            pledged_until: Duration::ZERO,
+            pledged_until,
             taken: 0,
             limit: 0,
             until: Duration::ZERO,
