--- a/crates/masticfield-replica/tests/group/main.rs
+++ b/crates/masticfield-replica/tests/group/main.rs
@@ -39,6 +39,22 @@
     }
 }
 
+#[rstest]
+#[case::lowest_first([0, 1, 2])]
+#[case::lowest_last([2, 1, 0])]
+#[tokio::test]
+async fn founders_that_start_one_after_another_form_a_group(#[case] order: [usize; 3]) {
+    let mut group = Replicas::new(3).without_listeners();
+    for at in order {
+        group.start(at).await;
+        tokio::time::sleep(std::time::Duration::from_millis(30)).await;
+    }
+    group.propose(5).await;
+    for at in 0..3 {
+        group.check_acknowledged(at).await;
+    }
+}
+
 #[tokio::test]
 async fn follower_names_the_leader() {
     let group = Replicas::new(3).start_all().await;
--- a/crates/masticfield-replica/tests/group/replicas.rs
+++ b/crates/masticfield-replica/tests/group/replicas.rs
@@ -1,7 +1,7 @@
 //! Replicas in this process, each with a folder and a socket.
 
 use std::collections::BTreeMap;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,6 +37,7 @@
 pub struct Replicas {
     dirs: Vec<TempDir>,
     listeners: Vec<Arc<TcpListener>>,
+    addresses: Vec<SocketAddr>,
     running: Vec<Option<Running>>,
     founders: usize,
     acknowledged: BTreeMap<u64, Vec<u8>>,
@@ -70,6 +71,7 @@
         let mut group = Self {
             dirs: Vec::new(),
             listeners: Vec::new(),
+            addresses: Vec::new(),
             running: Vec::new(),
             founders: size,
             acknowledged: BTreeMap::new(),
@@ -87,6 +89,12 @@
         self
     }
 
+    /// Closes the sockets, so that each replica listens only once it starts.
+    pub fn without_listeners(mut self) -> Self {
+        self.listeners.clear();
+        self
+    }
+
     /// Gives each replica its keys.
     pub fn with_keys(mut self, keys: impl IntoIterator<Item = Keys>) -> Self {
         self.keys = keys.into_iter().collect();
@@ -117,6 +125,7 @@
     fn grow(&mut self) {
         self.dirs.push(tempfile::tempdir().unwrap());
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        self.addresses.push(listener.local_addr().unwrap());
         self.listeners.push(Arc::new(listener));
         self.running.push(None);
     }
@@ -126,13 +135,14 @@
     }
 
     pub async fn start(&mut self, at: usize) {
-        let peers = (0..self.founders).filter(|peer| *peer != at).map(|peer| {
-            let address = self.listeners[peer].local_addr().unwrap();
-            (Self::id(peer), address)
-        });
-        let mut options = ReplicaOptions::new(Self::id(at), self.dirs[at].path())
-            .listener(Arc::clone(&self.listeners[at]))
-            .peers(peers);
+        let peers = (0..self.founders)
+            .filter(|peer| *peer != at)
+            .map(|peer| (Self::id(peer), self.addresses[peer]));
+        let mut options = ReplicaOptions::new(Self::id(at), self.dirs[at].path()).peers(peers);
+        options = match self.listeners.get(at) {
+            Some(listener) => options.listener(Arc::clone(listener)),
+            None => options.listen(self.addresses[at]),
+        };
         if let Some(sync) = self.sync.clone().filter(|_| at == 0) {
             options = options.sync(sync);
         }
