--- a/crates/masticfield-replica/tests/model/main.rs
+++ b/crates/masticfield-replica/tests/model/main.rs
@@ -4,6 +4,8 @@
 //! its bounds and checks each state. Without one of the guards it finds a counterexample.
 
 mod search;
+mod sent;
+mod start;
 mod world;
 
 use masticfield_replica::consensus::Defect;
--- a/crates/masticfield-replica/tests/model/world.rs
+++ b/crates/masticfield-replica/tests/model/world.rs
@@ -1,6 +1,5 @@
 //! Three replicas, their disks and the network between them.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -13,7 +12,9 @@
 };
 use masticfield_replica::{Entry, EntryBody, HardState, Identity, Membership, Stored, Write};
 
-const NOW: Duration = Duration::ZERO;
+use crate::sent::Sent;
+
+pub const NOW: Duration = Duration::ZERO;
 
 /// Failures and operations that a search may still use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -43,8 +44,8 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Node {
-    replica: Replica,
+pub struct Node {
+    pub replica: Replica,
     stored: Stored,
     unsynced: Vec<Write>,
     waiting: Vec<Envelope>,
@@ -55,14 +56,14 @@
 /// The state of all replicas, with what was seen of leaders and commits.
 #[derive(Debug, Clone)]
 pub struct World {
-    nodes: Vec<Arc<Node>>,
-    network: BTreeSet<Arc<Sent>>,
-    budget: Budget,
-    defect: Option<Defect>,
-    reuse_identity: bool,
-    leaders: BTreeMap<u64, Identity>,
-    committed: BTreeMap<u64, (Entry, u64)>,
-    broken: Option<String>,
+    pub nodes: Vec<Arc<Node>>,
+    pub network: BTreeSet<Arc<Sent>>,
+    pub budget: Budget,
+    pub defect: Option<Defect>,
+    pub reuse_identity: bool,
+    pub leaders: BTreeMap<u64, Identity>,
+    pub committed: BTreeMap<u64, (Entry, u64)>,
+    pub broken: Option<String>,
     /// How this state was reached; no part of it.
     pub step: Option<Step>,
 }
@@ -80,13 +81,6 @@
     Change(usize, Change),
 }
 
-/// A message under way, in the order of its encoding.
-#[derive(Debug, Clone)]
-pub struct Sent {
-    key: Vec<u8>,
-    envelope: Envelope,
-}
-
 impl PartialEq for World {
     fn eq(&self, other: &Self) -> bool {
         self.parts() == other.parts()
@@ -103,27 +97,7 @@
     }
 }
 
-impl PartialEq for Sent {
-    fn eq(&self, other: &Self) -> bool {
-        self.key == other.key
-    }
-}
-
-impl Eq for Sent {}
-
-impl PartialOrd for Sent {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Sent {
-    fn cmp(&self, other: &Self) -> Ordering {
-        self.key.cmp(&other.key)
-    }
-}
-
-fn identity(number: u64, incarnation: u64) -> Identity {
+pub fn identity(number: u64, incarnation: u64) -> Identity {
     Identity::new(ReplicaId::new(number), Incarnation::new(incarnation))
 }
 
@@ -143,7 +117,7 @@
     Membership::new((0..3).map(|number| (identity(number, 0), address)))
 }
 
-fn founded() -> Stored {
+pub fn founded() -> Stored {
     let body = EntryBody::Members(group());
     let founding = Entry {
         index: 1,
@@ -161,7 +135,7 @@
 }
 
 impl Node {
-    fn start(me: Identity, stored: Stored, defect: Option<Defect>) -> Self {
+    pub fn start(me: Identity, stored: Stored, defect: Option<Defect>) -> Self {
         Self {
             replica: Replica::new(me, Timing::zero(), stored.clone()).with_defect(defect),
             stored,
@@ -200,93 +174,6 @@
 }
 
 impl World {
-    /// Three replicas that have formed a group.
-    pub fn new(defect: Option<Defect>) -> Self {
-        Self::with_stored(defect, [founded(), founded(), founded()])
-    }
-
-    /// A group in which two leaders each wrote an entry that reached no other replica.
-    pub fn diverged(defect: Option<Defect>) -> Self {
-        let stored = |terms: &[u64], term| {
-            let mut stored = founded();
-            stored.hard_state = HardState { term, vote: None };
-            for (index, term) in (2..).zip(terms) {
-                let entry = Entry {
-                    index,
-                    term: *term,
-                    body: EntryBody::Nothing,
-                };
-                stored.entries.push(entry);
-            }
-            stored
-        };
-        Self::with_stored(defect, [stored(&[2], 3), stored(&[], 3), stored(&[3], 3)])
-    }
-
-    fn with_stored(defect: Option<Defect>, stored: [Stored; 3]) -> Self {
-        let nodes = (0..)
-            .zip(stored)
-            .map(|(number, stored)| Arc::new(Node::start(identity(number, 0), stored, defect)));
-        Self {
-            nodes: nodes.collect(),
-            network: BTreeSet::new(),
-            budget: Budget::NONE,
-            defect,
-            reuse_identity: false,
-            leaders: BTreeMap::new(),
-            committed: BTreeMap::new(),
-            broken: None,
-            step: None,
-        }
-    }
-
-    /// Elects a replica and lets every message arrive.
-    pub fn with_leader(mut self, node: usize) -> Self {
-        // The second tick is the heartbeat that tells what is committed.
-        for _ in 0..2 {
-            self.feed(node, Event::Tick { jitter: NOW });
-            self.settle();
-        }
-        self
-    }
-
-    fn settle(&mut self) {
-        loop {
-            (0..self.nodes.len()).for_each(|node| self.sync(node));
-            let Some(sent) = self.network.pop_first() else {
-                return;
-            };
-            self.deliver(sent.envelope.clone());
-        }
-    }
-
-    /// Elects a replica by the vote of one peer, and loses every message to the third.
-    pub fn with_bare_leader(mut self, node: usize, peer: usize) -> Self {
-        self.feed(node, Event::Tick { jitter: NOW });
-        let pair = [node, peer].map(|node| self.nodes[node].replica.me());
-        while !self.nodes[node].replica.is_leader() {
-            self.sync(node);
-            self.sync(peer);
-            self.network.retain(|sent| pair.contains(&sent.envelope.to));
-            let sent = self.network.pop_first().expect("the vote is under way");
-            self.deliver(sent.envelope.clone());
-        }
-        self.network.retain(|sent| pair.contains(&sent.envelope.to));
-        self
-    }
-
-    /// Takes away the disk of a replica, which comes back under a new identity.
-    pub fn without_disk(mut self, node: usize) -> Self {
-        self.lose_disk(node);
-        self
-    }
-
-    /// Lets a replica that lost its disk come back as the voter that it was.
-    pub fn with_reused_identity(mut self) -> Self {
-        self.reuse_identity = true;
-        self
-    }
-
     pub fn with_budget(mut self, budget: Budget) -> Self {
         self.budget = budget;
         self
@@ -377,7 +264,7 @@
         });
     }
 
-    fn feed(&mut self, node: usize, event: Event) {
+    pub fn feed(&mut self, node: usize, event: Event) {
         let at = Arc::make_mut(&mut self.nodes[node]);
         let Next {
             writes,
@@ -392,14 +279,14 @@
         self.check(node);
     }
 
-    fn deliver(&mut self, envelope: Envelope) {
+    pub fn deliver(&mut self, envelope: Envelope) {
         let mut nodes = self.nodes.iter();
         if let Some(node) = nodes.position(|node| node.replica.me() == envelope.to) {
             self.feed(node, Event::Received(envelope));
         }
     }
 
-    fn sync(&mut self, node: usize) {
+    pub fn sync(&mut self, node: usize) {
         let at = Arc::make_mut(&mut self.nodes[node]);
         for write in std::mem::take(&mut at.unsynced) {
             assert!(at.stored.replay(write));
@@ -420,7 +307,7 @@
         self.nodes[node] = Arc::new(restarted);
     }
 
-    fn lose_disk(&mut self, node: usize) {
+    pub fn lose_disk(&mut self, node: usize) {
         let me = self.nodes[node].replica.me();
         let restarted = if self.reuse_identity {
             Node::start(me, founded(), self.defect)
@@ -487,10 +374,3 @@
         )
     }
 }
-
-impl Sent {
-    fn new(envelope: Envelope) -> Arc<Self> {
-        let key = postcard::to_stdvec(&envelope).unwrap();
-        Arc::new(Self { key, envelope })
-    }
-}
