test(state): a race of operators notices the removal of the first-note rule

Cause: the test of racing operators had not been seen failing. Change: the race is a function over guards; without the first-note rule a resend and another operator's note are both answered wrongly, and the test says so.

--- a/crates/masticfield-state/src/guard.rs
+++ b/crates/masticfield-state/src/guard.rs
@@ -13,6 +13,8 @@
     ResumeGeneration,
     /// The end of leases is accepted only from the leader of the current term.
     LeaderTerm,
+    /// The first note under a number stands.
+    NoteOnce,
     /// The first verdict on a key stands; a key is free only after a proof that nothing ran.
     ClaimOnce,
     /// The first proven end of a claimed request stands.
--- a/crates/masticfield-state/src/notes.rs
+++ b/crates/masticfield-state/src/notes.rs
@@ -9,11 +9,15 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::{Guard, Guards};
+
 /// The configuration, and what is needed to recognize a note that is sent again.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct NoteLog {
     config: FleetConfig,
     accepted: BTreeMap<u64, NoteRecord>,
+    #[serde(skip)]
+    guards: Guards,
 }
 
 /// An accepted note and the measures of its roll-out.
@@ -70,6 +74,14 @@
     /// Notes that are remembered; an older one that is sent again has a stale base.
     pub const MAX_NOTES: usize = 20_000;
 
+    /// Creates an empty log in which only `guards` hold. For checks.
+    pub(crate) fn with_guards(guards: Guards) -> Self {
+        Self {
+            guards,
+            ..Self::default()
+        }
+    }
+
     /// The configuration of the latest accepted note.
     pub const fn config(&self) -> &FleetConfig {
         &self.config
@@ -93,7 +105,9 @@
     ) -> Result<NoteAccepted, Problem> {
         let number = note.number;
         let digest = digest(note);
-        if let Some(winner) = self.accepted.get(&number) {
+        if let Some(winner) = self.accepted.get(&number)
+            && self.guards.holds(Guard::NoteOnce)
+        {
             return winner.answer(number, digest);
         }
         self.config = self
--- a/crates/masticfield-state/src/state.rs
+++ b/crates/masticfield-state/src/state.rs
@@ -37,6 +37,7 @@
     /// Creates the state before the first command, in which only `guards` hold. For checks.
     pub fn with_guards(guards: Guards) -> Self {
         Self {
+            notes: NoteLog::with_guards(guards),
             hosts: HostTable::with_guards(guards),
             claims: ClaimTable::with_guards(guards),
             ..Self::default()
--- a/crates/masticfield-state/tests/model_hand_over.rs
+++ b/crates/masticfield-state/tests/model_hand_over.rs
@@ -232,7 +232,7 @@
             add("resume".into(), &|world| {
                 world.commit(&HostStep::Resume { generation });
             });
-            let pool = if g % 2 == 0 { "p0" } else { "p1" };
+            let pool = if g.is_multiple_of(2) { "p0" } else { "p1" };
             let own = HostStep::Own {
                 pool: pool.into(),
                 generation: generation.next(),
--- a/crates/masticfield-state/tests/operators.rs
+++ b/crates/masticfield-state/tests/operators.rs
@@ -3,12 +3,16 @@
 #[path = "common/notes.rs"]
 mod notes;
 
+use std::collections::BTreeMap;
+
 use assert_matches::assert_matches;
 use masticfield_core::config::NoteError;
 use masticfield_core::fleet::{Action, Generation, Planned, Reason};
 use masticfield_core::note::ReleaseNote;
 use masticfield_core::operator::{NoteAccepted, Problem};
-use masticfield_state::{Command, Envelope, Refusal, Reply, State, Subject, Verdict};
+use masticfield_state::{
+    Command, Envelope, Guard, Guards, Refusal, Reply, State, Subject, Verdict,
+};
 use notes::{first_note, note};
 use proptest::prelude::*;
 
@@ -38,44 +42,67 @@
     }
 }
 
+/// Operators send notes under equal numbers, in the order of `sends`; each is a step above the
+/// first note and an operator. Returns what is wrong with the answers.
+fn race(guards: Guards, sends: &[(u64, usize)]) -> Result<(), String> {
+    let mut state = State::with_guards(guards);
+    submit(&mut state, &first_note()).unwrap();
+    let mut winners = BTreeMap::new();
+    for &(step, operator) in sends {
+        let number = step + 2;
+        let pool = format!("o{operator}-{step}");
+        let result = submit(&mut state, &note(number, number - 1, &pool));
+        let winner = winners.get(&number).copied();
+        let right = match (winner, &result) {
+            (None, Ok(accepted)) => !accepted.repeated,
+            (Some(winner), Ok(accepted)) => accepted.repeated && winner == operator,
+            (Some(winner), Err(Problem::OtherNoteWon { number: n, summary })) => {
+                let named = format!("adds o{winner}-{step}");
+                winner != operator && *n == number && summary.as_ref() == named
+            }
+            (None, Err(Problem::NoteRefused { error })) => {
+                let latest = state.config().version();
+                matches!(error, NoteError::StaleBase { in_force, .. } if *in_force == latest)
+            }
+            _ => false,
+        };
+        if !right {
+            return Err(format!(
+                "note {number} of {operator}: {result:?} after {winner:?}"
+            ));
+        }
+        if result.is_ok() {
+            winners.entry(number).or_insert(operator);
+        }
+        let latest = winners.keys().max().copied().unwrap_or(1);
+        if state.config().version() != latest {
+            return Err(format!(
+                "version {} after {latest}",
+                state.config().version()
+            ));
+        }
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(100))]
 
-    /// Several operators send notes under equal numbers, each up to three times, in any order.
     #[test]
     fn one_note_wins_each_number_and_every_resend_hears_the_same(
         sends in proptest::collection::vec((0_u64..3, 0_usize..3), 1..30),
     ) {
-        let mut state = started();
-        let mut winners = std::collections::BTreeMap::new();
-        for (step, operator) in sends {
-            let number = step + 2;
-            let result = submit(&mut state, &note(number, number - 1, &format!("o{operator}-{step}")));
-            match (winners.get(&number), result) {
-                (None, Ok(accepted)) => {
-                    prop_assert!(!accepted.repeated);
-                    winners.insert(number, operator);
-                }
-                (Some(winner), Ok(accepted)) => {
-                    prop_assert!(accepted.repeated);
-                    prop_assert_eq!(*winner, operator);
-                }
-                (Some(winner), Err(Problem::OtherNoteWon { number: named, summary })) => {
-                    prop_assert_ne!(*winner, operator);
-                    prop_assert_eq!(named, number);
-                    prop_assert_eq!(summary.as_ref(), format!("adds o{winner}-{step}"));
-                }
-                (None, Err(Problem::NoteRefused { error: NoteError::StaleBase { in_force, .. } })) => {
-                    prop_assert_eq!(in_force, state.config().version());
-                }
-                other => prop_assert!(false, "unexpected: {:?}", other),
-            }
-            let latest = winners.keys().max().copied().unwrap_or(1);
-            prop_assert_eq!(state.config().version(), latest);
-        }
+        prop_assert_eq!(race(Guards::all(), &sends), Ok(()));
     }
 }
 
+#[test]
+fn a_race_without_the_first_note_rule_is_noticed() {
+    let guards = Guards::without(Guard::NoteOnce);
+    assert!(race(guards, &[(0, 0), (0, 0)]).is_err(), "a resend");
+    assert!(race(guards, &[(0, 0), (0, 1)]).is_err(), "another operator");
+}
+
 #[test]
 fn a_stale_base_changes_nothing() {
     let mut state = started();
