fix(control): only the leader answers operators' reads, once it has caught up

Cause: history, hosts, jobs, upstreams and explanations were read from whichever replica was asked; one that had just restarted answered with an empty history (failover test with processes). Ruled out: status, which names the replica that answers and its leader, stays readable anywhere. Change: other reads need the leadership lease and all that was committed before, else the leader is named or the lack of a quorum.

--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -22,6 +22,12 @@
 use crate::entries::{LeaseHandle, UpstreamReports};
 use crate::{ControlHandle, ProposalError};
 
+/// Pause between two looks at what is applied.
+const CATCH_UP_POLL: Duration = Duration::from_millis(5);
+
+/// Longest wait for a new leader to apply what was committed before it.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Answers operators' requests.
 #[derive(Debug, Clone)]
 pub(super) struct Routes {
@@ -50,6 +56,9 @@
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or_default().to_owned();
         let segments: Vec<_> = path.split('/').skip(1).collect();
+        if !matches!(segments.as_slice(), ["v1", "status"]) && method == Method::GET {
+            self.catch_up().await?;
+        }
         let reply = match (&method, segments.as_slice()) {
             (&Method::POST, ["v1", "notes"]) => ok(&self.apply(req).await?),
             (&Method::POST, ["v1", "plan"]) => {
@@ -131,8 +140,6 @@
         if wanted == 0 || wanted > latest {
             return Err(not_found());
         }
-        self.control.await_leader().await;
-        self.check_lead().await?;
         let rollout = self.leases.rollout(wanted).await;
         rollout.map_err(|error| Self::problem(&error))
     }
@@ -174,6 +181,21 @@
             .await)
     }
 
+    /// Waits until this replica, which leads, has applied all that was committed before.
+    async fn catch_up(&self) -> Result<(), Problem> {
+        self.control.await_leader().await;
+        self.check_lead().await?;
+        let committed = self.control.replica_status().committed;
+        let caught_up = async {
+            while self.query(|state| state.applied()).await? < committed {
+                tokio::time::sleep(CATCH_UP_POLL).await;
+            }
+            Ok(())
+        };
+        let waited = tokio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
+        waited.map_err(|_elapsed| Problem::NoQuorum)?
+    }
+
     /// The reply to a proposal, or the problem with the leader's address.
     async fn decided(&self, reply: Result<Reply, ProposalError>) -> Result<Reply, Problem> {
         match reply {
