fix(control): status comes from the leader too, unless there is none

Cause: status of a replica that had just restarted showed an old version. Ruled out: refusing status without a quorum; an operator needs it most then, and it names no leader and nothing in force. Change: a follower that knows the leader names it; a replica without a quorum answers as it is.

--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -15,7 +15,7 @@
 use masticfield_node::program::chain;
 use masticfield_node::token::Token;
 use masticfield_replica::ProposeError;
-use masticfield_state::{Command, Reply};
+use masticfield_state::{Command, Reply, State};
 use serde::Serialize;
 
 use super::reports;
@@ -145,12 +145,17 @@
     }
 
     async fn status(&self) -> Result<FleetStatus, Problem> {
+        let leads = match self.catch_up().await {
+            Ok(()) => true,
+            Err(problem @ Problem::NotLeader { .. }) => return Err(problem),
+            Err(_no_quorum) => false,
+        };
         let replica = self.control.replica_status();
         let upstreams = self.reports.upstream_rows();
         let mut status = self
             .query(move |state| reports::status(state, replica, &upstreams))
             .await?;
-        if self.check_lead().await.is_err() {
+        if !leads {
             return Ok(status);
         }
         let entries = self.leases.entry_rows().await;
@@ -162,7 +167,7 @@
 
     async fn query<R: Send + 'static>(
         &self,
-        read: impl FnOnce(&masticfield_state::State) -> R + Send + 'static,
+        read: impl FnOnce(&State) -> R + Send + 'static,
     ) -> Result<R, Problem> {
         self.control
             .query(read)
@@ -187,7 +192,7 @@
         self.check_lead().await?;
         let committed = self.control.replica_status().committed;
         let caught_up = async {
-            while self.query(|state| state.applied()).await? < committed {
+            while self.query(State::applied).await? < committed {
                 tokio::time::sleep(CATCH_UP_POLL).await;
             }
             Ok(())
