feat(control): keys between processes, and an offline check of a folder

Cause: the keyed handshake and the inspection of a data folder existed in the libraries, while the replica's and the entries' ports took anyone and a folder could not be looked into. Change: `--key-file` of control and entry, with two keys while they are rotated; `--check` of the control program. The choice between a keyed and an open connection stands in one place.

--- a/crates/masticfield-control/src/actor/plugin.rs
+++ b/crates/masticfield-control/src/actor/plugin.rs
@@ -20,6 +20,9 @@
         if let Some(address) = settings.replica_listen {
             options = options.listen(address);
         }
+        if let Some(keys) = &settings.keys {
+            options = options.keys(keys.clone());
+        }
         let opened = ReplicaHandle::open(options).await;
         let (replica, mut applied) = opened.map_err(|source| KernelError::Start {
             plugin: "state",
--- a/crates/masticfield-control/src/args.rs
+++ b/crates/masticfield-control/src/args.rs
@@ -1,7 +1,7 @@
 //! Flags and settings of a control process.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
 use masticfield_node::args::{NodeArgs, NodeSettings};
 use masticfield_node::token::Token;
+use masticfield_wire::Keys;
 use snafu::{OptionExt, Snafu};
 
 /// A replica of the durable state; the leader plans the fleet.
@@ -47,6 +48,12 @@
     /// File with the operators' token
     #[arg(long, env = "MASTICFIELD_TOKEN_FILE")]
     token_file: Option<PathBuf>,
+    /// File with the key that the system's processes prove to each other; two while it is rotated
+    #[arg(long, env = "MASTICFIELD_KEY_FILE")]
+    key_file: Option<PathBuf>,
+    /// Check the data folder, print what it holds and whether it is sound, and end
+    #[arg(long, env = "MASTICFIELD_CHECK", requires = "data_dir")]
+    check: bool,
     /// How long an entry may serve a configuration without a renewal
     #[arg(long, env = "MASTICFIELD_CONFIG_LEASE", default_value = "6s")]
     config_lease: String,
@@ -71,11 +78,18 @@
     pub operator_listen: SocketAddr,
     /// The operators' token.
     pub token: Token,
+    /// Keys that the system's processes prove to each other.
+    pub keys: Option<Keys>,
     /// How long an entry may serve a configuration without a renewal.
     pub config_lease: Duration,
 }
 
 impl ControlArgs {
+    /// The data folder, if it is only to be checked.
+    pub(crate) fn folder_to_check(&self) -> Option<&Path> {
+        self.data_dir.as_deref().filter(|_| self.check)
+    }
+
     /// Checks all flags together.
     ///
     /// # Errors
@@ -98,6 +112,7 @@
         let entry_listen = checker.parse("--entry-listen", &self.entry_listen);
         let operator_listen = checker.parse("--operator-listen", &self.operator_listen);
         let token = check_token(self.token_file.clone(), checker);
+        let keys = check_keys(self.key_file.clone(), checker);
         let leases = Duration::from_secs(1)..=Duration::from_secs(10);
         let config_lease = checker.duration("--config-lease", &self.config_lease, leases);
         Some(ControlSettings {
@@ -109,6 +124,7 @@
             entry_listen: entry_listen?,
             operator_listen: operator_listen?,
             token: token?,
+            keys,
             config_lease: config_lease?,
         })
     }
@@ -150,3 +166,16 @@
         })
         .ok()
 }
+
+fn check_keys(path: Option<PathBuf>, checker: &mut Checker) -> Option<Keys> {
+    let path = path?;
+    let keys = Keys::read(&path);
+    keys.map_err(|error| {
+        let problem = SettingProblem::Unreadable {
+            value: path.display().to_string().into(),
+            cause: error.to_string().into(),
+        };
+        checker.refuse("--key-file", problem);
+    })
+    .ok()
+}
--- a/crates/masticfield-control/src/entries/connection.rs
+++ b/crates/masticfield-control/src/entries/connection.rs
@@ -9,7 +9,7 @@
 use masticfield_core::membership::EntryInfo;
 use masticfield_state::{Command, Reply};
 use masticfield_wire::control::{ControlToEntry, EndedClaim, EntryToControl};
-use masticfield_wire::{Connection, WireError};
+use masticfield_wire::{Connection, Keys, WireError};
 use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -33,6 +33,7 @@
     pub reports: UpstreamReports,
     pub leases: Address<LeaseActor>,
     pub next_number: Arc<AtomicU64>,
+    pub keys: Option<Keys>,
 }
 
 /// Why a connection ended.
@@ -92,7 +93,9 @@
 }
 
 async fn converse(stream: TcpStream, acceptor: Acceptor) -> Result<(), ConnectionError> {
-    let mut connection = Connection::<EntryToControl, ControlToEntry>::new(stream)?;
+    let keys = acceptor.keys.as_ref();
+    let accepted = Connection::<EntryToControl, ControlToEntry>::accept_with(stream, keys);
+    let mut connection = accepted.await?;
     let hello = tokio::time::timeout(HELLO_TIMEOUT, connection.receive()).await;
     let Ok(EntryToControl::Hello(info)) = hello.map_err(|_late| ConnectionError::NoHello)? else {
         return NoHelloSnafu.fail();
--- a/crates/masticfield-control/src/entries/plugin.rs
+++ b/crates/masticfield-control/src/entries/plugin.rs
@@ -60,6 +60,7 @@
             reports,
             leases,
             next_number: Arc::default(),
+            keys: settings.keys.clone(),
         };
         let tasks = cx.need::<TaskTracker>()?.clone();
         tasks.spawn(serve(listener, acceptor, cx.shutdown()));
--- a/crates/masticfield-control/src/running.rs
+++ b/crates/masticfield-control/src/running.rs
@@ -1,5 +1,6 @@
 //! The life of a control process.
 
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -102,7 +103,11 @@
 
 /// Runs the program `masticfield-control`.
 pub fn main() -> ExitCode {
-    let settings = ControlArgs::parse().check();
+    let args = ControlArgs::parse();
+    if let Some(folder) = args.folder_to_check() {
+        return check_folder(folder);
+    }
+    let settings = args.check();
     masticfield_node::program::run(
         "masticfield-control",
         settings,
@@ -116,6 +121,35 @@
     )
 }
 
+/// Prints what a data folder holds; fails if it is not sound.
+fn check_folder(folder: &Path) -> ExitCode {
+    match masticfield_replica::storage::inspect(folder) {
+        Ok(held) => {
+            println!("{} is sound", folder.display());
+            println!(
+                "written by {}, term {}",
+                held.identity, held.hard_state.term
+            );
+            println!(
+                "log up to entry {} in {} segments, {} bytes in all",
+                held.last_index, held.segments, held.bytes
+            );
+            println!(
+                "snapshot up to entry {}, {} bytes; torn tail of {} bytes",
+                held.snapshot_index, held.snapshot_bytes, held.torn_bytes
+            );
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!(
+                "masticfield-control: {}",
+                masticfield_node::program::chain(&error)
+            );
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn start_admin(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let settings = Arc::clone(cx.need::<Arc<ControlSettings>>()?);
--- a/crates/masticfield-entry/src/args.rs
+++ b/crates/masticfield-entry/src/args.rs
@@ -1,13 +1,15 @@
 //! Flags and settings of an entry process.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clap::Parser;
 use masticfield_core::ids::EntryId;
-use masticfield_core::settings::{Checker, InvalidSettings};
+use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
 use masticfield_node::args::{NodeArgs, NodeSettings};
+use masticfield_wire::Keys;
 
 /// Answers callers over HTTP and sends their requests to upstreams.
 #[derive(Debug, Clone, Parser)]
@@ -50,6 +52,9 @@
     /// Addresses where the control replicas listen to entries, separated by commas
     #[arg(long, env = "MASTICFIELD_CONTROL", default_value = "127.0.0.1:7410")]
     control: String,
+    /// File with the key that the system's processes prove to each other; two while it is rotated
+    #[arg(long, env = "MASTICFIELD_KEY_FILE")]
+    key_file: Option<PathBuf>,
     /// Time after which an upstream that does not announce itself again is forgotten
     #[arg(long, env = "MASTICFIELD_UPSTREAM_TTL", default_value = "15s")]
     upstream_ttl: String,
@@ -81,6 +86,8 @@
     ///
     /// The slots of an executor are shared out by a majority of them.
     pub entry_count: usize,
+    /// Keys that the system's processes prove to each other.
+    pub keys: Option<Keys>,
     /// Where the control replicas listen to entries.
     pub control: Vec<SocketAddr>,
     /// Time after which an upstream that does not announce itself again is forgotten.
@@ -137,6 +144,7 @@
         );
         let control = checker.parse_list("--control", &self.control);
         let control = checker.require("--control", Some(control).filter(|list| !list.is_empty()));
+        let keys = check_keys(self.key_file.clone(), checker);
         let ttl = Duration::from_secs(3)..=Duration::from_mins(5);
         let upstream_ttl = checker.duration("--upstream-ttl", &self.upstream_ttl, ttl);
         let renewals = Duration::from_millis(50)..=Duration::from_secs(3);
@@ -152,8 +160,22 @@
             peers,
             entry_count: entry_count?,
             control: control?,
+            keys,
             upstream_ttl: upstream_ttl?,
             lease_renewal: lease_renewal?,
         })
     }
 }
+
+fn check_keys(path: Option<PathBuf>, checker: &mut Checker) -> Option<Keys> {
+    let path = path?;
+    let keys = Keys::read(&path);
+    keys.map_err(|error| {
+        let problem = SettingProblem::Unreadable {
+            value: path.display().to_string().into(),
+            cause: error.to_string().into(),
+        };
+        checker.refuse("--key-file", problem);
+    })
+    .ok()
+}
--- a/crates/masticfield-entry/src/control/plugin.rs
+++ b/crates/masticfield-entry/src/control/plugin.rs
@@ -26,6 +26,7 @@
         let (served_tx, served) = watch::channel(Served::nothing());
         let info = cx.need::<EntryInfo>()?.clone();
         let session = Session::new(info, settings.control.clone(), settings.lease_renewal)
+            .keys(settings.keys.clone())
             .publish_to(served_tx, cx.need::<Readiness>()?.clone())
             .count_with(cx.need::<Metrics>()?.clone());
         tokio::spawn(session.run(rx, cx.timer().clone(), cx.shutdown()));
--- a/crates/masticfield-entry/src/control/session.rs
+++ b/crates/masticfield-entry/src/control/session.rs
@@ -12,7 +12,7 @@
 use masticfield_core::timer::Timer;
 use masticfield_node::admin::Readiness;
 use masticfield_wire::control::{ControlToEntry, EntryToControl};
-use masticfield_wire::{Connection, WireError};
+use masticfield_wire::{Connection, Keys, WireError};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::Served;
@@ -40,6 +40,7 @@
     info: EntryInfo,
     replicas: Vec<SocketAddr>,
     renewal: Duration,
+    keys: Option<Keys>,
     config: Arc<FleetConfig>,
     served: watch::Sender<Served>,
     readiness: Readiness,
@@ -75,6 +76,7 @@
             info,
             replicas,
             renewal,
+            keys: None,
             config: Arc::default(),
             served: watch::Sender::new(Served::nothing()),
             readiness: Readiness::new(),
@@ -85,6 +87,13 @@
         }
     }
 
+    /// Sets the keys that are proved to the control replicas.
+    #[must_use]
+    pub(super) fn keys(mut self, keys: Option<Keys>) -> Self {
+        self.keys = keys;
+        self
+    }
+
     /// Sets where the configuration and the readiness are told.
     #[must_use]
     pub(super) fn publish_to(
@@ -118,7 +127,8 @@
                 .take()
                 .unwrap_or(self.replicas[next % self.replicas.len()]);
             next += 1;
-            let connect = tokio::time::timeout(CONNECT_TIMEOUT, Link::connect(address));
+            let connect = Link::connect_with(address, self.keys.as_ref());
+            let connect = tokio::time::timeout(CONNECT_TIMEOUT, connect);
             let ended = match connect.await {
                 Ok(Ok(link)) => self.converse(link, &mut asks, &timer, &mut shutdown).await,
                 Ok(Err(error)) => Ended::Broken(error),
--- a/crates/masticfield-programs/tests/processes/failover.rs
+++ b/crates/masticfield-programs/tests/processes/failover.rs
@@ -158,7 +158,7 @@
 #[test]
 fn the_loss_of_the_leader_alone_refuses_no_caller() {
     let mut cluster = Cluster::start();
-    let entry = cluster.start_entry();
+    let entry = cluster.start_entry(1, None);
     cluster.report(&["apply", VITORIA, "--wait"]);
     wait_for(|| {
         get(entry.address("admin"), "/readyz")
--- a/crates/masticfield-programs/tests/processes/support/cluster.rs
+++ b/crates/masticfield-programs/tests/processes/support/cluster.rs
@@ -27,13 +27,26 @@
     dir: TempDir,
     addresses: Vec<SocketAddr>,
     replicas: Vec<Option<Process>>,
+    keyed: bool,
 }
 
 impl Cluster {
     /// Starts the replicas and waits until one leads.
     pub fn start() -> Self {
+        Self::start_with(None)
+    }
+
+    /// Starts replicas that prove a key to each other and to entries.
+    pub fn start_keyed(key: &str) -> Self {
+        Self::start_with(Some(key))
+    }
+
+    fn start_with(key: Option<&str>) -> Self {
         let dir = TempDir::new().unwrap();
         std::fs::write(dir.path().join("token"), "a-token-for-tests-0123").unwrap();
+        if let Some(key) = key {
+            std::fs::write(dir.path().join("key"), key).unwrap();
+        }
         let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
         let addresses = (0..REPLICAS)
             .map(|index| own_address(number, index))
@@ -43,6 +56,7 @@
             dir,
             addresses,
             replicas,
+            keyed: key.is_some(),
         };
         for index in 0..REPLICAS {
             cluster.start_replica(index);
@@ -128,13 +142,24 @@
         serde_json::from_slice(&output.stdout).unwrap()
     }
 
-    /// Starts an entry that knows all replicas.
-    pub fn start_entry(&self) -> Process {
+    /// Runs the offline check of a replica's folder.
+    pub fn check(&self, index: usize) -> Output {
+        let mut command = Command::new(CONTROL);
+        command.arg("--check").arg("--data-dir");
+        command.arg(self.data_dir(index)).output().unwrap()
+    }
+
+    /// Starts an entry that knows all replicas, with a key of its own.
+    pub fn start_entry(&self, number: u16, key: Option<&str>) -> Process {
         let running = self.replicas.iter().flatten();
         let control = running.map(|replica| replica.address("entry").to_string());
         let control = control.collect::<Vec<_>>().join(",");
-        let args = [
-            "--entry=1",
+        let name = format!("entry-{number}");
+        let number = format!("--entry={number}");
+        let key_file = self.dir.path().join(format!("{name}.key"));
+        let key_flag = format!("--key-file={}", key_file.display());
+        let mut args = vec![
+            number.as_str(),
             "--zone=zone-1",
             "--control",
             &control,
@@ -142,7 +167,11 @@
             "--upstream-listen=127.0.0.1:0",
             "--lease-renewal=200ms",
         ];
-        Process::start(ENTRY, "entry-1", self.dir.path(), &args)
+        if let Some(key) = key {
+            std::fs::write(&key_file, key).unwrap();
+            args.push(&key_flag);
+        }
+        Process::start(ENTRY, &name, self.dir.path(), &args)
     }
 
     /// Starts a stand-in for an upstream that announces itself to an entry.
@@ -185,7 +214,7 @@
         let peers = (0..REPLICAS).filter(|peer| *peer != index);
         let peers = peers.map(|peer| format!("{}={}", peer + 1, self.addresses[peer]));
         let peers = peers.collect::<Vec<_>>().join(",");
-        vec![
+        let mut args = vec![
             format!("--replica={}", index + 1),
             format!("--replica-listen={}", self.addresses[index]),
             format!("--peers={peers}"),
@@ -194,7 +223,12 @@
             "--entry-listen=127.0.0.1:0".to_owned(),
             "--operator-listen=127.0.0.1:0".to_owned(),
             "--stop-linger=0s".to_owned(),
-        ]
+        ];
+        if self.keyed {
+            let key = self.dir.path().join("key");
+            args.push(format!("--key-file={}", key.display()));
+        }
+        args
     }
 }
 
--- a/crates/masticfield-replica/src/runtime/link.rs
+++ b/crates/masticfield-replica/src/runtime/link.rs
@@ -97,10 +97,7 @@
     hello: Hello,
     keys: Option<&Keys>,
 ) -> Result<Peer, WireError> {
-    let mut connection = match keys {
-        Some(keys) => Peer::connect_keyed(address, keys).await?,
-        None => Peer::connect(address).await?,
-    };
+    let mut connection = Peer::connect_with(address, keys).await?;
     connection.send(&PeerMessage::Hello(hello)).await?;
     Ok(connection)
 }
--- a/crates/masticfield-replica/src/runtime/listen.rs
+++ b/crates/masticfield-replica/src/runtime/listen.rs
@@ -48,10 +48,7 @@
     keys: Option<Keys>,
     tx: mpsc::Sender<PeerMessage>,
 ) -> Result<(), WireError> {
-    let mut connection = match &keys {
-        Some(keys) => Peer::accept_keyed(stream, keys).await?,
-        None => Peer::new(stream)?,
-    };
+    let mut connection = Peer::accept_with(stream, keys.as_ref()).await?;
     let hello = tokio::time::timeout(HELLO_TIMEOUT, connection.receive()).await;
     let Ok(hello) = hello else {
         return Ok(());
--- a/crates/masticfield-wire/src/frame.rs
+++ b/crates/masticfield-wire/src/frame.rs
@@ -107,6 +107,33 @@
         Ok(Self::from_frames(frames, Some(sessions)))
     }
 
+    /// Connects to a peer, with a proof of keys if there are some.
+    ///
+    /// # Errors
+    ///
+    /// As [`connect`](Self::connect) and [`connect_keyed`](Self::connect_keyed).
+    pub async fn connect_with(
+        address: impl ToSocketAddrs,
+        keys: Option<&Keys>,
+    ) -> Result<Self, WireError> {
+        match keys {
+            Some(keys) => Self::connect_keyed(address, keys).await,
+            None => Self::connect(address).await,
+        }
+    }
+
+    /// Wraps an accepted stream, with a proof of keys if there are some.
+    ///
+    /// # Errors
+    ///
+    /// As [`new`](Self::new) and [`accept_keyed`](Self::accept_keyed).
+    pub async fn accept_with(stream: TcpStream, keys: Option<&Keys>) -> Result<Self, WireError> {
+        match keys {
+            Some(keys) => Self::accept_keyed(stream, keys).await,
+            None => Self::new(stream),
+        }
+    }
+
     fn from_frames(frames: Frames, sessions: Option<Sessions>) -> Self {
         let Frames {
             mut read,
--- a/crates/masticfield-wire/src/keys.rs
+++ b/crates/masticfield-wire/src/keys.rs
@@ -1,10 +1,12 @@
 //! Keys that processes prove to each other.
 
 use std::fmt;
+use std::io;
+use std::path::Path;
 
 use hmac::{Hmac, KeyInit};
 use sha2::Sha256;
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 
 /// Shortest text of a key, in bytes.
 pub const MIN_KEY_BYTES: usize = 32;
@@ -40,6 +42,23 @@
     },
 }
 
+/// A file gives no usable keys.
+#[derive(Debug, Snafu)]
+pub enum ReadKeysError {
+    /// The file cannot be read.
+    #[snafu(display("the file cannot be read: {source}"))]
+    File {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The file holds no usable keys.
+    #[snafu(display("{source}"))]
+    Unusable {
+        /// The cause.
+        source: KeyError,
+    },
+}
+
 impl Keys {
     /// Reads keys from text, one a line. Empty lines and lines that start with `#` are skipped.
     ///
@@ -62,6 +81,16 @@
         Ok(Self { keys })
     }
 
+    /// Reads keys from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, or as [`parse`](Self::parse).
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, ReadKeysError> {
+        let text = std::fs::read_to_string(path).context(FileSnafu)?;
+        Self::parse(text).context(UnusableSnafu)
+    }
+
     /// A code for each key.
     pub(crate) fn codes(&self) -> impl Iterator<Item = Hmac<Sha256>> {
         self.keys.iter().map(|key| code(key))
--- a/crates/masticfield-wire/src/lib.rs
+++ b/crates/masticfield-wire/src/lib.rs
@@ -26,4 +26,4 @@
 
 pub use error::{HandshakeFailure, WireError};
 pub use frame::{Connection, FrameReader, FrameWriter, MAX_FRAME_BYTES, WIRE_VERSION};
-pub use keys::{KeyError, Keys, MAX_KEYS, MIN_KEY_BYTES};
+pub use keys::{KeyError, Keys, MAX_KEYS, MIN_KEY_BYTES, ReadKeysError};
