--- a/crates/masticfield-routing/src/router/admit.rs
+++ b/crates/masticfield-routing/src/router/admit.rs
@@ -15,7 +15,7 @@
 /// Spread of the time after which refused callers come back, as a multiple of its least.
 const RETRY_AFTER_SPREAD: f64 = 2.0;
 /// How much longer than estimated a wait may turn out for a request to be answered in time.
-const WAIT_ALLOWANCE: f64 = 2.0;
+const WAIT_ALLOWANCE: f64 = 2.5;
 impl Router {
     /// Admits a request: it runs now, waits, or is refused with its final answer.
     pub fn admit(&mut self, now: Duration, req: Request) -> Admission {
