--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
+use masticfield_core::ids::ReplicaId;
 use masticfield_core::note::ReleaseNote;
 use masticfield_core::operator::{
     DrainAccepted, FleetStatus, NoteAccepted, Problem, RolloutStatus,
@@ -14,18 +15,25 @@
 use masticfield_node::program::chain;
 use masticfield_node::token::Token;
 use masticfield_replica::ProposeError;
-use masticfield_state::{Command, Reply};
+use masticfield_state::{Command, Reply, State};
 use serde::Serialize;
 
 use super::reports;
-use crate::entries::EntryRegistry;
+use crate::entries::{LeaseHandle, UpstreamReports};
 use crate::{ControlHandle, ProposalError};
 
+/// Pause between two looks at what is applied.
+const CATCH_UP_POLL: Duration = Duration::from_millis(5);
+
+/// Longest wait for a new leader to apply what was committed before it.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Answers operators' requests.
 #[derive(Debug, Clone)]
 pub(super) struct Routes {
     pub control: ControlHandle,
-    pub registry: EntryRegistry,
+    pub reports: UpstreamReports,
+    pub leases: LeaseHandle,
     pub token: Token,
     pub body_timeout: Duration,
 }
@@ -48,6 +56,9 @@
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or_default().to_owned();
         let segments: Vec<_> = path.split('/').skip(1).collect();
+        if !matches!(segments.as_slice(), ["v1", "status"]) && method == Method::GET {
+            self.catch_up().await?;
+        }
         let reply = match (&method, segments.as_slice()) {
             (&Method::POST, ["v1", "notes"]) => ok(&self.apply(req).await?),
             (&Method::POST, ["v1", "plan"]) => {
@@ -59,7 +70,7 @@
             (&Method::GET, ["v1", "notes", number]) => ok(&self.rollout(number).await?),
             (&Method::GET, ["v1", "status"]) => ok(&self.status().await?),
             (&Method::GET, ["v1", "hosts"]) => ok(&self.query(reports::hosts).await?),
-            (&Method::GET, ["v1", "upstreams"]) => ok(&self.registry.upstream_rows()),
+            (&Method::GET, ["v1", "upstreams"]) => ok(&self.reports.upstream_rows()),
             (&Method::GET, ["v1", "jobs"]) => ok(&self.query(reports::jobs).await?),
             (&Method::GET, ["v1", "history"]) => {
                 let since = reports::since(&query);
@@ -82,12 +93,12 @@
     async fn apply(&self, req: Request<Incoming>) -> Result<NoteAccepted, Problem> {
         let note = self.read_note(req).await?;
         let number = note.number;
+        self.control.await_leader().await;
         let reply = self.control.propose(Command::Note(Box::new(note))).await;
-        match reply.map_err(|error| Self::problem(&error))? {
+        match self.decided(reply).await? {
             Reply::Note(result) => {
                 let accepted = result?;
                 log::info!(number, repeated = accepted.repeated; "a release note was accepted");
-                self.registry.accepted(number);
                 Ok(accepted)
             }
             _ => Err(Problem::Undecided),
@@ -96,8 +107,9 @@
 
     async fn drain(&self, host: &str) -> Result<DrainAccepted, Problem> {
         let command = Command::Drain { host: host.into() };
+        self.control.await_leader().await;
         let reply = self.control.propose(command).await;
-        match reply.map_err(|error| Self::problem(&error))? {
+        match self.decided(reply).await? {
             Reply::Drain(result) => result,
             _ => Err(Problem::Undecided),
         }
@@ -128,23 +140,34 @@
         if wanted == 0 || wanted > latest {
             return Err(not_found());
         }
-        Ok(self.registry.rollout(wanted))
+        let rollout = self.leases.rollout(wanted).await;
+        rollout.map_err(|error| Self::problem(&error))
     }
 
     async fn status(&self) -> Result<FleetStatus, Problem> {
+        let leads = match self.catch_up().await {
+            Ok(()) => true,
+            Err(problem @ Problem::NotLeader { .. }) => return Err(problem),
+            Err(_no_quorum) => false,
+        };
         let replica = self.control.replica_status();
-        let upstreams = self.registry.upstream_rows();
+        let upstreams = self.reports.upstream_rows();
         let mut status = self
             .query(move |state| reports::status(state, replica, &upstreams))
             .await?;
-        status.entries = self.registry.entry_rows();
-        status.in_force = self.registry.rollout(status.version).in_force;
+        if !leads {
+            return Ok(status);
+        }
+        let entries = self.leases.entry_rows().await;
+        status.entries = entries.map_err(|error| Self::problem(&error))?;
+        let rollout = self.leases.rollout(status.version).await;
+        status.in_force = rollout.map_err(|error| Self::problem(&error))?.in_force;
         Ok(status)
     }
 
     async fn query<R: Send + 'static>(
         &self,
-        read: impl FnOnce(&masticfield_state::State) -> R + Send + 'static,
+        read: impl FnOnce(&State) -> R + Send + 'static,
     ) -> Result<R, Problem> {
         self.control
             .query(read)
@@ -152,13 +175,58 @@
             .map_err(|error| Self::problem(&error))
     }
 
+    /// Refuses what only the leader knows on a replica that does not lead, or may not.
+    async fn check_lead(&self) -> Result<(), Problem> {
+        let status = self.control.replica_status();
+        if status.holds_lease() {
+            return Ok(());
+        }
+        Err(self
+            .not_leader(status.leader.filter(|id| *id != status.id))
+            .await)
+    }
+
+    /// Waits until this replica, which leads, has applied all that was committed before.
+    async fn catch_up(&self) -> Result<(), Problem> {
+        self.control.await_leader().await;
+        self.check_lead().await?;
+        let committed = self.control.replica_status().committed;
+        let caught_up = async {
+            while self.query(State::applied).await? < committed {
+                tokio::time::sleep(CATCH_UP_POLL).await;
+            }
+            Ok(())
+        };
+        let waited = tokio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
+        waited.map_err(|_elapsed| Problem::NoQuorum)?
+    }
+
+    /// The reply to a proposal, or the problem with the leader's address.
+    async fn decided(&self, reply: Result<Reply, ProposalError>) -> Result<Reply, Problem> {
+        match reply {
+            Ok(reply) => Ok(reply),
+            Err(ProposalError::Propose {
+                source: ProposeError::NotLeader { leader },
+            }) => Err(self.not_leader(leader).await),
+            Err(error) => Err(Self::problem(&error)),
+        }
+    }
+
+    /// Names the leader, or says that there is none.
+    async fn not_leader(&self, leader: Option<ReplicaId>) -> Problem {
+        if leader.is_none() {
+            return Problem::NoQuorum;
+        }
+        let addresses = self.control.leader().await.unwrap_or_default();
+        Problem::NotLeader {
+            leader: addresses.operator,
+        }
+    }
+
     fn problem(error: &ProposalError) -> Problem {
         let error_chain = chain(error);
         log::info!(error = error_chain; "an operator's request was not carried out");
         match error {
-            ProposalError::Propose {
-                source: ProposeError::NotLeader { .. },
-            } => Problem::NotLeader { leader: None },
             ProposalError::Propose {
                 source: ProposeError::Stopped,
             } => Problem::NoQuorum,
--- a/crates/masticfield-routing/benches/admit.rs
+++ b/crates/masticfield-routing/benches/admit.rs
@@ -47,7 +47,7 @@
         };
         router.upsert_upstream(Duration::ZERO, &news);
     }
-    for ms in 0..200 {
+    for ms in (0..1_500).step_by(5) {
         router.tick(Duration::from_millis(ms));
     }
     router
@@ -55,7 +55,7 @@
 
 fn admit_and_finish(c: &mut Criterion) {
     let mut router = router();
-    let now = Duration::from_millis(200);
+    let now = Duration::from_millis(1_500);
     let req = Request {
         service: "fabric-cutting".into(),
         caller: "salon-1".into(),
