fix(cli): ask the next replica when one reaches no quorum

Cause: a replica that came back without its folder answered 'no quorum' first in the list, and the command line gave up although two others had a leader; the test with a lost folder failed in two of four runs, whenever the lost replica was the first address. Ruled out: answering 'another replica leads' from a replica that knows none; it would not be true. Change: 'no quorum' is the result only if no other replica answers.

--- a/crates/masticfield-cli/src/control_client.rs
+++ b/crates/masticfield-cli/src/control_client.rs
@@ -31,6 +31,8 @@
 
 /// What to do after one try.
 enum Tried {
+    /// The replica reaches no quorum; another one may.
+    NoQuorum,
     Answer(SocketAddr, Bytes),
     Redirect(Option<SocketAddr>),
     NextReplica(SocketAddr, ClientError),
@@ -86,6 +88,10 @@
                     Tried::Answer(address, json) => {
                         return serde_json::from_slice(&json).context(AnswerSnafu { address });
                     }
+                    Tried::NoQuorum => {
+                        let problem = Problem::NoQuorum;
+                        last = RefusedSnafu { problem }.build();
+                    }
                     Tried::Refused(problem) => return RefusedSnafu { problem }.fail(),
                     Tried::Redirect(Some(leader)) if redirects < self.replicas.len() => {
                         redirects += 1;
@@ -122,6 +128,7 @@
         }
         match serde_json::from_slice(&body).context(AnswerSnafu { address })? {
             Problem::NotLeader { leader } => Ok(Tried::Redirect(leader)),
+            Problem::NoQuorum => Ok(Tried::NoQuorum),
             problem => Ok(Tried::Refused(problem)),
         }
     }
