feat(control): plan the fleet and carry the plan out on the platform

Cause: the planner, the state and the platform's model existed side by side; no host was owned by a pool in a running installation. Change: the leader takes a turn every 500 ms: reports, plan, commit, orders. What hosts say of drains and ended tasks is committed before the plan, because the state releases nothing without it. The platform's model is served over HTTP as `masticfield-fake platform`; operators see health. Known: why a host drains and how many reboots it had completed are known to the leader that ordered it only; after a failover a reboot may be ordered again.

--- a/crates/masticfield-control/src/args.rs
+++ b/crates/masticfield-control/src/args.rs
@@ -48,6 +48,9 @@
     /// File with the operators' token
     #[arg(long, env = "MASTICFIELD_TOKEN_FILE")]
     token_file: Option<PathBuf>,
+    /// Address of the platform; without it the fleet is not planned
+    #[arg(long, env = "MASTICFIELD_PLATFORM")]
+    platform: Option<String>,
     /// File with the key that the system's processes prove to each other; two while it is rotated
     #[arg(long, env = "MASTICFIELD_KEY_FILE")]
     key_file: Option<PathBuf>,
@@ -78,6 +81,8 @@
     pub operator_listen: SocketAddr,
     /// The operators' token.
     pub token: Token,
+    /// Address of the platform.
+    pub platform: Option<SocketAddr>,
     /// Keys that the system's processes prove to each other.
     pub keys: Option<Keys>,
     /// How long an entry may serve a configuration without a renewal.
@@ -112,6 +117,8 @@
         let entry_listen = checker.parse("--entry-listen", &self.entry_listen);
         let operator_listen = checker.parse("--operator-listen", &self.operator_listen);
         let token = check_token(self.token_file.clone(), checker);
+        let platform = self.platform.as_ref();
+        let platform = platform.and_then(|text| checker.parse("--platform", text));
         let keys = check_keys(self.key_file.clone(), checker);
         let leases = Duration::from_secs(1)..=Duration::from_secs(10);
         let config_lease = checker.duration("--config-lease", &self.config_lease, leases);
@@ -125,6 +132,7 @@
             operator_listen: operator_listen?,
             token: token?,
             keys,
+            platform,
             config_lease: config_lease?,
         })
     }
--- a/crates/masticfield-control/src/lib.rs
+++ b/crates/masticfield-control/src/lib.rs
@@ -22,6 +22,7 @@
 mod entries;
 mod metrics;
 mod operator;
+mod planner;
 mod running;
 
 pub use actor::{ControlHandle, ProposalError};
--- a/crates/masticfield-control/src/operator/plugin.rs
+++ b/crates/masticfield-control/src/operator/plugin.rs
@@ -9,6 +9,7 @@
 
 use super::routes::Routes;
 use crate::entries::{LeaseHandle, UpstreamReports};
+use crate::planner::Healths;
 use crate::{ControlHandle, ControlSettings};
 
 inventory::submit! { Plugin::new("operator", Program::Control, 2, start) }
@@ -25,6 +26,7 @@
         let routes = Routes {
             control: cx.need::<ControlHandle>()?.clone(),
             reports: cx.need::<UpstreamReports>()?.clone(),
+            healths: cx.need::<Healths>()?.clone(),
             leases: cx.need::<LeaseHandle>()?.clone(),
             token: settings.token.clone(),
             body_timeout: limits.body(),
--- a/crates/masticfield-control/src/operator/reports.rs
+++ b/crates/masticfield-control/src/operator/reports.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use masticfield_core::fleet::{Ownership, TaskPhase};
+use masticfield_core::fleet::{HostHealth, Ownership, TaskPhase};
 use masticfield_core::note::{HostSpec, ReleaseNote};
 use masticfield_core::operator::{
     FleetStatus, HistoryRow, HostRow, JobRow, PlanPreview, PoolRow, Problem, ServiceRow,
@@ -13,6 +13,8 @@
 use masticfield_replica::ReplicaStatus;
 use masticfield_state::{Placement, PlacementState, State, Subject};
 
+use crate::planner::Healths;
+
 /// What a note would change, without changing it.
 pub(super) fn preview(state: &State, note: &ReleaseNote) -> Result<PlanPreview, Problem> {
     let now = state.config();
@@ -27,9 +29,9 @@
 }
 
 /// The hosts by name.
-pub(super) fn hosts(state: &State) -> Vec<HostRow> {
+pub(super) fn hosts(state: &State, healths: &Healths) -> Vec<HostRow> {
     let hosts = state.config().hosts().values();
-    hosts.map(|host| host_row(state, host)).collect()
+    hosts.map(|host| host_row(state, host, healths)).collect()
 }
 
 /// The jobs by name.
@@ -90,6 +92,7 @@
     state: &State,
     replica: ReplicaStatus,
     upstreams: &[UpstreamRow],
+    healths: &Healths,
 ) -> FleetStatus {
     FleetStatus {
         replica: replica.id,
@@ -97,7 +100,7 @@
         version: state.config().version(),
         in_force: false,
         entries: Vec::new(),
-        pools: pools(state),
+        pools: pools(state, healths),
         services: services(state, upstreams),
     }
 }
@@ -114,29 +117,32 @@
         .unwrap_or(0)
 }
 
-fn pools(state: &State) -> Vec<PoolRow> {
+fn pools(state: &State, seen: &Healths) -> Vec<PoolRow> {
     let pools = state.config().pools().values();
     pools
         .map(|pool| {
-            let owners = state.hosts().ownership().map(|(_, ownership)| ownership);
+            let owners = state.hosts().ownership();
             let own: Vec<_> = owners
-                .filter(|own| own.pool() == Some(&pool.name))
+                .filter(|(_, own)| own.pool() == Some(&pool.name))
                 .collect();
+            let healthy = own
+                .iter()
+                .filter(|(host, _)| seen.get(host) == Some(HostHealth::Healthy));
             let draining = own
                 .iter()
-                .filter(|own| matches!(own, Ownership::Draining { .. }));
+                .filter(|(_, own)| matches!(own, Ownership::Draining { .. }));
             PoolRow {
                 pool: Arc::clone(&pool.name),
                 needed: pool.hosts,
                 owned: count(own.len()),
-                healthy: 0,
+                healthy: count(healthy.count()),
                 draining: count(draining.count()),
             }
         })
         .collect()
 }
 
-fn host_row(state: &State, spec: &HostSpec) -> HostRow {
+fn host_row(state: &State, spec: &HostSpec, healths: &Healths) -> HostRow {
     let ownership = state
         .hosts()
         .host(&spec.name)
@@ -154,7 +160,17 @@
         pool: ownership.and_then(Ownership::pool).cloned(),
         generation: ownership.map_or(0, |ownership| ownership.generation().number()),
         state: text.into(),
-        health: "unseen".into(),
+        health: health_text(healths.get(&spec.name)).into(),
+    }
+}
+
+const fn health_text(health: Option<HostHealth>) -> &'static str {
+    match health {
+        Some(HostHealth::Healthy) => "healthy",
+        Some(HostHealth::Suspect) => "suspect",
+        Some(HostHealth::Rebooting) => "rebooting",
+        Some(HostHealth::Failed) => "failed",
+        None => "unseen",
     }
 }
 
--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -20,6 +20,7 @@
 
 use super::reports;
 use crate::entries::{LeaseHandle, UpstreamReports};
+use crate::planner::Healths;
 use crate::{ControlHandle, ProposalError};
 
 /// Pause between two looks at what is applied.
@@ -33,6 +34,7 @@
 pub(super) struct Routes {
     pub control: ControlHandle,
     pub reports: UpstreamReports,
+    pub healths: Healths,
     pub leases: LeaseHandle,
     pub token: Token,
     pub body_timeout: Duration,
@@ -69,7 +71,12 @@
             }
             (&Method::GET, ["v1", "notes", number]) => ok(&self.rollout(number).await?),
             (&Method::GET, ["v1", "status"]) => ok(&self.status().await?),
-            (&Method::GET, ["v1", "hosts"]) => ok(&self.query(reports::hosts).await?),
+            (&Method::GET, ["v1", "hosts"]) => {
+                let healths = self.healths.clone();
+                ok(&self
+                    .query(move |state| reports::hosts(state, &healths))
+                    .await?)
+            }
             (&Method::GET, ["v1", "upstreams"]) => ok(&self.reports.upstream_rows()),
             (&Method::GET, ["v1", "jobs"]) => ok(&self.query(reports::jobs).await?),
             (&Method::GET, ["v1", "history"]) => {
@@ -151,9 +158,9 @@
             Err(_no_quorum) => false,
         };
         let replica = self.control.replica_status();
-        let upstreams = self.reports.upstream_rows();
+        let (upstreams, healths) = (self.reports.upstream_rows(), self.healths.clone());
         let mut status = self
-            .query(move |state| reports::status(state, replica, &upstreams))
+            .query(move |state| reports::status(state, replica, &upstreams, &healths))
             .await?;
         if !leads {
             return Ok(status);
--- a/crates/masticfield-demo/src/fleet.rs
+++ b/crates/masticfield-demo/src/fleet.rs
@@ -12,6 +12,7 @@
 use masticfield_core::note::{HostSpec, ReleaseNote};
 use masticfield_core::settings::InvalidSettings;
 use masticfield_entry::{EntryArgs, RunningEntry, StartEntryError};
+use masticfield_fake::platform::{PlatformServer, StartPlatformError, Timings};
 use masticfield_fake::upstream::{FakeUpstream, Runs, StartUpstreamError, UpstreamOptions};
 use masticfield_node::token::Token;
 use snafu::{ResultExt, Snafu};
@@ -19,6 +20,9 @@
 /// The token of the demo's operator; the demo listens on loopback only.
 const TOKEN: &str = "masticfield-demo-operator";
 
+/// Time that a host of the demo takes to drain.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
+
 /// Time that a request takes at an executor.
 const LATENCY: Duration = Duration::from_millis(10);
 
@@ -28,6 +32,7 @@
 /// The processes of the demo.
 #[derive(Debug)]
 pub(crate) struct Fleet {
+    _platform: PlatformServer,
     control: RunningControl,
     entries: Vec<RunningEntry>,
     upstreams: Vec<FakeUpstream>,
@@ -61,6 +66,12 @@
         /// The cause.
         source: StartEntryError,
     },
+    /// The stand-in of the platform cannot start.
+    #[snafu(display("the platform cannot start"))]
+    Platform {
+        /// The cause.
+        source: StartPlatformError,
+    },
     /// A stand-in cannot start.
     #[snafu(display("an executor cannot start"))]
     Upstream {
@@ -72,7 +83,15 @@
 impl Fleet {
     /// Starts a control process, an entry for each availability zone and the executors.
     pub(crate) async fn start(dir: &Path, note: &ReleaseNote) -> Result<Self, StartFleetError> {
-        let control = start_control(dir).await?;
+        let timings = Timings {
+            drain: DRAIN_TIME,
+            ..Timings::default()
+        };
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let hosts = note.added.hosts.iter().cloned();
+        let platform = PlatformServer::start(listen, timings, hosts).await;
+        let platform = platform.context(PlatformSnafu)?;
+        let control = start_control(dir, platform.address()).await?;
         let zones: BTreeSet<_> = note.added.hosts.iter().map(|host| &host.zone).collect();
         let mut entries = Vec::new();
         let mut peers = Vec::new();
@@ -98,6 +117,7 @@
             );
         }
         Ok(Self {
+            _platform: platform,
             control,
             entries,
             upstreams,
@@ -160,9 +180,13 @@
     }
 }
 
-async fn start_control(dir: &Path) -> Result<RunningControl, StartFleetError> {
+async fn start_control(
+    dir: &Path,
+    platform: SocketAddr,
+) -> Result<RunningControl, StartFleetError> {
     let token = dir.join("token");
     std::fs::write(&token, TOKEN).context(FolderSnafu)?;
+    let platform_flag = format!("--platform={platform}");
     let args = ControlArgs::parse_from([
         "masticfield-control".as_ref(),
         "--data-dir".as_ref(),
@@ -172,6 +196,7 @@
         "--entry-listen=127.0.0.1:0".as_ref(),
         "--operator-listen=127.0.0.1:0".as_ref(),
         "--stop-linger=0s".as_ref(),
+        platform_flag.as_ref(),
     ]);
     RunningControl::start(args.check().context(SettingsSnafu)?)
         .await
--- /dev/null
+++ b/crates/masticfield-fake/src/platform/args.rs
@@ -0,0 +1,111 @@
+//! The subcommand `platform`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use masticfield_core::kernel::ShutdownTrigger;
+use masticfield_core::note::ReleaseNote;
+use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
+use masticfield_node::addresses::{Addresses, WriteAddressesError};
+use masticfield_node::args::{NodeArgs, NodeSettings};
+use masticfield_node::{program, signals};
+use snafu::{ResultExt, Snafu};
+
+use super::server::StartPlatformError;
+use super::{PlatformServer, Timings};
+
+/// Flags of the subcommand.
+#[derive(Debug, Clone, Args)]
+pub struct PlatformArgs {
+    #[command(flatten)]
+    node: NodeArgs,
+    /// Release note whose added hosts become workers
+    #[arg(long, env = "MASTICFIELD_NOTE")]
+    note: Option<PathBuf>,
+    /// Address for the control process
+    #[arg(long, env = "MASTICFIELD_LISTEN", default_value = "127.0.0.1:7430")]
+    listen: String,
+}
+
+/// The stand-in ended with a failure.
+#[derive(Debug, Snafu)]
+enum PlatformError {
+    /// It could not start.
+    #[snafu(display("the platform cannot start"))]
+    Start {
+        /// The cause.
+        source: StartPlatformError,
+    },
+    /// The address file cannot be written.
+    #[snafu(display("the platform cannot tell its address"))]
+    TellAddress {
+        /// The cause.
+        source: WriteAddressesError,
+    },
+    /// The system lets no signal be received.
+    #[snafu(display("the platform cannot receive signals"))]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+struct PlatformSettings {
+    node: NodeSettings,
+    workers: ReleaseNote,
+    listen: SocketAddr,
+}
+
+impl PlatformArgs {
+    fn check(&self) -> Result<PlatformSettings, InvalidSettings> {
+        let mut checker = Checker::new();
+        let node = self.node.check(&mut checker);
+        let workers = self.read_note(&mut checker);
+        let listen = checker.parse("--listen", &self.listen);
+        let settings = node.zip(workers).zip(listen);
+        checker.conclude(settings.map(|((node, workers), listen)| PlatformSettings {
+            node,
+            workers,
+            listen,
+        }))
+    }
+
+    fn read_note(&self, checker: &mut Checker) -> Option<ReleaseNote> {
+        let path = checker.require("--note", self.note.as_ref())?;
+        let note = std::fs::read(path)
+            .map_err(|error| error.to_string())
+            .and_then(|bytes| ReleaseNote::from_bytes(&bytes).map_err(|error| error.to_string()));
+        note.map_err(|cause| {
+            let value = path.display().to_string().into();
+            let cause = cause.into();
+            checker.refuse("--note", SettingProblem::Unreadable { value, cause });
+        })
+        .ok()
+    }
+}
+
+/// Runs the subcommand `platform`.
+pub fn main(args: &PlatformArgs) -> ExitCode {
+    program::run(
+        "masticfield-fake",
+        args.check(),
+        |settings| &settings.node,
+        run,
+    )
+}
+
+async fn run(settings: PlatformSettings) -> Result<(), PlatformError> {
+    let hosts = settings.workers.added.hosts;
+    let started = PlatformServer::start(settings.listen, Timings::default(), hosts).await;
+    let platform = started.context(StartSnafu)?;
+    if let Some(path) = settings.node.address_file {
+        let addresses = Addresses::new().with("platform", platform.address());
+        addresses.write(&path).context(TellAddressSnafu)?;
+    }
+    let trigger = ShutdownTrigger::new();
+    signals::end_on_signal(trigger.clone()).context(SignalsSnafu)?;
+    trigger.subscribe().begun().await;
+    Ok(())
+}
--- a/crates/masticfield-fake/src/platform/mod.rs
+++ b/crates/masticfield-fake/src/platform/mod.rs
@@ -25,11 +25,15 @@
 //! # Ok::<(), masticfield_core::note::ParseNoteError>(())
 //! ```
 
+mod args;
 mod model;
+mod server;
 mod task;
 mod timings;
 mod worker;
 
+pub use args::{PlatformArgs, main};
 pub use model::{Platform, Verdict};
+pub use server::{PlatformServer, StartPlatformError};
 pub use task::{JobTruth, TaskId};
 pub use timings::Timings;
--- /dev/null
+++ b/crates/masticfield-fake/src/platform/server.rs
@@ -0,0 +1,169 @@
+//! The stand-in of the platform over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use masticfield_core::kernel::ShutdownTrigger;
+use masticfield_core::note::HostSpec;
+use masticfield_core::platform::{HostCommand, TaskCommand};
+use masticfield_node::http::{
+    BindError, HttpLimits, Reply, Server, json_reply, read_body, text_reply,
+};
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+
+use super::{Platform, TaskId, Timings, Verdict};
+
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Time within which a body must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A platform that answers over HTTP until it is dropped.
+#[derive(Debug)]
+pub struct PlatformServer {
+    address: SocketAddr,
+    platform: Arc<Mutex<Platform>>,
+    _trigger: ShutdownTrigger,
+}
+
+/// The platform cannot listen.
+#[derive(Debug, Snafu)]
+#[snafu(display("the platform cannot listen"))]
+pub struct StartPlatformError {
+    source: BindError,
+}
+
+/// A platform and the clock that it runs by.
+#[derive(Debug, Clone)]
+struct Served {
+    platform: Arc<Mutex<Platform>>,
+    started: Instant,
+}
+
+impl PlatformServer {
+    /// Starts a platform with workers for `hosts`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(
+        listen: SocketAddr,
+        timings: Timings,
+        hosts: impl IntoIterator<Item = HostSpec>,
+    ) -> Result<Self, StartPlatformError> {
+        let bound = Server::bind("--listen", listen, HttpLimits::new()).await;
+        let listener = bound.context(StartPlatformSnafu)?;
+        let address = listener.address();
+        let platform = Arc::new(Mutex::new(Platform::new(timings, hosts)));
+        let served = Served {
+            platform: Arc::clone(&platform),
+            started: Instant::now(),
+        };
+        let trigger = ShutdownTrigger::new();
+        tokio::spawn(listener.serve(trigger.subscribe(), move |req, _peer| {
+            let served = served.clone();
+            async move { served.answer(req).await }
+        }));
+        Ok(Self {
+            address,
+            platform,
+            _trigger: trigger,
+        })
+    }
+
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes the platform, for instance to have a worker fail.
+    pub fn with<T>(&self, change: impl FnOnce(&mut Platform) -> T) -> T {
+        change(&mut self.platform.lock())
+    }
+}
+
+impl Served {
+    async fn answer(&self, req: Request<Incoming>) -> Reply {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let since = req
+            .uri()
+            .query()
+            .and_then(|query| query.strip_prefix("since="));
+        let since = since.and_then(|since| since.parse().ok()).unwrap_or(0);
+        let Ok(body) = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await else {
+            return text_reply(StatusCode::BAD_REQUEST, "the body cannot be read\n");
+        };
+        let mut platform = self.platform.lock();
+        platform.advance(self.started.elapsed());
+        let segments: Vec<_> = path.split('/').skip(1).collect();
+        let verdict = match (&method, segments.as_slice()) {
+            (&Method::GET, ["v1", "workers"]) => {
+                return json_reply(StatusCode::OK, &platform.reports(since));
+            }
+            (&Method::POST, ["v1", "hosts", host, verb]) => host_command(verb)
+                .zip(json(&body))
+                .map(|(command, order)| platform.order_host(host, command, order)),
+            (&Method::PUT, ["v1", "tasks", job, index, attempt]) => task_id(job, index, attempt)
+                .zip(json(&body))
+                .map(|(id, order)| platform.start_task(id, order)),
+            (&Method::POST, ["v1", "tasks", job, index, attempt, verb]) => {
+                task_id(job, index, attempt)
+                    .zip(task_command(verb))
+                    .map(|(id, command)| platform.order_task(&id, command))
+            }
+            (&Method::POST, ["v1", "leases"]) => json(&body).map(|renewal| {
+                platform.renew(&renewal);
+                Verdict::Accepted
+            }),
+            _ => None,
+        };
+        verdict_reply(verdict)
+    }
+}
+
+fn verdict_reply(verdict: Option<Verdict>) -> Reply {
+    match verdict {
+        Some(Verdict::Accepted) => text_reply(StatusCode::ACCEPTED, ""),
+        Some(Verdict::Fenced) => text_reply(StatusCode::CONFLICT, "a higher generation was seen\n"),
+        Some(Verdict::NotFound) => text_reply(StatusCode::NOT_FOUND, "there is no such thing\n"),
+        Some(Verdict::Unreachable) => text_reply(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the host cannot be reached\n",
+        ),
+        None => text_reply(StatusCode::BAD_REQUEST, "the order cannot be read\n"),
+    }
+}
+
+fn json<T: DeserializeOwned>(body: &Bytes) -> Option<T> {
+    serde_json::from_slice(body).ok()
+}
+
+fn task_id(job: &str, index: &str, attempt: &str) -> Option<TaskId> {
+    Some((job.into(), index.parse().ok()?, attempt.parse().ok()?))
+}
+
+fn host_command(verb: &str) -> Option<HostCommand> {
+    match verb {
+        "drain" => Some(HostCommand::Drain),
+        "resume" => Some(HostCommand::Resume),
+        "reboot" => Some(HostCommand::Reboot),
+        _ => None,
+    }
+}
+
+fn task_command(verb: &str) -> Option<TaskCommand> {
+    match verb {
+        "throttle" => Some(TaskCommand::Throttle),
+        "checkpoint" => Some(TaskCommand::Checkpoint),
+        "stop" => Some(TaskCommand::Stop),
+        _ => None,
+    }
+}
--- a/crates/masticfield-fake/src/program.rs
+++ b/crates/masticfield-fake/src/program.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::{caller, upstream};
+use crate::{caller, platform, upstream};
 
 /// Stand-ins for tests and try-outs.
 #[derive(Debug, Parser)]
@@ -21,6 +21,8 @@
     Upstream(upstream::UpstreamArgs),
     /// A caller that sends a number of requests and prints what came of them
     Caller(caller::CallerArgs),
+    /// The platform that runs tasks and reboots hosts
+    Platform(platform::PlatformArgs),
 }
 
 /// Runs the program `masticfield-fake`.
@@ -28,5 +30,6 @@
     match FakeArgs::parse().role {
         Role::Upstream(args) => upstream::main(&args),
         Role::Caller(args) => caller::main(&args),
+        Role::Platform(args) => platform::main(&args),
     }
 }
--- a/crates/masticfield-fleet/src/control_loop.rs
+++ b/crates/masticfield-fleet/src/control_loop.rs
@@ -128,23 +128,22 @@
     }
 
     fn record_shortages(&mut self, now: Duration, observation: &Observation) {
-        let short = self.shortages(now, observation);
+        let budgets = BTreeMap::new();
+        let short = shortages(&self.view(observation, &budgets), now);
         for (service, lacks) in short {
             self.ledger.record(&service, now, lacks);
         }
     }
+}
 
-    /// Whether each service lacks hosts.
-    fn shortages(&self, now: Duration, observation: &Observation) -> Vec<(Arc<str>, bool)> {
-        let budgets = BTreeMap::new();
-        let view = self.view(observation, &budgets);
-        let index = FleetIndex::new(&view, now, ReservePolicy::Shared);
-        let services = self.config.services().values();
-        let short = services.map(|service| {
-            let pool = index.pool_key(&service.pool).map(|key| index.pool(key));
-            let lacks = pool.is_some_and(|pool| pool.healthy() < pool.needed);
-            (Arc::clone(&service.name), lacks)
-        });
-        short.collect()
-    }
+/// Whether each service lacks healthy hosts, for the ledger of its availability budget.
+pub fn shortages(view: &FleetView<'_>, now: Duration) -> Vec<(Arc<str>, bool)> {
+    let index = FleetIndex::new(view, now, ReservePolicy::Shared);
+    let services = view.config.services().values();
+    let short = services.map(|service| {
+        let pool = index.pool_key(&service.pool).map(|key| index.pool(key));
+        let lacks = pool.is_some_and(|pool| pool.healthy() < pool.needed);
+        (Arc::clone(&service.name), lacks)
+    });
+    short.collect()
 }
--- a/crates/masticfield-fleet/src/view/task_record.rs
+++ b/crates/masticfield-fleet/src/view/task_record.rs
@@ -66,6 +66,11 @@
         self.records.iter()
     }
 
+    /// Sets the record of a job.
+    pub fn insert(&mut self, job: impl Into<Arc<str>>, record: JobRecord) {
+        self.records.insert(job.into(), record);
+    }
+
     /// Whether an observed task is the latest attempt at its task.
     pub fn is_latest(&self, task: &TaskObservation) -> bool {
         let record = self
