test(programs): pools own hosts, reasons are told, a restart moves nothing

Cause: the planner in the control process had been seen in the demo only. Change: process tests with the platform as a process of its own: ownership, explain, an operator's drain, and a restart with SIGKILL after which no host has another pool or generation.

--- a/crates/masticfield-programs/tests/processes/main.rs
+++ b/crates/masticfield-programs/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod failover;
+mod fleet;
 mod keys;
 mod operator;
 mod support;
--- a/crates/masticfield-programs/tests/processes/support/installation.rs
+++ b/crates/masticfield-programs/tests/processes/support/installation.rs
@@ -37,19 +37,38 @@
 #[derive(Debug)]
 pub struct Installation {
     dir: TempDir,
+    platform: Option<Process>,
     control: Option<Process>,
 }
 
 impl Installation {
     /// Starts a control process.
     pub fn start() -> Self {
-        let dir = TempDir::new().unwrap();
-        std::fs::write(dir.path().join("token"), "a-token-for-tests-0123").unwrap();
-        let mut installation = Self { dir, control: None };
+        let mut installation = Self::prepare();
         installation.control = Some(installation.start_control());
         installation
     }
 
+    /// Starts a control process beside a platform with the hosts of a note.
+    pub fn start_with_platform(note: &str) -> Self {
+        let mut installation = Self::prepare();
+        let args = ["platform", "--note", note, "--listen", "127.0.0.1:0"];
+        let platform = Process::start(FAKE, "platform", installation.dir(), &args);
+        installation.platform = Some(platform);
+        installation.control = Some(installation.start_control());
+        installation
+    }
+
+    fn prepare() -> Self {
+        let dir = TempDir::new().unwrap();
+        std::fs::write(dir.path().join("token"), "a-token-for-tests-0123").unwrap();
+        Self {
+            dir,
+            platform: None,
+            control: None,
+        }
+    }
+
     /// The control process.
     pub fn control(&self) -> &Process {
         self.control.as_ref().unwrap()
@@ -205,7 +224,7 @@
     fn start_control_at(&self, entry: &str, operator: &str) -> Process {
         let data: PathBuf = self.dir.path().join("data");
         let token = self.dir.path().join("token");
-        let args = [
+        let mut args = vec![
             "--data-dir",
             data.to_str().unwrap(),
             "--token-file",
@@ -215,6 +234,11 @@
             "--operator-listen",
             operator,
         ];
+        let platform = self.platform.as_ref();
+        let platform = platform.map(|platform| platform.address("platform").to_string());
+        if let Some(platform) = &platform {
+            args.extend(["--platform", platform]);
+        }
         Process::start(CONTROL, "control", self.dir.path(), &args)
     }
 }
