refactor(node): one life of programs, one way to read a setting's file

Cause: start, admin listener, addresses and end stood twice, in control and entry, and differed: control did not end its readiness and had no bound on its end. Three crates read token and key files by the same ten lines. Some experiments failed with bare text. Change: `node::running` holds the life of a program; `Checker::load` reads a file of a setting; the experiments' failures have types.

--- a/crates/masticfield-cli/src/args.rs
+++ b/crates/masticfield-cli/src/args.rs
@@ -6,7 +6,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
-use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
+use masticfield_core::settings::{Checker, InvalidSettings};
 use masticfield_node::token::Token;
 
 use crate::OutputFormat;
@@ -147,7 +147,8 @@
     fn check_with(&self, checker: &mut Checker) -> Option<Settings> {
         let control = checker.parse_list("--control", &self.control);
         let control = checker.require("--control", Some(control).filter(|list| !list.is_empty()));
-        let token = read_token(self.token_file.clone(), checker);
+        let token = checker.require("--token-file", self.token_file.as_ref());
+        let token = token.and_then(|path| checker.load("--token-file", path, Token::read));
         let output = checker.parse("--output", &self.output);
         let times = Duration::from_millis(10)..=Duration::from_mins(10);
         let timeout = checker.duration("--timeout", &self.timeout, times.clone());
@@ -182,17 +183,3 @@
         }
     }
 }
-
-fn read_token(path: Option<PathBuf>, checker: &mut Checker) -> Option<Token> {
-    let path = checker.require("--token-file", path)?;
-    let token = Token::read(&path);
-    token
-        .map_err(|error| {
-            let problem = SettingProblem::Unreadable {
-                value: path.display().to_string().into(),
-                cause: error.to_string().into(),
-            };
-            checker.refuse("--token-file", problem);
-        })
-        .ok()
-}
--- a/crates/masticfield-control/src/args.rs
+++ b/crates/masticfield-control/src/args.rs
@@ -7,7 +7,7 @@
 
 use clap::Parser;
 use masticfield_core::ids::ReplicaId;
-use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
+use masticfield_core::settings::{Checker, InvalidSettings};
 use masticfield_node::args::{NodeArgs, NodeSettings};
 use masticfield_node::token::Token;
 use masticfield_wire::Keys;
@@ -116,10 +116,12 @@
         let peers: Vec<Peer> = checker.parse_list("--peers", &self.peers);
         let entry_listen = checker.parse("--entry-listen", &self.entry_listen);
         let operator_listen = checker.parse("--operator-listen", &self.operator_listen);
-        let token = check_token(self.token_file.clone(), checker);
+        let token = checker.require("--token-file", self.token_file.as_ref());
+        let token = token.and_then(|path| checker.load("--token-file", path, Token::read));
         let platform = self.platform.as_ref();
         let platform = platform.and_then(|text| checker.parse("--platform", text));
-        let keys = check_keys(self.key_file.clone(), checker);
+        let keys = self.key_file.as_ref();
+        let keys = keys.and_then(|path| checker.load("--key-file", path, Keys::read));
         let leases = Duration::from_secs(1)..=Duration::from_secs(10);
         let config_lease = checker.duration("--config-lease", &self.config_lease, leases);
         Some(ControlSettings {
@@ -160,30 +162,3 @@
         Ok(Self { id, address })
     }
 }
-
-fn check_token(path: Option<PathBuf>, checker: &mut Checker) -> Option<Token> {
-    let path = checker.require("--token-file", path)?;
-    let token = Token::read(&path);
-    token
-        .map_err(|error| {
-            let problem = SettingProblem::Unreadable {
-                value: path.display().to_string().into(),
-                cause: error.to_string().into(),
-            };
-            checker.refuse("--token-file", problem);
-        })
-        .ok()
-}
-
-fn check_keys(path: Option<PathBuf>, checker: &mut Checker) -> Option<Keys> {
-    let path = path?;
-    let keys = Keys::read(&path);
-    keys.map_err(|error| {
-        let problem = SettingProblem::Unreadable {
-            value: path.display().to_string().into(),
-            cause: error.to_string().into(),
-        };
-        checker.refuse("--key-file", problem);
-    })
-    .ok()
-}
--- a/crates/masticfield-control/src/lib.rs
+++ b/crates/masticfield-control/src/lib.rs
@@ -27,4 +27,4 @@
 
 pub use actor::{ControlHandle, ProposalError};
 pub use args::{ControlArgs, ControlSettings};
-pub use running::{RunningControl, StartControlError, main};
+pub use running::{RunningControl, main};
--- a/crates/masticfield-core/src/settings.rs
+++ b/crates/masticfield-core/src/settings.rs
@@ -19,6 +19,7 @@
 
 use std::fmt::{self, Display};
 use std::ops::RangeInclusive;
+use std::path::Path;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -136,6 +137,20 @@
         self.keep(flag, if inside { Ok(*value) } else { Err(problem) })
     }
 
+    /// Reads what a file holds, or notes why that cannot be read.
+    pub fn load<'p, T, E: Display>(
+        &mut self,
+        flag: &'static str,
+        path: &'p Path,
+        read: impl FnOnce(&'p Path) -> Result<T, E>,
+    ) -> Option<T> {
+        let value = read(path).map_err(|error| SettingProblem::Unreadable {
+            value: path.display().to_string().into(),
+            cause: error.to_string().into(),
+        });
+        self.keep(flag, value)
+    }
+
     /// Notes a value that is outside `range`.
     pub fn within<T: PartialOrd + Display>(
         &mut self,
--- a/crates/masticfield-demo/src/fleet.rs
+++ b/crates/masticfield-demo/src/fleet.rs
@@ -8,12 +8,13 @@
 
 use clap::Parser;
 use masticfield_cli::ControlClient;
-use masticfield_control::{ControlArgs, RunningControl, StartControlError};
+use masticfield_control::{ControlArgs, RunningControl};
 use masticfield_core::note::{HostSpec, ReleaseNote};
 use masticfield_core::settings::InvalidSettings;
 use masticfield_entry::{EntryArgs, RunningEntry, StartEntryError};
 use masticfield_fake::platform::{PlatformServer, StartPlatformError, Timings};
 use masticfield_fake::upstream::{FakeUpstream, Runs, StartUpstreamError, UpstreamOptions};
+use masticfield_node::running::StartError;
 use masticfield_node::token::Token;
 use snafu::{ResultExt, Snafu};
 
@@ -58,7 +59,7 @@
     #[snafu(display("the control process cannot start"))]
     Control {
         /// The cause.
-        source: StartControlError,
+        source: StartError,
     },
     /// An entry process cannot start.
     #[snafu(display("an entry process cannot start"))]
--- a/crates/masticfield-entry/src/args.rs
+++ b/crates/masticfield-entry/src/args.rs
@@ -7,7 +7,7 @@
 
 use clap::Parser;
 use masticfield_core::ids::EntryId;
-use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
+use masticfield_core::settings::{Checker, InvalidSettings};
 use masticfield_node::args::{NodeArgs, NodeSettings};
 use masticfield_wire::Keys;
 
@@ -144,7 +144,8 @@
         );
         let control = checker.parse_list("--control", &self.control);
         let control = checker.require("--control", Some(control).filter(|list| !list.is_empty()));
-        let keys = check_keys(self.key_file.clone(), checker);
+        let keys = self.key_file.as_ref();
+        let keys = keys.and_then(|path| checker.load("--key-file", path, Keys::read));
         let ttl = Duration::from_secs(3)..=Duration::from_mins(5);
         let upstream_ttl = checker.duration("--upstream-ttl", &self.upstream_ttl, ttl);
         let renewals = Duration::from_millis(50)..=Duration::from_secs(3);
@@ -166,16 +167,3 @@
         })
     }
 }
-
-fn check_keys(path: Option<PathBuf>, checker: &mut Checker) -> Option<Keys> {
-    let path = path?;
-    let keys = Keys::read(&path);
-    keys.map_err(|error| {
-        let problem = SettingProblem::Unreadable {
-            value: path.display().to_string().into(),
-            cause: error.to_string().into(),
-        };
-        checker.refuse("--key-file", problem);
-    })
-    .ok()
-}
--- a/crates/masticfield-fake/src/platform/args.rs
+++ b/crates/masticfield-fake/src/platform/args.rs
@@ -1,13 +1,13 @@
 //! The subcommand `platform`.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::Args;
 use masticfield_core::kernel::ShutdownTrigger;
-use masticfield_core::note::ReleaseNote;
-use masticfield_core::settings::{Checker, InvalidSettings, SettingProblem};
+use masticfield_core::note::{ParseNoteError, ReleaseNote};
+use masticfield_core::settings::{Checker, InvalidSettings};
 use masticfield_node::addresses::{Addresses, WriteAddressesError};
 use masticfield_node::args::{NodeArgs, NodeSettings};
 use masticfield_node::{program, signals};
@@ -52,6 +52,23 @@
     },
 }
 
+/// A file gives no workers.
+#[derive(Debug, Snafu)]
+enum ReadNoteError {
+    /// The file cannot be read.
+    #[snafu(display("{source}"))]
+    File {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The file is no release note.
+    #[snafu(display("{source}"))]
+    Note {
+        /// The cause.
+        source: ParseNoteError,
+    },
+}
+
 struct PlatformSettings {
     node: NodeSettings,
     workers: ReleaseNote,
@@ -74,18 +91,15 @@
 
     fn read_note(&self, checker: &mut Checker) -> Option<ReleaseNote> {
         let path = checker.require("--note", self.note.as_ref())?;
-        let note = std::fs::read(path)
-            .map_err(|error| error.to_string())
-            .and_then(|bytes| ReleaseNote::from_bytes(&bytes).map_err(|error| error.to_string()));
-        note.map_err(|cause| {
-            let value = path.display().to_string().into();
-            let cause = cause.into();
-            checker.refuse("--note", SettingProblem::Unreadable { value, cause });
-        })
-        .ok()
+        checker.load("--note", path, read_note)
     }
 }
 
+fn read_note(path: &Path) -> Result<ReleaseNote, ReadNoteError> {
+    let bytes = std::fs::read(path).context(FileSnafu)?;
+    ReleaseNote::from_bytes(&bytes).context(NoteSnafu)
+}
+
 /// Runs the subcommand `platform`.
 pub fn main(args: &PlatformArgs) -> ExitCode {
     program::run(
--- a/crates/masticfield-measure/src/claims/mod.rs
+++ b/crates/masticfield-measure/src/claims/mod.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
+use snafu::Snafu;
 
 use crate::experiment::{Experiment, ExperimentArgs, ExperimentError};
 
@@ -28,6 +29,11 @@
     Experiment { name: "claims", about: "Memory and time of the table of claims", run }
 }
 
+/// A state that was restored from a snapshot is not the one that was saved.
+#[derive(Debug, Snafu)]
+#[snafu(display("the restored state differs"))]
+struct RestoredStateDiffers;
+
 fn run(args: ExperimentArgs) -> Result<Value, ExperimentError> {
     let count = usize::try_from(CLAIMS_PER_S * ClaimTable::RETENTION_S)?;
     let claims = draw(args.seed, count);
@@ -41,7 +47,7 @@
     let restored = State::from_snapshot(&snapshot)?;
     let restore_ms = start.elapsed().as_secs_f64() * 1e3;
     if restored != state {
-        return Err("the restored state differs".into());
+        return Err(RestoredStateDiffers.into());
     }
     let kept = state.claims().len();
     // Kept until here, so that no measurement reuses the memory of an earlier one.
--- a/crates/masticfield-measure/src/path/installation.rs
+++ b/crates/masticfield-measure/src/path/installation.rs
@@ -13,6 +13,7 @@
 use masticfield_node::token::Token;
 use tempfile::TempDir;
 
+use super::PathError;
 use crate::experiment::ExperimentError;
 
 const SERVICE: &str = "measured";
@@ -92,7 +93,7 @@
             seen = report.to_json();
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        Err(format!("the entry did not become ready: {seen}").into())
+        Err(PathError::NotReady { seen }.into())
     }
 }
 
@@ -125,5 +126,5 @@
 }
 
 fn bound(address: Option<SocketAddr>) -> Result<SocketAddr, ExperimentError> {
-    address.ok_or_else(|| "a process did not tell its address".into())
+    address.ok_or_else(|| PathError::NoAddress.into())
 }
--- a/crates/masticfield-measure/src/path/mod.rs
+++ b/crates/masticfield-measure/src/path/mod.rs
@@ -9,6 +9,7 @@
 
 use masticfield_fake::caller::{Load, LoadReport, Pace};
 use serde_json::{Value, json};
+use snafu::Snafu;
 
 use crate::experiment::{Experiment, ExperimentArgs, ExperimentError};
 use installation::Installation;
@@ -32,6 +33,26 @@
 /// Time for which the idle entry is watched.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 
+/// The path cannot be measured.
+#[derive(Debug, Snafu)]
+enum PathError {
+    /// A request got no whole answer.
+    #[snafu(display("not every request was answered: {seen}"))]
+    NotAnswered {
+        /// What came of the requests.
+        seen: Value,
+    },
+    /// The entry answered nothing in time.
+    #[snafu(display("the entry did not become ready: {seen}"))]
+    NotReady {
+        /// What came of the last request.
+        seen: Value,
+    },
+    /// A process did not tell an address.
+    #[snafu(display("a process did not tell its address"))]
+    NoAddress,
+}
+
 fn run(_args: ExperimentArgs) -> Result<Value, ExperimentError> {
     let idle_rss_mb = idle_entry_memory()?;
     let runtime = tokio::runtime::Runtime::new()?;
@@ -95,7 +116,8 @@
     if report.answered() == report.total() {
         Ok(report)
     } else {
-        Err(format!("not every request was answered: {}", report.to_json()).into())
+        let seen = report.to_json();
+        Err(PathError::NotAnswered { seen }.into())
     }
 }
 
--- a/crates/masticfield-node/src/lib.rs
+++ b/crates/masticfield-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod http;
 pub mod log_setup;
 pub mod program;
+pub mod running;
 pub mod signals;
 pub mod token;
 pub mod trace;
--- /dev/null
+++ b/crates/masticfield-node/src/running.rs
@@ -0,0 +1,139 @@
+//! A program's kernel while it runs.
+//!
+//! The kernel context holds the settings common to all programs, a registry of metrics, the
+//! readiness, the addresses and the tracker of tasks that the end waits for.
+
+use std::time::Duration;
+
+use masticfield_core::kernel::{
+    Kernel, KernelContext, KernelError, Program, ShutdownTrigger, StartFuture,
+};
+use prometheus::Registry;
+use snafu::{ResultExt, Snafu};
+use tokio_util::task::TaskTracker;
+
+use crate::addresses::{Addresses, WriteAddressesError};
+use crate::admin::{self, Readiness};
+use crate::args::NodeSettings;
+use crate::signals;
+
+/// Time beyond the limits of the servers after which the end no longer waits.
+const STOP_MARGIN: Duration = Duration::from_secs(5);
+
+/// The plug-ins of one program, started.
+#[derive(Debug)]
+pub struct Running {
+    kernel: Kernel,
+    addresses: Addresses,
+    tasks: TaskTracker,
+    stop_timeout: Duration,
+}
+
+/// A program could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A plug-in could not start.
+    #[snafu(display("a part of the program cannot start"))]
+    Plugin {
+        /// The cause.
+        source: KernelError,
+    },
+    /// The address file cannot be written.
+    #[snafu(display("the program cannot tell its addresses"))]
+    TellAddresses {
+        /// The cause.
+        source: WriteAddressesError,
+    },
+    /// The system lets no signal be received.
+    #[snafu(display("the program cannot receive signals"))]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+impl Running {
+    /// Starts the plug-ins of `program`; `provide` shares its own handles before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a plug-in cannot start or the address file cannot be written.
+    pub async fn start(
+        program: Program,
+        node: NodeSettings,
+        provide: impl FnOnce(&mut KernelContext),
+    ) -> Result<Self, StartError> {
+        let address_file = node.address_file.clone();
+        let stop_timeout = node.http.linger_time() + node.http.drain() + STOP_MARGIN;
+        let tasks = TaskTracker::new();
+        let mut cx = KernelContext::new();
+        cx.provide(node);
+        cx.provide(Registry::new());
+        cx.provide(Readiness::new());
+        cx.provide(Addresses::new());
+        cx.provide(tasks.clone());
+        provide(&mut cx);
+        let kernel = Kernel::start(program, cx).await.context(PluginSnafu)?;
+        let addresses = kernel.context().need::<Addresses>().context(PluginSnafu)?;
+        let addresses = addresses.clone();
+        if let Some(path) = address_file {
+            addresses.write(&path).context(TellAddressesSnafu)?;
+        }
+        tasks.close();
+        Ok(Self {
+            kernel,
+            addresses,
+            tasks,
+            stop_timeout,
+        })
+    }
+
+    /// The addresses that are listened on, by the name of their flag.
+    pub const fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// What ends the program.
+    pub fn trigger(&self) -> ShutdownTrigger {
+        self.kernel.context().trigger().clone()
+    }
+
+    /// Ends the program on SIGTERM or SIGINT.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system lets no signal be received.
+    pub fn end_on_signal(&self) -> Result<(), StartError> {
+        signals::end_on_signal(self.trigger()).context(SignalsSnafu)
+    }
+
+    /// Waits until the program has ended: no request in flight is cut within the drain timeout.
+    pub async fn wait(self) {
+        self.kernel.context().shutdown().begun().await;
+        if let Ok(readiness) = self.kernel.context().need::<Readiness>() {
+            readiness.stop();
+        }
+        let ended = tokio::time::timeout(self.stop_timeout, self.tasks.wait()).await;
+        if ended.is_err() {
+            log::warn!("requests in flight were cut after the drain timeout");
+        }
+    }
+}
+
+/// Starts the listener for metrics, health and readiness; a plug-in of every program.
+pub fn start_admin(cx: &mut KernelContext) -> StartFuture<'_> {
+    Box::pin(async {
+        let node = cx.need::<NodeSettings>()?.clone();
+        let registry = cx.need::<Registry>()?.clone();
+        let readiness = cx.need::<Readiness>()?.clone();
+        let shutdown = cx.shutdown();
+        let bound = admin::spawn(node.admin_listen, node.http, registry, readiness, shutdown);
+        let address = bound.await.map_err(|source| KernelError::Start {
+            plugin: "admin",
+            source: Box::new(source),
+        })?;
+        let addresses = cx.need::<Addresses>()?.clone().with("admin", address);
+        cx.provide(addresses);
+        Ok(())
+    })
+}
