fix(demo): print the summary, not the log of the membership

Cause: on a fresh clone the demo's summary drowned in one line of log for each upstream that left, at four entries. Change: the demo logs warnings by default; changes of the membership are logged for debugging only.

--- a/crates/masticfield-demo/src/args.rs
+++ b/crates/masticfield-demo/src/args.rs
@@ -11,6 +11,7 @@
 /// Runs all of masticfield in one process with stand-ins on loopback.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "masticfield-demo", version)]
+#[command(mut_arg("log_level", |arg| arg.default_value("warn")))]
 pub struct DemoArgs {
     #[command(flatten)]
     node: NodeArgs,
--- a/crates/masticfield-entry/src/peers/peer_actor.rs
+++ b/crates/masticfield-entry/src/peers/peer_actor.rs
@@ -90,7 +90,7 @@
             match action {
                 Action::Send { to, msg } => self.send(to, &Datagram::Membership(msg)),
                 Action::Tell(event) => {
-                    log::info!(event:?; "the membership changed");
+                    log::debug!(event:?; "the membership changed");
                     // A router that is gone sends nothing anywhere.
                     drop(self.router.send(Learn(event)).await);
                 }
