refactor(node): one reading of the time of day

Cause: six places in control, entry and stand-ins each turned the system's clock into seconds or milliseconds. Change: node::clock does it; they call it. Result: tests of entry, control and stand-ins pass.

--- a/crates/masticfield-control/src/actor/handle.rs
+++ b/crates/masticfield-control/src/actor/handle.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use masticfield_core::ids::ReplicaId;
+use masticfield_node::clock::epoch_ms;
 use masticfield_replica::{ProposeError, ReplicaHandle, ReplicaStatus};
 use masticfield_state::{Command, Envelope, LeaderAddresses, Reply, State};
 use snafu::{ResultExt, Snafu};
@@ -82,7 +83,7 @@
         };
         let proposed = Proposed {
             id,
-            envelope: Envelope::new(now_ms(), command),
+            envelope: Envelope::new(epoch_ms(), command),
         };
         let payload = postcard::to_stdvec(&proposed).context(EncodeSnafu)?;
         let (reply, replied) = oneshot::channel();
@@ -168,11 +169,3 @@
         self.replica.status().id
     }
 }
-
-/// Milliseconds since the Unix epoch.
-fn now_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/masticfield-control/src/planner/turn.rs
+++ b/crates/masticfield-control/src/planner/turn.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use masticfield_core::fleet::{Generation, HostHealth, Observation, Ownership, Planned};
 use masticfield_core::platform::PlatformOrder;
 use masticfield_fleet::health::{AvailabilityLedger, FlapDamper, Observer};
 use masticfield_fleet::placement::Learnt;
 use masticfield_fleet::{FleetView, Planner, orders, shortages};
+use masticfield_node::clock::since_epoch;
 use masticfield_state::{Command, Reply, State, TaskEnd, Verdict};
 use parking_lot::Mutex;
 
@@ -254,10 +255,3 @@
     });
     held.collect()
 }
-
-/// Time since the Unix epoch.
-fn since_epoch() -> Duration {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
--- a/crates/masticfield-entry/src/callers/once.rs
+++ b/crates/masticfield-entry/src/callers/once.rs
@@ -1,11 +1,12 @@
 //! A request that must run at most once, from its claim to its final answer.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use masticfield_core::claim::{Claim, ClaimEnd};
 use masticfield_core::ids::RequestId;
 use masticfield_core::outcome::{NotRunReason, Outcome, UnknownReason};
+use masticfield_node::clock::since_epoch;
 use masticfield_node::trace::Hop;
 use masticfield_routing::once::{
     FirstAnswer, IdempotencyKey, KeyError, OnceAnswer, OnceInput, OnceNext, OnceRequest,
@@ -107,8 +108,7 @@
 
 /// The claim of a request's key.
 fn claim_of(req: &CallerRequest, request: RequestId) -> Result<Claim, NotRunReason> {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let now_s = since.unwrap_or_default().as_secs();
+    let now_s = since_epoch().as_secs();
     let key = IdempotencyKey::parse(req.key()?, now_s).map_err(KeyError::reason)?;
     Ok(Claim {
         key: key.claim_key(&req.service),
--- a/crates/masticfield-entry/src/running.rs
+++ b/crates/masticfield-entry/src/running.rs
@@ -2,7 +2,6 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::Parser;
 use masticfield_core::ids::Incarnation;
@@ -10,6 +9,7 @@
     KernelContext, KernelError, Plugin, Program, ShutdownTrigger, StartFuture,
 };
 use masticfield_node::addresses::Addresses;
+use masticfield_node::clock::epoch_ms;
 use masticfield_node::running::{Running, StartError, start_admin};
 use masticfield_node::trace::{TraceSetupError, Tracing};
 use prometheus::Registry;
@@ -59,7 +59,7 @@
         let shared = tracing.clone();
         let provide = |cx: &mut KernelContext| {
             cx.provide(Arc::new(settings));
-            cx.provide(Incarnation::new(now_ms()));
+            cx.provide(Incarnation::new(epoch_ms()));
             cx.provide(shared);
         };
         let running = Running::start(Program::Entry, node, provide).await;
@@ -100,14 +100,6 @@
     )
 }
 
-/// Milliseconds since the Unix epoch.
-fn now_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn start_metrics(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let metrics = Metrics::register(cx.need::<Registry>()?);
--- a/crates/masticfield-fake/src/caller/load.rs
+++ b/crates/masticfield-fake/src/caller/load.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use masticfield_node::clock::since_epoch;
 use masticfield_node::http::Client;
 use tokio::task::JoinSet;
 
@@ -180,9 +181,7 @@
     }
 
     fn keyed(&self, sent: u64) -> (Method, HeaderMap) {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since = since_epoch();
         let key = format!(
             "{}-{}-{sent}-{}",
             since.as_secs(),
--- a/crates/masticfield-fake/src/upstream/fake_upstream.rs
+++ b/crates/masticfield-fake/src/upstream/fake_upstream.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use masticfield_core::ids::Incarnation;
 use masticfield_core::kernel::{Shutdown, ShutdownTrigger};
 use masticfield_core::membership::{Announcement, UpstreamState};
+use masticfield_node::clock::epoch_ms;
 use masticfield_node::http::{
     BindError, Client, HttpLimits, Reply, Server, json_reply, read_body, text_reply,
 };
@@ -177,12 +178,9 @@
 }
 
 fn announcement(options: &UpstreamOptions, address: SocketAddr) -> Announcement {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
     Announcement {
         id: Arc::clone(&options.id),
-        incarnation: Incarnation::new(u64::try_from(since.as_millis()).unwrap_or(u64::MAX)),
+        incarnation: Incarnation::new(epoch_ms()),
         service: Arc::clone(&options.service),
         address,
         host: Arc::clone(&options.host),
--- a/crates/masticfield-node/src/lib.rs
+++ b/crates/masticfield-node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod addresses;
 pub mod admin;
 pub mod args;
+pub mod clock;
 pub mod http;
 pub mod log_setup;
 pub mod program;
