--- a/crates/masticfield-control/src/entries/lease_actor.rs
+++ b/crates/masticfield-control/src/entries/lease_actor.rs
@@ -105,7 +105,8 @@
             return;
         };
         if let Some(until) = lease_until {
-            let until = until.saturating_duration_since(self.started);
+            // The granter counts from its own start.
+            let until = now + until.saturating_sub(masticfield_core::clock::boot_now());
             leading.granter.step(now, GranterEvent::Lead { until });
         }
         let term = leading.term;
--- /dev/null
+++ b/crates/masticfield-control/src/jobs/leading.rs
@@ -0,0 +1,83 @@
+//! A leadership and what it waits for.
+
+use std::collections::{BTreeMap, HashMap};
+
+use futures_util::stream::FuturesOrdered;
+use masticfield_jobs::leader::{AskId, Effect, Leader, Reply};
+use masticfield_replica::{ProposeError, ReplicaHandle};
+
+use super::asker::Asker;
+use super::handle::EntrySession;
+
+/// Largest number of commands in one entry of the log.
+const MAX_COMMANDS: usize = 512;
+
+/// The result of a proposal.
+type Proposed = std::pin::Pin<Box<dyn Future<Output = Result<Vec<Effect>, ProposeError>> + Send>>;
+
+/// A leadership and what it waits for.
+pub(super) struct Leading {
+    pub(super) term: u64,
+    pub(super) leader: Leader,
+    pub(super) asks: HashMap<AskId, Asker>,
+    last_ask: u64,
+    /// Turns that are not committed yet, in order.
+    pub(super) in_flight: FuturesOrdered<Proposed>,
+    /// Connections of entries, by their process.
+    pub(super) entries: BTreeMap<u64, EntrySession>,
+}
+
+impl Leading {
+    pub(super) fn new(term: u64, leader: Leader) -> Self {
+        Self {
+            term,
+            leader,
+            asks: HashMap::new(),
+            last_ask: 0,
+            in_flight: FuturesOrdered::new(),
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Notes who waits for an answer.
+    pub(super) fn note(&mut self, asker: Asker) -> AskId {
+        self.last_ask += 1;
+        let ask = AskId(self.last_ask);
+        self.asks.insert(ask, asker);
+        ask
+    }
+
+    /// Proposes a turn; its effects come out once it and every earlier one are committed.
+    pub(super) fn submit(
+        &mut self,
+        replica: &ReplicaHandle,
+        turn: masticfield_jobs::leader::Turn,
+    ) -> Option<Vec<Effect>> {
+        if turn.commands.is_empty() && self.in_flight.is_empty() {
+            return Some(turn.then);
+        }
+        if turn.commands.is_empty() && turn.then.is_empty() {
+            return None;
+        }
+        let payloads: Vec<_> = turn
+            .commands
+            .chunks(MAX_COMMANDS)
+            .map(|commands| postcard::to_stdvec(commands).expect("commands are plain data"))
+            .collect();
+        let (replica, then) = (replica.clone(), turn.then);
+        self.in_flight.push_back(Box::pin(async move {
+            for payload in payloads {
+                replica.propose(payload).await?;
+            }
+            Ok(then)
+        }));
+        None
+    }
+
+    /// Tells everyone who waits that nothing is known of the outcome.
+    pub(super) fn give_up(self) {
+        for asker in self.asks.into_values() {
+            asker.answer(Reply::Unknown);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-control/src/jobs/mod.rs
@@ -0,0 +1,17 @@
+//! Jobs: the leading replica's decisions, carried out.
+//!
+//! [`JobControl`] drives [`masticfield_jobs::leader::Leader`] with a replica: it commits what
+//! the leader decides and hands out what is to be done then. How executors are called is up to
+//! the receiver of [`CallOrder`].
+
+mod asker;
+mod entries;
+mod handle;
+mod job_control;
+mod leading;
+mod order;
+
+pub use entries::serve_entries;
+pub use handle::{ControlView, JobControlHandle, WaveProgress};
+pub use job_control::JobControl;
+pub use order::{CallOrder, ExecutorOrder};
--- a/crates/masticfield-control/src/lib.rs
+++ b/crates/masticfield-control/src/lib.rs
@@ -20,6 +20,7 @@
 mod actor;
 mod args;
 mod entries;
+pub mod jobs;
 mod metrics;
 mod operator;
 mod planner;
--- a/crates/masticfield-core/src/lib.rs
+++ b/crates/masticfield-core/src/lib.rs
@@ -17,6 +17,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+pub mod clock;
 pub mod claim;
 pub mod config;
 pub mod fleet;
--- /dev/null
+++ b/crates/masticfield-entry/src/jobs/link_handle.rs
@@ -0,0 +1,44 @@
+//! The handle of an entry's connection to the leading replica.
+
+use masticfield_jobs::leader::{Intake, Refusal, Reply};
+use masticfield_jobs::queue::IntakeLimits;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// A question for the leading replica.
+#[derive(Debug)]
+pub(super) struct Question {
+    pub(super) intake: Intake,
+    pub(super) reply: oneshot::Sender<Reply>,
+}
+
+/// What the connection has shown.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkView {
+    /// Whether the leading replica is connected.
+    pub connected: bool,
+    /// Bounds of what callers send, once they are known.
+    pub limits: Option<IntakeLimits>,
+}
+
+/// Asks the leading replica.
+#[derive(Debug, Clone)]
+pub struct JobLinkHandle {
+    pub(super) tx: mpsc::UnboundedSender<Question>,
+    pub(super) view: watch::Receiver<LinkView>,
+}
+
+impl JobLinkHandle {
+    /// What the connection has shown.
+    pub fn view(&self) -> LinkView {
+        *self.view.borrow()
+    }
+
+    /// Asks the leading replica; [`Reply::Unknown`] if the question was sent and got no answer.
+    pub async fn ask(&self, intake: Intake) -> Reply {
+        let (reply, answer) = oneshot::channel();
+        if self.tx.send(Question { intake, reply }).is_err() {
+            return Reply::Refused(Refusal::NotReady);
+        }
+        answer.await.unwrap_or(Reply::Unknown)
+    }
+}
--- /dev/null
+++ b/crates/masticfield-entry/src/jobs/mod.rs
@@ -0,0 +1,8 @@
+//! Jobs: an entry's connection to the leading replica.
+
+mod link;
+mod link_handle;
+mod pending;
+
+pub use link::{JobLink, LinkOptions};
+pub use link_handle::{JobLinkHandle, LinkView};
--- a/crates/masticfield-entry/src/lib.rs
+++ b/crates/masticfield-entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod args;
 mod callers;
 mod control;
+pub mod jobs;
 mod metrics;
 mod once;
 mod peers;
--- /dev/null
+++ b/crates/masticfield-jobs/src/job/resources.rs
@@ -0,0 +1,43 @@
+//! What a task needs and an executor has.
+
+use serde::{Deserialize, Serialize};
+
+/// Processor time, memory and accelerators.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor time, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub gpus: u64,
+}
+
+impl Resources {
+    /// Whether these are enough for `need`.
+    pub const fn fit(self, need: Self) -> bool {
+        need.cpu_milli <= self.cpu_milli
+            && need.memory_mb <= self.memory_mb
+            && need.gpus <= self.gpus
+    }
+
+    /// The sum.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpus: self.gpus.saturating_add(other.gpus),
+        }
+    }
+
+    /// What is left after taking `other` away; nothing where there is less.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -0,0 +1,183 @@
+//! What executors tell of themselves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::executor::{ExecutorView, HoldPhase};
+use super::{Announcement, AskId, Effect, Leader, Moment, Reply};
+use crate::state::{Command, EndKind, ExecutorKey};
+
+/// Time between an executor's word that it ends and its end.
+const LEAVE_TIME: Duration = Duration::from_secs(1);
+
+/// Announcements that an executor may miss before no task starts there.
+const MISSED_ANNOUNCEMENTS: f64 = 2.5;
+
+/// Time without a sign of an executor after which its empty life is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+
+impl Leader {
+    pub(super) fn on_announced(&mut self, at: Moment, ask: AskId, told: &Announcement) {
+        if let Some(key) = self.life_of(at, told) {
+            self.note_announcement(at, key, told);
+        }
+        self.then(Effect::Answer {
+            ask,
+            reply: Reply::Done,
+        });
+    }
+
+    /// The key of the life that tells of itself; none if the life is over.
+    fn life_of(&mut self, at: Moment, told: &Announcement) -> Option<ExecutorKey> {
+        let life = &told.life;
+        if let Some(known) = self.by_id.get(&life.id).copied() {
+            let record = self.state.executor(known)?;
+            if life.born_ms < record.life.born_ms {
+                return None;
+            }
+            let same = life.born_ms == record.life.born_ms;
+            let moved = life.address != record.life.address || life.pool != record.life.pool;
+            if same && !moved {
+                return Some(known);
+            }
+            self.retire(at, known, "reborn");
+        }
+        let key = self.state.next_executor();
+        self.commit(Command::Enlist {
+            executor: key,
+            life: life.clone(),
+        });
+        self.by_id.insert(Arc::clone(&life.id), key);
+        self.executors
+            .insert(key, ExecutorView::new(Duration::ZERO));
+        log::info!(
+            executor = life.id.as_ref(), born_ms = life.born_ms, pool = life.pool.as_ref(),
+            address = life.address.as_ref();
+            "executor known"
+        );
+        Some(key)
+    }
+
+    fn note_announcement(&mut self, at: Moment, key: ExecutorKey, told: &Announcement) {
+        let Some(view) = self.executors.get_mut(&key) else {
+            return;
+        };
+        if view.announced.is_some() && told.sequence <= view.sequence {
+            return;
+        }
+        let first = view.announced.is_none();
+        view.announced = Some(at.now);
+        view.sequence = told.sequence;
+        view.hear(at.now, told.clock_ms);
+        if told.leaving && self.commit(Command::Leaving { executor: key }) {
+            log::info!(executor = told.life.id.as_ref(), sequence = told.sequence; "executor leaves");
+            self.evacuate(at, key);
+        }
+        if first {
+            self.changed.insert(Arc::clone(&told.life.pool));
+        }
+    }
+
+    pub(super) fn on_left(&mut self, at: Moment, ask: AskId, id: &Arc<str>) {
+        if let Some(key) = self.by_id.get(id).copied()
+            && let Some(view) = self.executors.get_mut(&key)
+        {
+            view.left.get_or_insert(at.now);
+            self.commit(Command::Leaving { executor: key });
+        }
+        self.then(Effect::Answer {
+            ask,
+            reply: Reply::Done,
+        });
+    }
+
+    /// Ends a life with all that ran there.
+    pub(super) fn retire(&mut self, at: Moment, key: ExecutorKey, why: &'static str) {
+        let Some(record) = self.state.executor(key) else {
+            return;
+        };
+        let (id, pool) = (Arc::clone(&record.life.id), Arc::clone(&record.life.pool));
+        let runs: Vec<_> = record.runs.iter().copied().collect();
+        log::info!(executor = id.as_ref(), runs = runs.len(), why; "executor gone");
+        self.commit(Command::Retire {
+            executor: key,
+            at_ms: at.wall_ms,
+        });
+        self.executors.remove(&key);
+        if self.by_id.get(&id) == Some(&key) {
+            self.by_id.remove(&id);
+        }
+        for run in runs {
+            self.refresh(at, run.task.job);
+        }
+        self.changed.insert(pool);
+        self.then(Effect::Forget { executor: key });
+    }
+
+    /// Looks at what time alone changes on executors.
+    pub(super) fn check_executors(&mut self, at: Moment) {
+        let keys: Vec<_> = self.executors.keys().copied().collect();
+        for key in keys {
+            self.check_executor(at, key);
+        }
+    }
+
+    fn check_executor(&mut self, at: Moment, key: ExecutorKey) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let sign = view.clock.map_or(Duration::ZERO, |clock| clock.heard);
+        let left = view.left.is_some_and(|left| at.now > left + LEAVE_TIME);
+        let lapsed = !view.heard && !view.runs.is_empty() && view.lapsed(at.now);
+        let silent = at.now > sign.max(view.earlier_leases) + FORGET_AFTER;
+        if left {
+            return self.retire(at, key, "left");
+        }
+        if lapsed {
+            self.lapse(at, key);
+        } else if silent && view.runs.is_empty() {
+            return self.retire(at, key, "silent");
+        }
+        self.repeat_orders(at, key);
+        self.hold_if_due(at, key);
+    }
+
+    /// Ends every run of an executor whose leases have run out.
+    fn lapse(&mut self, at: Moment, key: ExecutorKey) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let runs: Vec<_> = view.runs.keys().copied().collect();
+        log::info!(executor = key.0, runs = runs.len(); "leases ran out without an answer");
+        for run in runs {
+            self.end(at, key, run, EndKind::Lapsed, None);
+        }
+    }
+
+    /// Whether tasks may start on an executor.
+    pub(super) fn is_usable(&self, at: Moment, key: ExecutorKey) -> bool {
+        let (Some(view), Some(record)) = (self.executors.get(&key), self.state.executor(key))
+        else {
+            return false;
+        };
+        let patience = self.options.announce_every.mul_f64(MISSED_ANNOUNCEMENTS);
+        let sign = view.clock.map_or(Duration::ZERO, |clock| clock.heard);
+        let fresh = view.announced.is_some() && at.now < sign + patience;
+        // A hold that is not answered leaves what runs there in doubt.
+        let trusted = view.failures == 0 && (view.heard || view.runs.is_empty());
+        fresh
+            && trusted
+            && !record.leaving
+            && view.left.is_none()
+            && view.strays.is_empty()
+            && at.now >= view.rests_until
+    }
+
+    pub(super) fn ask_soon(&mut self, at: Moment, key: ExecutorKey) {
+        if let Some(view) = self.executors.get_mut(&key)
+            && matches!(view.hold, HoldPhase::Due(_))
+        {
+            view.hold = HoldPhase::Due(at.now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -0,0 +1,186 @@
+//! What the leader is told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::job::RunId;
+use crate::queue::QueuesConfig;
+use crate::state::{EndKind, ExecutorKey, ExecutorLife, WaveOrder};
+
+use super::{AskId, Intake};
+
+/// A moment by two clocks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moment {
+    /// The own clock, which never jumps and counts the time of a suspended machine.
+    pub now: Duration,
+    /// Time of day, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
+
+/// What the leader is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A caller asks for a change.
+    Asked {
+        /// Whom to answer.
+        ask: AskId,
+        /// What is asked.
+        intake: Intake,
+    },
+    /// An operator sends a configuration, which was checked.
+    Configure {
+        /// Whom to answer.
+        ask: AskId,
+        /// The configuration.
+        config: QueuesConfig,
+        /// The configuration as it was sent.
+        content: Arc<[u8]>,
+    },
+    /// An executor tells of itself.
+    Announced {
+        /// Whom to answer.
+        ask: AskId,
+        /// What it tells.
+        announcement: Announcement,
+    },
+    /// An executor says that it ends now.
+    Left {
+        /// Whom to answer.
+        ask: AskId,
+        /// Identifier of the executor.
+        id: Arc<str>,
+    },
+    /// An operator asks for a wave of upkeep.
+    Wave {
+        /// Whom to answer.
+        ask: AskId,
+        /// The wave.
+        order: WaveOrder,
+    },
+    /// An executor has answered the order to start a run, or not.
+    Started {
+        /// The executor.
+        executor: ExecutorKey,
+        /// The run.
+        run: RunId,
+        /// The executor's clock.
+        result: Result<u64, CallError>,
+    },
+    /// An executor has answered the order to stop a run, or not.
+    Stopped {
+        /// The executor.
+        executor: ExecutorKey,
+        /// The run.
+        run: RunId,
+        /// The executor's clock.
+        result: Result<u64, CallError>,
+    },
+    /// An executor has told what runs and what ended, or not.
+    Held {
+        /// The executor.
+        executor: ExecutorKey,
+        /// When it was asked.
+        sent: Duration,
+        /// What it told.
+        result: Result<HoldReport, CallError>,
+    },
+}
+
+/// What an executor tells of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Announcement {
+    /// The life.
+    pub life: ExecutorLife,
+    /// Number of the announcement in this life; it rises.
+    pub sequence: u64,
+    /// The executor's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+/// What runs on an executor and what ended there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HoldReport {
+    /// The executor's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// When the life of the executor began, if it tells.
+    pub born_ms: Option<u64>,
+    /// What runs.
+    pub running: Vec<ListedRun>,
+    /// What ended and was not noted yet, in order.
+    pub finished: Vec<ListedEnd>,
+}
+
+/// A run that an executor lists.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedRun {
+    /// The run.
+    pub run: RunId,
+    /// The progress that it saved last.
+    pub saved: Option<Arc<str>>,
+    /// Progress in percent; 100 for a lasting task at work.
+    pub percent: u32,
+    /// Tail of response times of a task that serves, in milliseconds, or processor time in use
+    /// of another one, in thousandths of a core, over the last half second.
+    pub load: Option<u64>,
+}
+
+/// An end that an executor lists.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedEnd {
+    /// Number of the end in this life of the executor.
+    pub number: u64,
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub how: EndKind,
+    /// The progress that it saved last.
+    pub saved: Option<Arc<str>>,
+}
+
+/// Why an order was not carried out, as far as is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// Nothing is known: it may be carried out, also later.
+    Unknown,
+    /// Another life answers at the address.
+    OtherLife,
+    /// It was rejected.
+    Rejected(Rejection),
+}
+
+/// Why an executor rejects an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// A higher fence was seen.
+    Fence,
+    /// The run, or a later one, was there before.
+    Old,
+    /// The lease had already run out.
+    Late,
+    /// There is no room.
+    Room,
+    /// The ticket is missing or not valid.
+    Ticket,
+    /// The executor cannot do it now.
+    Unavailable,
+    /// The executor finds the order malformed.
+    Malformed,
+}
+
+impl Rejection {
+    /// The name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Fence => "fence",
+            Self::Old => "old",
+            Self::Late => "late",
+            Self::Room => "room",
+            Self::Ticket => "ticket",
+            Self::Unavailable => "unavailable",
+            Self::Malformed => "malformed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -0,0 +1,127 @@
+//! What the leader knows of an executor beyond the state.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::job::{Resources, RunId};
+use crate::schedule::ClockReading;
+
+/// What the leader knows of an executor beyond the state.
+#[derive(Debug, Clone)]
+pub(super) struct ExecutorView {
+    /// When it last told of itself to this leader.
+    pub(super) announced: Option<Duration>,
+    /// Number of that announcement.
+    pub(super) sequence: u64,
+    pub(super) clock: Option<ClockReading>,
+    /// Latest end of the lease that was sent, on the executor's clock.
+    pub(super) deadline_ms: u64,
+    /// Before this moment a lease of an earlier leader may last.
+    pub(super) earlier_leases: Duration,
+    /// Whether it has answered the leader's fence since the last failure.
+    pub(super) heard: bool,
+    /// Calls that failed in a row.
+    pub(super) failures: u32,
+    pub(super) hold: HoldPhase,
+    /// Number of the last end that is in the state.
+    pub(super) noted: u64,
+    /// Runs in the state that may be there.
+    pub(super) runs: HashMap<RunId, RunView>,
+    /// What those runs take.
+    pub(super) used: Resources,
+    /// Runs there that the state does not know, and when they were last told to stop.
+    pub(super) strays: HashMap<RunId, Duration>,
+    /// No task starts there before this moment, as it rejected one.
+    pub(super) rests_until: Duration,
+    /// When it has said that it ends.
+    pub(super) left: Option<Duration>,
+}
+
+/// Whether the executor is being asked what runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HoldPhase {
+    /// Not before this moment.
+    Due(Duration),
+    /// Since this moment.
+    Asked(Duration),
+}
+
+/// A run that may be on an executor.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct RunView {
+    pub(super) phase: RunPhase,
+    pub(super) reserved: Resources,
+    /// Tries of the order that may yet be carried out.
+    pub(super) open_tries: u32,
+    /// Whether the run lasts, and whether it fills.
+    pub(super) lasting: bool,
+    pub(super) filler: bool,
+    pub(super) percent: u32,
+}
+
+/// Where a run stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunPhase {
+    /// In the state; it is not known whether it was ordered.
+    Inherited,
+    /// Ordered, and not answered.
+    Ordered,
+    /// To be ordered again at this moment.
+    Again(Duration),
+    /// The executor had it at this moment.
+    There(Duration),
+    /// Told to stop at this moment.
+    Stopping(Duration),
+    /// The executor took the order to stop at this moment.
+    StopTaken(Duration),
+}
+
+impl ExecutorView {
+    pub(super) fn new(earlier_leases: Duration) -> Self {
+        Self {
+            announced: None,
+            sequence: 0,
+            clock: None,
+            deadline_ms: 0,
+            earlier_leases,
+            heard: false,
+            failures: 0,
+            hold: HoldPhase::Due(Duration::ZERO),
+            noted: 0,
+            runs: HashMap::new(),
+            used: Resources::default(),
+            strays: HashMap::new(),
+            rests_until: Duration::ZERO,
+            left: None,
+        }
+    }
+
+    /// Takes a newer reading of the executor's clock.
+    pub(super) fn hear(&mut self, now: Duration, clock_ms: u64) {
+        let newer = self.clock.is_none_or(|clock| clock_ms >= clock.clock_ms);
+        if newer {
+            let heard = now;
+            self.clock = Some(ClockReading { clock_ms, heard });
+        }
+    }
+
+    /// Adds a run.
+    pub(super) fn add(&mut self, run: RunId, view: RunView) {
+        self.used = self.used.plus(view.reserved);
+        self.runs.insert(run, view);
+    }
+
+    /// Takes a run out.
+    pub(super) fn remove(&mut self, run: RunId) -> Option<RunView> {
+        let view = self.runs.remove(&run)?;
+        self.used = self.used.minus(view.reserved);
+        Some(view)
+    }
+
+    /// Whether every lease there has run out for certain.
+    pub(super) fn lapsed(&self, now: Duration) -> bool {
+        let clock = self.clock;
+        let past = clock.is_none_or(|clock| clock.is_past(self.deadline_ms, now));
+        past && now > self.earlier_leases
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -0,0 +1,203 @@
+//! Leases, and what executors tell of their runs.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::executor::{HoldPhase, RunPhase};
+use super::{Call, CallError, HoldReport, Leader, Moment, Rejection};
+use crate::job::RunId;
+use crate::state::{EndKind, ExecutorKey};
+
+/// Time before an executor is asked again that did not answer.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+
+/// Time before an order to stop an unknown run is repeated.
+const STRAY_AGAIN_AFTER: Duration = Duration::from_millis(500);
+
+impl Leader {
+    /// Asks an executor what runs, if something does and it is not being asked.
+    pub(super) fn hold_if_due(&mut self, at: Moment, key: ExecutorKey) {
+        let Some(view) = self.executors.get_mut(&key) else {
+            return;
+        };
+        let HoldPhase::Due(due) = view.hold else {
+            return;
+        };
+        let idle = view.runs.is_empty() && view.strays.is_empty();
+        if idle || at.now < due {
+            return;
+        }
+        view.hold = HoldPhase::Asked(at.now);
+        let noted = view.noted;
+        let settled = view.heard && view.failures == 0;
+        let wait = if settled {
+            self.options.max_wait
+        } else {
+            Duration::ZERO
+        };
+        let wait = wait.min(self.options.lease / 3);
+        let deadline_ms = self.extend_lease(at, key);
+        self.call(
+            key,
+            Call::Hold {
+                deadline_ms,
+                noted,
+                wait,
+                sent: at.now,
+            },
+        );
+    }
+
+    pub(super) fn on_held(
+        &mut self,
+        at: Moment,
+        key: ExecutorKey,
+        sent: Duration,
+        result: Result<HoldReport, CallError>,
+    ) {
+        let Some(view) = self.executors.get_mut(&key) else {
+            return;
+        };
+        if view.hold == HoldPhase::Asked(sent) {
+            view.hold = HoldPhase::Due(at.now);
+        }
+        match result {
+            Ok(report) => self.reconcile(at, key, sent, &report),
+            Err(CallError::OtherLife) => self.retire(at, key, "another life answers"),
+            Err(CallError::Rejected(Rejection::Fence)) => {
+                log::info!(executor = key.0; "a later leader's fence was seen");
+                view.hold = HoldPhase::Due(at.now + ASK_AGAIN_AFTER * 5);
+            }
+            Err(CallError::Unknown | CallError::Rejected(_)) => {
+                if view.failures == 0 {
+                    log::info!(executor = key.0; "executor does not answer");
+                }
+                view.failures += 1;
+                view.heard = false;
+                view.hold = HoldPhase::Due(at.now + ASK_AGAIN_AFTER);
+            }
+        }
+        self.hold_if_due(at, key);
+    }
+
+    fn reconcile(&mut self, at: Moment, key: ExecutorKey, sent: Duration, report: &HoldReport) {
+        let Some(record) = self.state.executor(key) else {
+            return;
+        };
+        let born_ms = record.life.born_ms;
+        if report.born_ms.is_some_and(|born| born != born_ms) {
+            return self.retire(at, key, "reborn");
+        }
+        let Some(view) = self.executors.get_mut(&key) else {
+            return;
+        };
+        view.hear(at.now, report.clock_ms);
+        if view.failures > 0 {
+            log::info!(executor = key.0, failures = view.failures; "executor answers again");
+        }
+        let first = !view.heard;
+        (view.heard, view.failures) = (true, 0);
+        for listed in &report.running {
+            if let Some(run) = view.runs.get_mut(&listed.run) {
+                run.percent = listed.percent;
+                if matches!(run.phase, RunPhase::Inherited | RunPhase::Ordered) {
+                    run.phase = RunPhase::There(sent);
+                }
+            }
+        }
+        for ended in &report.finished {
+            let saved = ended.saved.clone();
+            self.end(at, key, ended.run, ended.how, saved);
+        }
+        if let (Some(view), Some(last)) = (self.executors.get_mut(&key), report.finished.last()) {
+            view.noted = view.noted.max(last.number);
+        }
+        self.settle_missing(at, key, sent, report);
+        self.stop_strays(at, key, report);
+        if first && let Some(record) = self.state.executor(key) {
+            self.changed.insert(record.life.pool.clone());
+        }
+    }
+
+    /// Decides about runs that the executor lists neither as running nor as ended.
+    fn settle_missing(
+        &mut self,
+        at: Moment,
+        key: ExecutorKey,
+        sent: Duration,
+        report: &HoldReport,
+    ) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let listed: HashSet<RunId> = report.running.iter().map(|listed| listed.run).collect();
+        let missing = view.runs.iter().filter(|(run, _)| !listed.contains(run));
+        let missing: Vec<_> = missing.map(|(run, view)| (*run, view.phase)).collect();
+        for (run, phase) in missing {
+            match phase {
+                // The order may be on its way; the same one again settles it.
+                RunPhase::Inherited => self.resume(at, key, run),
+                RunPhase::There(since) if since < sent => {
+                    self.end(at, key, run, EndKind::Gone, None);
+                }
+                RunPhase::StopTaken(since) if since < sent => {
+                    self.end(at, key, run, EndKind::NotRun, None);
+                }
+                _ => {}
+            }
+        }
+        let unwanted = self
+            .executors
+            .get(&key)
+            .into_iter()
+            .flat_map(|view| &view.runs);
+        let unwanted = unwanted.filter(|(run, view)| {
+            let job = self.state.job(run.task.job);
+            let wanted = job.is_some_and(|job| job.wants(**run));
+            !wanted && matches!(view.phase, RunPhase::There(_))
+        });
+        let unwanted: Vec<_> = unwanted.map(|(run, _)| *run).collect();
+        for run in unwanted {
+            self.stop(at, key, run);
+        }
+    }
+
+    fn resume(&mut self, at: Moment, key: ExecutorKey, run: RunId) {
+        let job = self.state.job(run.task.job);
+        let wanted = job.is_some_and(|job| job.wants(run));
+        let leaving = self
+            .state
+            .executor(key)
+            .is_some_and(|record| record.leaving);
+        if wanted && !leaving {
+            if let Some(view) = self.run_mut(key, run) {
+                view.phase = RunPhase::Again(at.now);
+            }
+            self.repeat_orders(at, key);
+        } else {
+            self.stop(at, key, run);
+        }
+    }
+
+    /// Stops what runs there without being known.
+    fn stop_strays(&mut self, at: Moment, key: ExecutorKey, report: &HoldReport) {
+        let Some(view) = self.executors.get_mut(&key) else {
+            return;
+        };
+        let running = report.running.iter().map(|listed| listed.run);
+        let strays: Vec<_> = running.filter(|run| !view.runs.contains_key(run)).collect();
+        view.strays.retain(|run, _| strays.contains(run));
+        let mut stop = Vec::new();
+        for run in strays {
+            let told = view.strays.get(&run).copied();
+            if told.is_none_or(|told| at.now >= told + STRAY_AGAIN_AFTER) {
+                view.strays.insert(run, at.now);
+                stop.push(run);
+            }
+        }
+        for run in stop {
+            log::info!(run:%, executor = key.0; "an unknown run is stopped");
+            self.call(key, Call::Stop { run });
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -0,0 +1,185 @@
+//! The leading replica's decisions.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::executor::{ExecutorView, RunPhase, RunView};
+use super::{Effect, Event, LeaderOptions, Moment, Turn};
+use crate::job::{JobId, RunId};
+use crate::queue::RouteTable;
+use crate::schedule::{Rank, lease_end};
+use crate::state::{Command, ExecutorKey, State};
+
+/// Time between two looks at what time alone changes.
+const CHECK_EVERY: Duration = Duration::from_millis(100);
+
+/// Time between two commands that forget ended jobs.
+const FORGET_EVERY: Duration = Duration::from_secs(10);
+
+/// The leading replica's decisions.
+#[derive(Debug)]
+pub struct Leader {
+    pub(super) options: LeaderOptions,
+    /// With everything that was proposed.
+    pub(super) state: State,
+    pub(super) routes: RouteTable,
+    pub(super) executors: HashMap<ExecutorKey, ExecutorView>,
+    /// The latest life by identifier.
+    pub(super) by_id: HashMap<Arc<str>, ExecutorKey>,
+    /// Jobs with tasks that can start, by pool.
+    pub(super) pending: HashMap<Arc<str>, BTreeSet<(Rank, JobId)>>,
+    /// Where each of them stands in `pending`.
+    pub(super) ranks: HashMap<JobId, (Arc<str>, Rank)>,
+    /// Occurrences that are not due yet.
+    pub(super) due: BTreeSet<(u64, JobId)>,
+    /// Pools in which something has changed since the last turn.
+    pub(super) changed: BTreeSet<Arc<str>>,
+    pub(super) turn: Turn,
+    checked: Duration,
+    forgot: Duration,
+}
+
+impl Leader {
+    /// Takes over a state at the moment of the election.
+    pub fn new(state: State, options: LeaderOptions, at: Moment) -> Self {
+        let mut leader = Self {
+            options,
+            routes: RouteTable::default(),
+            executors: HashMap::new(),
+            by_id: HashMap::new(),
+            pending: HashMap::new(),
+            ranks: HashMap::new(),
+            due: BTreeSet::new(),
+            changed: BTreeSet::new(),
+            turn: Turn::default(),
+            checked: Duration::ZERO,
+            forgot: at.now,
+            state,
+        };
+        leader.inherit(at);
+        leader
+    }
+
+    /// The state with everything that was proposed.
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Takes an event.
+    pub fn step(&mut self, at: Moment, event: Event) {
+        match event {
+            Event::Asked { ask, intake } => self.on_asked(at, ask, intake),
+            Event::Configure { .. } => self.on_configure(at, event),
+            Event::Announced { ask, announcement } => self.on_announced(at, ask, &announcement),
+            Event::Left { ask, id } => self.on_left(at, ask, &id),
+            Event::Wave { ask, order } => self.on_wave(at, ask, order),
+            Event::Started {
+                executor,
+                run,
+                result,
+            } => self.on_started(at, executor, run, result),
+            Event::Stopped {
+                executor,
+                run,
+                result,
+            } => self.on_stopped(at, executor, run, result),
+            Event::Held {
+                executor,
+                sent,
+                result,
+            } => self.on_held(at, executor, sent, result),
+        }
+    }
+
+    /// Decides what follows from the events and the time.
+    pub fn turn(&mut self, at: Moment) -> Turn {
+        if at.now >= self.checked + CHECK_EVERY {
+            self.checked = at.now;
+            self.check_due(at);
+            self.check_executors(at);
+            self.forget(at);
+        }
+        self.plan(at);
+        std::mem::take(&mut self.turn)
+    }
+
+    /// When [`turn`](Self::turn) is to be called without an event.
+    pub fn next_check(&self) -> Duration {
+        self.checked + CHECK_EVERY
+    }
+
+    /// Applies a command and puts it into the turn; says whether it changed anything.
+    pub(super) fn commit(&mut self, command: Command) -> bool {
+        let changed = self.state.apply(command.clone());
+        if changed {
+            self.turn.commands.push(command);
+        }
+        changed
+    }
+
+    pub(super) fn then(&mut self, effect: Effect) {
+        self.turn.then.push(effect);
+    }
+
+    pub(super) fn reconfigured(&mut self, at: Moment) {
+        self.read_config();
+        let jobs: Vec<_> = self.ranks.keys().copied().collect();
+        jobs.into_iter().for_each(|job| self.refresh(at, job));
+    }
+
+    fn read_config(&mut self) {
+        let state = &self.state;
+        let Some(stored) = state.config() else {
+            return;
+        };
+        self.routes = state.route_table(&stored.config);
+    }
+
+    fn inherit(&mut self, at: Moment) {
+        self.read_config();
+        let earlier_leases = lease_end(at.now, self.options.lease);
+        let executors: Vec<_> = self.state.executors().map(|(key, _)| key).collect();
+        for key in executors {
+            let Some(record) = self.state.executor(key) else {
+                continue;
+            };
+            let runs: Vec<_> = record.runs.iter().copied().collect();
+            self.by_id.insert(Arc::clone(&record.life.id), key);
+            let mut view = ExecutorView::new(earlier_leases);
+            for run in runs {
+                view.add(run, self.run_view(run, RunPhase::Inherited));
+            }
+            self.executors.insert(key, view);
+        }
+        let jobs: Vec<_> = self.state.jobs().map(|(job, _)| job).collect();
+        for job in jobs {
+            self.refresh(at, job);
+        }
+    }
+
+    /// What is kept of a run on its executor.
+    pub(super) fn run_view(&self, run: RunId, phase: RunPhase) -> RunView {
+        let job = self.state.job(run.task.job);
+        let spec = job.and_then(|job| job.spec.as_ref());
+        let step = spec.and_then(|spec| spec.steps.get(usize::from(run.task.step)));
+        RunView {
+            phase,
+            reserved: step.map(crate::job::StepSpec::reserved).unwrap_or_default(),
+            open_tries: 0,
+            lasting: step.is_some_and(|step| step.lasting),
+            filler: step.is_some_and(|step| step.filler),
+            percent: 0,
+        }
+    }
+
+    fn forget(&mut self, at: Moment) {
+        if at.now < self.forgot + FORGET_EVERY {
+            return;
+        }
+        self.forgot = at.now;
+        let keep = u64::try_from(self.options.keep_ended.as_millis()).unwrap_or(u64::MAX);
+        let before_ms = at.wall_ms.saturating_sub(keep);
+        self.commit(Command::Forget { before_ms });
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -0,0 +1,27 @@
+//! What the leading replica does with the state.
+//!
+//! [`Leader::step`] takes an event; [`Leader::turn`] returns the commands to commit and what to
+//! do once they are committed. The leader's own copy of the state already holds everything that
+//! it proposed; it is thrown away when the replica no longer leads.
+
+mod announce;
+mod effect;
+mod event;
+mod executor;
+mod hold;
+mod intake;
+#[expect(clippy::module_inception, reason = "the file has the type's name")]
+mod leader;
+mod options;
+mod orders;
+mod plan;
+mod reads;
+
+pub use effect::{Call, Effect, Refusal, Reply, Turn};
+pub use event::{
+    Announcement, CallError, Event, HoldReport, ListedEnd, ListedRun, Moment, Rejection,
+};
+pub use intake::{AskId, Intake, IntakeKind};
+pub use leader::Leader;
+pub use options::LeaderOptions;
+pub use reads::read;
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -0,0 +1,42 @@
+//! Periods of the leader.
+
+use std::time::Duration;
+
+/// Periods of the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaderOptions {
+    /// Time for which what runs on an executor may go on without news from the leader.
+    pub lease: Duration,
+    /// Longest time that an executor may be asked to wait for an end.
+    pub max_wait: Duration,
+    /// Time between two announcements of an executor.
+    pub announce_every: Duration,
+    /// Time for which the state of an ended job is kept.
+    pub keep_ended: Duration,
+}
+
+impl LeaderOptions {
+    /// Creates the options with a lease.
+    pub const fn new(lease: Duration) -> Self {
+        Self {
+            lease,
+            max_wait: Duration::from_secs(2),
+            announce_every: Duration::from_millis(1_500),
+            keep_ended: Duration::from_secs(150),
+        }
+    }
+
+    /// Sets the time between two announcements of an executor.
+    #[must_use]
+    pub const fn announce_every(mut self, every: Duration) -> Self {
+        self.announce_every = every;
+        self
+    }
+
+    /// Sets the time for which the state of an ended job is kept.
+    #[must_use]
+    pub const fn keep_ended(mut self, time: Duration) -> Self {
+        self.keep_ended = time;
+        self
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -0,0 +1,213 @@
+//! Which tasks start next, and where.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::executor::RunPhase;
+use super::{Leader, Moment};
+use crate::job::{JobId, TaskId};
+use crate::schedule::{Backlog, Candidate, Wish, choose, rank};
+use crate::state::{ExecutorKey, JobPhase};
+
+impl Leader {
+    /// Brings the place of a job among the pending ones up to date.
+    pub(super) fn refresh(&mut self, at: Moment, id: JobId) {
+        let place = self.place_of(at, id);
+        let before = self.ranks.get(&id);
+        if before == place.as_ref() {
+            return;
+        }
+        if let Some((pool, rank)) = self.ranks.remove(&id)
+            && let Some(pending) = self.pending.get_mut(&pool)
+        {
+            pending.remove(&(rank, id));
+        }
+        if let Some((pool, rank)) = place {
+            let pending = self.pending.entry(Arc::clone(&pool)).or_default();
+            pending.insert((rank, id));
+            self.changed.insert(Arc::clone(&pool));
+            self.ranks.insert(id, (pool, rank));
+        }
+    }
+
+    fn place_of(&mut self, at: Moment, id: JobId) -> Option<(Arc<str>, crate::schedule::Rank)> {
+        let job = self.state.job(id)?;
+        let spec = job.spec.as_ref().filter(|_| job.phase == JobPhase::Open)?;
+        let queue = self.state.queue(job.queue)?;
+        let mut startable = false;
+        for (occurrence, round) in (0..).zip(&job.rounds) {
+            let due = spec.due_ms(occurrence);
+            if let Some(due) = due.filter(|due| *due > at.wall_ms) {
+                self.due.insert((due, id));
+                break;
+            }
+            let mut steps = spec.steps.iter().zip(&round.steps);
+            startable |= steps.any(|(step, tasks)| {
+                tasks.left > 0 && round.is_ready(step) && tasks.waiting().next().is_some()
+            });
+        }
+        startable.then(|| (Arc::clone(&queue.pool), rank(spec, queue, job.accepted_ms)))
+    }
+
+    /// Looks for occurrences that have become due.
+    pub(super) fn check_due(&mut self, at: Moment) {
+        while let Some((due, job)) = self.due.first().copied()
+            && due <= at.wall_ms
+        {
+            self.due.pop_first();
+            self.refresh(at, job);
+        }
+    }
+
+    /// Starts what can start in the pools in which something has changed.
+    pub(super) fn plan(&mut self, at: Moment) {
+        for pool in std::mem::take(&mut self.changed) {
+            self.plan_pool(at, &pool);
+        }
+    }
+
+    fn plan_pool(&mut self, at: Moment, pool: &Arc<str>) {
+        let jobs: Vec<_> = match self.pending.get(pool) {
+            Some(pending) if !pending.is_empty() => pending.iter().map(|(_, job)| *job).collect(),
+            _ => return,
+        };
+        let executors = self.state.executors();
+        let of_pool = executors.filter(|(_, record)| record.life.pool == *pool);
+        let usable: Vec<_> = of_pool.map(|(key, _)| key).collect();
+        let usable: Vec<_> = usable
+            .into_iter()
+            .filter(|key| self.is_usable(at, *key))
+            .collect();
+        for job in jobs {
+            self.plan_job(at, job, &usable);
+            self.refresh(at, job);
+        }
+        for key in usable {
+            self.hold_if_due(at, key);
+        }
+    }
+
+    fn plan_job(&mut self, at: Moment, id: JobId, usable: &[ExecutorKey]) {
+        for (task, last_run) in self.startable(at, id) {
+            if let Some(executor) = self.find_executor(task, usable) {
+                log::debug!(task:%, executor = executor.0; "placed");
+                self.start(at, task.run(last_run + 1), executor);
+            }
+        }
+    }
+
+    fn startable(&self, at: Moment, id: JobId) -> Vec<(TaskId, u32)> {
+        let mut found = Vec::new();
+        let Some(job) = self.state.job(id) else {
+            return found;
+        };
+        let Some(spec) = &job.spec else {
+            return found;
+        };
+        for (occurrence, round) in (0..).zip(&job.rounds) {
+            if spec.due_ms(occurrence).is_some_and(|due| due > at.wall_ms) {
+                break;
+            }
+            for (number, (step, tasks)) in (0..).zip(spec.steps.iter().zip(&round.steps)) {
+                if tasks.left == 0 || !round.is_ready(step) {
+                    continue;
+                }
+                let waiting = tasks.waiting();
+                found.extend(waiting.map(|(index, task)| {
+                    (TaskId::new(id, occurrence, number, index), task.last_run)
+                }));
+            }
+        }
+        found
+    }
+
+    fn find_executor(&self, task: TaskId, usable: &[ExecutorKey]) -> Option<ExecutorKey> {
+        let job = self.state.job(task.job)?;
+        let step = job.spec.as_ref()?.steps.get(usize::from(task.step))?;
+        let placed = &job.rounds[task.occurrence as usize].steps[usize::from(task.step)];
+        let siblings = placed.tasks.iter().flat_map(|task| &task.runs);
+        let siblings: Vec<_> = siblings.map(|(_, executor)| *executor).collect();
+        let near = step.same_rack.then(|| siblings.first()).flatten();
+        let near = near.and_then(|key| self.state.executor(*key)?.life.rack.as_ref());
+        let candidates = usable.iter().filter_map(|key| {
+            let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
+            let count = |fits: &dyn Fn(&super::executor::RunView) -> bool| {
+                let runs = view.runs.values().filter(|run| fits(run)).count();
+                u32::try_from(runs).unwrap_or(u32::MAX)
+            };
+            let here = siblings.iter().filter(|executor| *executor == key).count();
+            Some(Candidate {
+                key: *key,
+                free: record.life.capacity.minus(view.used),
+                labels: &record.life.labels,
+                rack: record.life.rack.as_ref(),
+                siblings: u32::try_from(here).unwrap_or(u32::MAX),
+                serving: count(&|run| run.lasting && !run.filler),
+                fillers: count(&|run| run.filler),
+            })
+        });
+        choose(Wish { step, near }, candidates)
+    }
+
+    /// Stops the lasting tasks on an executor that leaves, so that they start elsewhere.
+    pub(super) fn evacuate(&mut self, at: Moment, key: ExecutorKey) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let lasting = view.runs.iter().filter(|(_, run)| {
+            let told = matches!(run.phase, RunPhase::Stopping(_) | RunPhase::StopTaken(_));
+            run.lasting && !told
+        });
+        let lasting: Vec<_> = lasting.map(|(run, _)| *run).collect();
+        for run in lasting {
+            self.stop(at, key, run);
+        }
+    }
+
+    /// What waits in a pool ahead of a new job of a priority, and the cores that can work it off.
+    pub(super) fn backlog(&self, pool: &Arc<str>, _priority: u32) -> Backlog {
+        let mut cores = 0.0;
+        for (key, record) in self.state.executors() {
+            if record.life.pool != *pool || record.leaving {
+                continue;
+            }
+            let view = self.executors.get(&key);
+            let lasting = view.into_iter().flat_map(|view| view.runs.values());
+            let lasting = lasting.filter(|run| run.lasting);
+            let held: u64 = lasting.map(|run| run.reserved.cpu_milli).sum();
+            cores += milli(record.life.capacity.cpu_milli.saturating_sub(held));
+        }
+        let mut work = 0.0;
+        let pending = self.pending.get(pool).into_iter().flatten();
+        for (_, id) in pending {
+            work += self.work_left(*id);
+        }
+        Backlog { work, cores }
+    }
+
+    /// Estimated work of a job's tasks that have not started, in core-seconds.
+    fn work_left(&self, id: JobId) -> f64 {
+        let Some(job) = self.state.job(id) else {
+            return 0.0;
+        };
+        let Some(spec) = job.spec.as_ref().filter(|spec| !spec.lasts()) else {
+            return 0.0;
+        };
+        let steps = job
+            .rounds
+            .iter()
+            .flat_map(|round| spec.steps.iter().zip(&round.steps));
+        steps
+            .map(|(step, tasks)| {
+                let waiting = u32::try_from(tasks.waiting().count()).unwrap_or(u32::MAX);
+                let time = Duration::from_millis(step.estimate_ms).as_secs_f64();
+                f64::from(waiting) * time * milli(step.need.cpu_milli)
+            })
+            .sum()
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "cores of one executor or task")]
+fn milli(cpu_milli: u64) -> f64 {
+    cpu_milli as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/schedule/admission.rs
@@ -0,0 +1,41 @@
+//! Whether a job is taken in.
+
+use std::time::Duration;
+
+/// What is waiting in a pool and what the pool can do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Backlog {
+    /// Work of accepted jobs that is not done, in core-seconds.
+    pub work: f64,
+    /// Cores that jobs of this kind can have.
+    pub cores: f64,
+}
+
+/// Whether a job is taken in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It can be on time.
+    Accept,
+    /// It cannot; there is room again after this time.
+    Refuse {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// Refuses a job that could only start when it is already too late to be on time.
+///
+/// `slack` is the time that the job can wait and still be on time.
+pub fn admit(backlog: Backlog, slack: Duration) -> Admission {
+    if backlog.cores <= 0.0 {
+        return Admission::Accept;
+    }
+    let wait = Duration::try_from_secs_f64(backlog.work / backlog.cores).unwrap_or(Duration::MAX);
+    if wait <= slack {
+        Admission::Accept
+    } else {
+        Admission::Refuse {
+            retry_after: wait.saturating_sub(slack),
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/schedule/place.rs
@@ -0,0 +1,69 @@
+//! On which executor a task starts.
+
+use std::sync::Arc;
+
+use crate::job::{Resources, StepSpec};
+use crate::state::ExecutorKey;
+
+/// What a task asks of its executor.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// The task's step.
+    pub step: &'a StepSpec,
+    /// Rack on which other tasks of the step are, if they belong together.
+    pub near: Option<&'a Arc<str>>,
+}
+
+/// An executor that may start tasks.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// The executor.
+    pub key: ExecutorKey,
+    /// What is free.
+    pub free: Resources,
+    /// Labels.
+    pub labels: &'a [Arc<str>],
+    /// Rack.
+    pub rack: Option<&'a Arc<str>>,
+    /// Tasks of the same step that are there.
+    pub siblings: u32,
+    /// Tasks that serve users there.
+    pub serving: u32,
+    /// Tasks there that take what others leave.
+    pub fillers: u32,
+}
+
+/// Chooses the executor for a task, or none if no candidate will do.
+///
+/// Tasks go to the rack of their data. Tasks that serve users and tasks that fill keep apart,
+/// as they disturb each other. Otherwise the emptiest executor is taken, so that a burst is
+/// spread over as many connections as there are.
+pub fn choose<'a>(
+    wish: Wish<'_>,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> Option<ExecutorKey> {
+    let fitting = candidates.filter(|candidate| fits(wish, candidate));
+    let best = fitting.min_by_key(|candidate| cost(wish, candidate));
+    best.map(|candidate| candidate.key)
+}
+
+fn fits(wish: Wish<'_>, candidate: &Candidate<'_>) -> bool {
+    let label = wish.step.label.as_ref();
+    let below = wish.step.max_per_executor;
+    candidate.free.fit(wish.step.reserved())
+        && label.is_none_or(|label| candidate.labels.contains(label))
+        && below.is_none_or(|most| candidate.siblings < most.max(1))
+}
+
+fn cost(wish: Wish<'_>, candidate: &Candidate<'_>) -> (bool, u32, std::cmp::Reverse<u64>) {
+    let wanted = wish.step.data_rack.as_ref().or(wish.near);
+    let far = wanted.is_some() && wanted != candidate.rack;
+    let disturbed = if wish.step.filler {
+        candidate.serving + candidate.fillers
+    } else if wish.step.lasting {
+        candidate.fillers
+    } else {
+        0
+    };
+    (far, disturbed, std::cmp::Reverse(candidate.free.cpu_milli))
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -0,0 +1,21 @@
+//! The replicated state of jobs, executors and the configuration.
+//!
+//! Every replica applies the same commands in the same order; a command that does not fit any
+//! more changes nothing.
+
+mod command;
+mod executor;
+mod job;
+mod machine;
+#[expect(clippy::module_inception, reason = "the file has the type's name")]
+mod state;
+mod task;
+mod wave;
+
+pub use command::{Command, EndKind};
+pub use executor::{ExecutorKey, ExecutorLife, ExecutorRecord};
+pub use job::{JobPhase, JobRecord, JobStatus};
+pub use machine::MachineClaim;
+pub use state::{State, StoredConfig};
+pub use task::{Round, StepRound, TaskRecord};
+pub use wave::{Wave, WaveOrder};
--- /dev/null
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -0,0 +1,286 @@
+//! The replicated state.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Command, EndKind, ExecutorKey, ExecutorLife, ExecutorRecord, JobPhase, JobRecord, MachineClaim,
+    Wave, WaveOrder,
+};
+use crate::job::{JobId, RunId};
+use crate::queue::{QueueConfig, QueueId, QueuesConfig, RouteTable};
+
+/// Attempts of a task whose queue is not configured any more.
+const DEFAULT_ATTEMPTS: u32 = 2;
+
+/// The replicated state.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    config: Option<StoredConfig>,
+    /// Every place that a configuration has named, by identity; never reused.
+    places: Vec<(Arc<str>, Arc<str>)>,
+    /// The last configuration of each place, by identity.
+    queues: BTreeMap<QueueId, QueueConfig>,
+    jobs: HashMap<JobId, JobRecord>,
+    executors: BTreeMap<ExecutorKey, ExecutorRecord>,
+    last_executor: u32,
+    waves: BTreeMap<u64, Wave>,
+    claims: BTreeMap<Arc<str>, MachineClaim>,
+}
+
+/// The configuration in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StoredConfig {
+    /// The configuration.
+    pub config: Arc<QueuesConfig>,
+    /// The configuration as the operator sent it.
+    pub content: Arc<[u8]>,
+}
+
+impl State {
+    /// The configuration in force.
+    pub const fn config(&self) -> Option<&StoredConfig> {
+        self.config.as_ref()
+    }
+
+    /// Version of the configuration in force; 0 without one.
+    pub fn version(&self) -> u64 {
+        self.config
+            .as_ref()
+            .map_or(0, |stored| stored.config.version)
+    }
+
+    /// Identity of the queue at a place, if a configuration has ever named it.
+    pub fn queue_id(&self, authority: &str, prefix: &str) -> Option<QueueId> {
+        let mut places = (0..).zip(&self.places);
+        let same = |place: &(Arc<str>, Arc<str>)| *place.0 == *authority && *place.1 == *prefix;
+        places
+            .find(|(_, place)| same(place))
+            .map(|(number, _)| QueueId(number))
+    }
+
+    /// The routes of a configuration that is or was in force.
+    pub fn route_table(&self, config: &QueuesConfig) -> RouteTable {
+        let places = (0..).zip(&self.places);
+        let ids: HashMap<_, _> = places
+            .map(|(number, (authority, prefix))| ((authority, prefix), QueueId(number)))
+            .collect();
+        RouteTable::new(config, |authority, prefix| {
+            ids.get(&(authority, prefix)).copied()
+        })
+    }
+
+    /// The last configuration of a queue.
+    pub fn queue(&self, queue: QueueId) -> Option<&QueueConfig> {
+        self.queues.get(&queue)
+    }
+
+    /// The jobs that are known.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobId, &JobRecord)> {
+        self.jobs.iter().map(|(id, job)| (*id, job))
+    }
+
+    /// A job.
+    pub fn job(&self, job: JobId) -> Option<&JobRecord> {
+        self.jobs.get(&job)
+    }
+
+    /// The executors that are known.
+    pub fn executors(&self) -> impl Iterator<Item = (ExecutorKey, &ExecutorRecord)> {
+        self.executors
+            .iter()
+            .map(|(key, executor)| (*key, executor))
+    }
+
+    /// An executor.
+    pub fn executor(&self, executor: ExecutorKey) -> Option<&ExecutorRecord> {
+        self.executors.get(&executor)
+    }
+
+    /// A key that no executor has had.
+    pub const fn next_executor(&self) -> ExecutorKey {
+        ExecutorKey(self.last_executor + 1)
+    }
+
+    /// The waves of upkeep, by number.
+    pub const fn waves(&self) -> &BTreeMap<u64, Wave> {
+        &self.waves
+    }
+
+    /// What is asked of the platform, by host.
+    pub const fn claims(&self) -> &BTreeMap<Arc<str>, MachineClaim> {
+        &self.claims
+    }
+
+    /// Applies a command; says whether it changed anything.
+    pub fn apply(&mut self, command: Command) -> bool {
+        match command {
+            Command::Configure { config, content } => self.configure(config, content),
+            Command::Submit {
+                job,
+                queue,
+                spec,
+                at_ms,
+            } => {
+                let new = !self.jobs.contains_key(&job);
+                if new {
+                    self.jobs.insert(job, JobRecord::new(queue, spec, at_ms));
+                }
+                new
+            }
+            Command::Cancel { job, at_ms } => self.cancel(job, at_ms),
+            Command::Enlist { executor, life } => self.enlist(executor, life),
+            Command::Leaving { executor } => {
+                let record = self.executors.get_mut(&executor);
+                record.is_some_and(|record| !std::mem::replace(&mut record.leaving, true))
+            }
+            Command::Retire { executor, at_ms } => self.retire(executor, at_ms),
+            Command::Start { run, executor } => self.start(run, executor),
+            Command::End {
+                run,
+                executor,
+                how,
+                saved,
+                at_ms,
+            } => self.end(run, executor, how, saved, at_ms),
+            Command::Wave { order, at_ms } => self.wave(order, at_ms),
+            Command::Tended { wave, host } => {
+                let wave = self.waves.get_mut(&wave);
+                wave.is_some_and(|wave| wave.left.remove(&host))
+            }
+            Command::Claim { host, claim } => {
+                self.claims.insert(host, claim.clone()) != Some(claim)
+            }
+            Command::Unclaim { host } => self.claims.remove(&host).is_some(),
+            Command::Forget { before_ms } => self.forget(before_ms),
+        }
+    }
+
+    fn configure(&mut self, config: QueuesConfig, content: Arc<[u8]>) -> bool {
+        if self.config.is_some() && config.version <= self.version() {
+            return false;
+        }
+        for queue in &config.queues {
+            let known = self.queue_id(&queue.authority, &queue.prefix);
+            let id = known.unwrap_or_else(|| {
+                let place = (Arc::clone(&queue.authority), Arc::clone(&queue.prefix));
+                self.places.push(place);
+                QueueId(u32::try_from(self.places.len() - 1).unwrap_or(u32::MAX))
+            });
+            self.queues.insert(id, queue.clone());
+        }
+        let config = Arc::new(config);
+        self.config = Some(StoredConfig { config, content });
+        true
+    }
+
+    fn cancel(&mut self, job: JobId, at_ms: u64) -> bool {
+        let Some(record) = self.jobs.get_mut(&job) else {
+            return false;
+        };
+        let open = record.phase == JobPhase::Open;
+        record.end(JobPhase::Cancelled, at_ms);
+        record.shrink();
+        open
+    }
+
+    fn enlist(&mut self, key: ExecutorKey, life: ExecutorLife) -> bool {
+        if key.0 <= self.last_executor {
+            return false;
+        }
+        self.last_executor = key.0;
+        let record = ExecutorRecord {
+            life,
+            leaving: false,
+            runs: std::collections::BTreeSet::new(),
+        };
+        self.executors.insert(key, record);
+        true
+    }
+
+    fn retire(&mut self, key: ExecutorKey, at_ms: u64) -> bool {
+        let Some(record) = self.executors.remove(&key) else {
+            return false;
+        };
+        for run in record.runs {
+            self.end_run(run, EndKind::Gone, None, at_ms);
+        }
+        true
+    }
+
+    fn start(&mut self, run: RunId, executor: ExecutorKey) -> bool {
+        let Some(record) = self.executors.get_mut(&executor) else {
+            return false;
+        };
+        let job = self.jobs.get_mut(&run.task.job);
+        let Some(job) = job.filter(|job| job.wants(run)) else {
+            return false;
+        };
+        let Some(task) = job
+            .task_mut(run.task)
+            .filter(|task| run.number > task.last_run)
+        else {
+            return false;
+        };
+        task.last_run = run.number;
+        task.runs.push((run.number, executor));
+        job.started = true;
+        job.active += 1;
+        record.runs.insert(run);
+        true
+    }
+
+    fn end(
+        &mut self,
+        run: RunId,
+        executor: ExecutorKey,
+        how: EndKind,
+        saved: Option<Arc<str>>,
+        at_ms: u64,
+    ) -> bool {
+        let record = self.executors.get_mut(&executor);
+        let there = record.is_some_and(|record| record.runs.remove(&run));
+        if there {
+            self.end_run(run, how, saved, at_ms);
+        }
+        there
+    }
+
+    fn end_run(&mut self, run: RunId, how: EndKind, saved: Option<Arc<str>>, at_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        if !job.take_run(run) {
+            return;
+        }
+        if let (Some(saved), Some(task)) = (saved, job.task_mut(run.task)) {
+            task.saved = Some(saved);
+        }
+        let queue = self.queues.get(&job.queue);
+        let attempts = queue.map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts);
+        job.ended(run, how, attempts.max(1), at_ms);
+        job.shrink();
+    }
+
+    fn wave(&mut self, order: WaveOrder, at_ms: u64) -> bool {
+        if self.waves.contains_key(&order.number) {
+            return false;
+        }
+        let wave = Wave {
+            left: order.hosts.iter().cloned().collect(),
+            started_ms: at_ms,
+            order,
+        };
+        self.waves.insert(wave.order.number, wave);
+        true
+    }
+
+    fn forget(&mut self, before_ms: u64) -> bool {
+        let before = self.jobs.len();
+        self.jobs
+            .retain(|_, job| job.active > 0 || job.ended_ms.is_none_or(|ended| ended >= before_ms));
+        self.jobs.len() < before
+    }
+}
--- a/crates/masticfield-node/src/http/client.rs
+++ b/crates/masticfield-node/src/http/client.rs
@@ -17,6 +17,9 @@
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Time for which an idle connection is kept if nothing else is set.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Sends requests over kept connections.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -57,10 +60,15 @@
 impl Client {
     /// Creates a client that waits at most `timeout` for each answer.
     pub fn new(timeout: Duration) -> Self {
+        Self::with_idle(timeout, IDLE_TIMEOUT)
+    }
+
+    /// Creates a client that also keeps idle connections for `idle`.
+    pub fn with_idle(timeout: Duration, idle: Duration) -> Self {
         let mut builder = Pool::builder(TokioExecutor::new());
         builder
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(5));
+            .pool_idle_timeout(idle);
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
@@ -89,6 +97,23 @@
         uri: &str,
         headers: HeaderMap,
         body: impl Into<Bytes>,
+    ) -> Result<(StatusCode, HeaderMap, Bytes), ClientError> {
+        self.send_within(self.timeout, method, uri, headers, body)
+            .await
+    }
+
+    /// Sends a request that has a time-out of its own and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_within(
+        &self,
+        timeout: Duration,
+        method: Method,
+        uri: &str,
+        headers: HeaderMap,
+        body: impl Into<Bytes>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), ClientError> {
         let uri: Uri = uri
             .parse()
@@ -102,7 +127,6 @@
             .body(Full::new(body.into()))
             .context(MalformedSnafu)?;
         req.headers_mut().extend(headers);
-        let timeout = self.timeout;
         let sent = tokio::time::timeout(timeout, self.pool.request(req)).await;
         let sent = sent.map_err(|_elapsed| ClientError::TimedOut { timeout })?;
         let (head, body) = sent.context(UnreachableSnafu)?.into_parts();
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -4,8 +4,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use masticfield_core::clock::boot_now;
 use masticfield_core::ids::ReplicaId;
 use masticfield_wire::Keys;
 use tokio::sync::{mpsc, watch};
@@ -38,7 +39,6 @@
 pub(super) struct Running {
     pub(super) replica: Replica,
     pub(super) timing: Timing,
-    pub(super) started: Instant,
     pub(super) disk: Disk,
     /// Writes for the next batch.
     pub(super) writes: Vec<Write>,
@@ -111,12 +111,8 @@
         }
     }
 
-    fn now(&self) -> Duration {
-        self.started.elapsed()
-    }
-
     pub(super) fn step(&mut self, event: Event) -> (Option<Appended>, Option<ChangeError>) {
-        let now = self.now();
+        let now = boot_now();
         let Next {
             writes,
             send,
@@ -172,7 +168,7 @@
     /// The founder tells of the group once, and on each greeting; the first time is lost if its
     /// connection to this replica is not there yet.
     fn repeat_hello(&mut self) {
-        let now = self.now();
+        let now = boot_now();
         if self.replica.log().last_index() > 0 || now < self.hello_due {
             return;
         }
@@ -290,13 +286,13 @@
 
     fn publish(&self) {
         let replica = &self.replica;
-        let lease = replica.lease_until(self.now());
+        let lease = replica.lease_until(boot_now());
         let now = ReplicaStatus {
             id: replica.me().id(),
             leader: replica.leader().map(Identity::id),
             term: replica.term(),
             committed: self.last_payload,
-            lease_until: lease.map(|until| self.started + until),
+            lease_until: lease,
             storage_failed: false,
             voter: replica.log().members().is_voter(replica.me()),
         };
--- a/crates/masticfield-replica/src/runtime/start.rs
+++ b/crates/masticfield-replica/src/runtime/start.rs
@@ -2,8 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
+use masticfield_core::clock::boot_now;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -48,7 +48,7 @@
         formed: stored != Stored::default(),
     };
     let replica = Replica::new(me, options.periods(), stored)
-        .started_at(Duration::ZERO, jitter(options.periods()));
+        .started_at(boot_now(), jitter(options.periods()));
     let (status_tx, status) = watch::channel(ReplicaStatus {
         id: options.id(),
         leader: None,
@@ -73,7 +73,6 @@
     let running = Running {
         replica,
         timing: options.periods(),
-        started: Instant::now(),
         disk: Disk::spawn(storage),
         writes: Vec::new(),
         waiting: Vec::new(),
--- a/crates/masticfield-replica/src/status.rs
+++ b/crates/masticfield-replica/src/status.rs
@@ -1,8 +1,9 @@
 //! What a replica tells of itself.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::Duration;
 
+use masticfield_core::clock::boot_now;
 use masticfield_core::ids::ReplicaId;
 
 /// A committed entry, delivered in the order of the log.
@@ -39,12 +40,12 @@
     pub term: u64,
     /// Index of the last committed payload or snapshot, which is or will be delivered.
     pub committed: u64,
-    /// Until when no other replica can lead, if this one leads.
+    /// Until when no other replica can lead, if this one leads, by [`boot_now`].
     ///
     /// A leader answers reads and gives leases only before this moment, which it compares with
     /// the clock each time. The state that it reads is complete once it has applied `committed`.
     /// A watch is not woken for a moment that moves on.
-    pub lease_until: Option<Instant>,
+    pub lease_until: Option<Duration>,
     /// Whether the replica has stopped because its disk is full or failed.
     pub storage_failed: bool,
     /// Whether the replica votes in its group.
@@ -54,7 +55,7 @@
 impl ReplicaStatus {
     /// Whether the replica leads and no other can at this moment.
     pub fn holds_lease(&self) -> bool {
-        self.lease_until.is_some_and(|until| Instant::now() < until)
+        self.lease_until.is_some_and(|until| boot_now() < until)
     }
 }
 
