feat(replica): a leader lets replicas in and removes those that are gone

Ruled out: forming a second group (its hello names no founders now). Change: strangers greet until they know a leader; the leader replaces, adds, promotes and removes one member at a time towards 2f+1 voters.

--- a/crates/masticfield-replica/src/consensus/leader.rs
+++ b/crates/masticfield-replica/src/consensus/leader.rs
@@ -192,6 +192,18 @@
         }
     }
 
+    /// Time since a member last answered, if this replica leads.
+    pub fn silence(&self, now: Duration, member: Identity) -> Option<Duration> {
+        let Role::Leader(leadership) = &self.role else {
+            return None;
+        };
+        if member == self.me {
+            return Some(Duration::ZERO);
+        }
+        let progress = leadership.peers.get(&member)?;
+        Some(now.saturating_sub(progress.heard))
+    }
+
     fn peers(&self) -> Vec<Identity> {
         match &self.role {
             Role::Leader(leadership) => {
--- a/crates/masticfield-replica/src/options.rs
+++ b/crates/masticfield-replica/src/options.rs
@@ -19,6 +19,8 @@
     listener: Option<Arc<TcpListener>>,
     peers: Vec<(ReplicaId, SocketAddr)>,
     timing: Timing,
+    voters: Option<usize>,
+    forms: bool,
     sync: Option<SyncFn>,
     keys: Option<Keys>,
 }
@@ -33,6 +35,8 @@
             listener: None,
             peers: Vec::new(),
             timing: Timing::default(),
+            voters: None,
+            forms: true,
             sync: None,
             keys: None,
         }
@@ -69,6 +73,22 @@
         self
     }
 
+    /// Lets a leader add and remove members by itself, towards this number of voters.
+    #[must_use]
+    pub const fn keep_voters(mut self, voters: usize) -> Self {
+        self.voters = Some(voters);
+        self
+    }
+
+    /// Sets whether a replica without state may form a new group.
+    ///
+    /// One that joins a group, or comes back without its disk, must not.
+    #[must_use]
+    pub const fn forms(mut self, forms: bool) -> Self {
+        self.forms = forms;
+        self
+    }
+
     /// Sets the keys that replicas prove to each other.
     ///
     /// Without keys, whoever reaches the address can vote and read.
@@ -105,6 +125,14 @@
         &self.peers
     }
 
+    pub(crate) const fn voters(&self) -> Option<usize> {
+        self.voters
+    }
+
+    pub(crate) const fn may_form(&self) -> bool {
+        self.forms
+    }
+
     pub(crate) const fn periods(&self) -> Timing {
         self.timing
     }
--- a/crates/masticfield-replica/src/runtime/formation.rs
+++ b/crates/masticfield-replica/src/runtime/formation.rs
@@ -6,27 +6,62 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use masticfield_core::ids::ReplicaId;
 
+use super::keeper::{GREETING_LASTS, Stranger};
 use super::message::Hello;
 use crate::{Identity, Membership};
 
 /// What a replica has heard of its peers.
 #[derive(Debug, Default)]
 pub(super) struct Heard {
-    hellos: BTreeMap<ReplicaId, Hello>,
+    hellos: BTreeMap<ReplicaId, Greeting>,
+}
+
+/// The last greeting of a replica.
+#[derive(Debug)]
+struct Greeting {
+    hello: Hello,
+    heard: Duration,
+    /// When the one before was heard, if it came from the same identity.
+    before: Option<Duration>,
 }
 
 impl Heard {
     /// Notes what a peer says of itself.
-    pub(super) fn note(&mut self, hello: Hello) {
-        self.hellos.insert(hello.identity.id(), hello);
+    pub(super) fn note(&mut self, now: Duration, hello: Hello) {
+        let last = self.hellos.get(&hello.identity.id());
+        let same = last.filter(|last| last.hello.identity == hello.identity);
+        let before = same.map(|last| last.heard);
+        let greeting = Greeting {
+            before,
+            heard: now,
+            hello,
+        };
+        self.hellos.insert(greeting.hello.identity.id(), greeting);
+    }
+
+    /// Replicas that have greeted of late and do not belong to the group.
+    pub(super) fn strangers(&self, now: Duration, group: &Membership) -> Vec<Stranger> {
+        let of_late = |heard: Duration| now.saturating_sub(heard) <= GREETING_LASTS;
+        let greetings = self.hellos.values();
+        greetings
+            .filter(|greeting| {
+                of_late(greeting.heard) && !group.contains(greeting.hello.identity)
+            })
+            .map(|greeting| Stranger {
+                identity: greeting.hello.identity,
+                address: greeting.hello.address,
+                repeated: greeting.before.is_some_and(of_late),
+            })
+            .collect()
     }
 
     /// Identity and address of a peer, if it was heard.
     pub(super) fn find(&self, id: ReplicaId) -> Option<(Identity, SocketAddr)> {
-        let hello = self.hellos.get(&id)?;
+        let hello = &self.hellos.get(&id)?.hello;
         Some((hello.identity, hello.address))
     }
 
@@ -37,7 +72,10 @@
         }
         let others = me.founders.iter().skip(1);
         let others: Option<Vec<_>> = others
-            .map(|id| self.hellos.get(id).filter(|hello| agrees(hello, me)))
+            .map(|id| {
+                let greeting = self.hellos.get(id)?;
+                Some(&greeting.hello).filter(|hello| agrees(hello, me))
+            })
             .collect();
         let all = others?.into_iter().chain([me]);
         Some(Membership::new(
--- a/crates/masticfield-replica/src/runtime/listen.rs
+++ b/crates/masticfield-replica/src/runtime/listen.rs
@@ -74,5 +74,6 @@
         PeerMessage::Hello(hello) => hello.identity == peer,
         PeerMessage::Replica(envelope) => envelope.from == peer,
         PeerMessage::Found(members) => members.is_voter(peer),
+        PeerMessage::Group(members) => members.contains(peer),
     }
 }
--- a/crates/masticfield-replica/src/runtime/message.rs
+++ b/crates/masticfield-replica/src/runtime/message.rs
@@ -17,6 +17,8 @@
     Replica(Envelope),
     /// The members of the group that all founders form.
     Found(Membership),
+    /// The members of the group, for a replica that asks to be let in.
+    Group(Membership),
 }
 
 /// Who connects and what it holds.
--- a/crates/masticfield-replica/src/runtime/mod.rs
+++ b/crates/masticfield-replica/src/runtime/mod.rs
@@ -3,6 +3,7 @@
 mod deliver;
 mod disk;
 mod formation;
+mod keeper;
 mod link;
 mod listen;
 mod message;
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -15,6 +15,7 @@
 use super::deliver::Delivery;
 use super::disk::Disk;
 use super::formation::Heard;
+use super::keeper::{self, Member};
 use super::link::Link;
 use super::message::{Hello, PeerMessage};
 use super::request::{Request, Waiter};
@@ -64,6 +65,8 @@
     /// When the peers are greeted again while no group is known.
     pub(super) hello_due: Duration,
     pub(super) keys: Option<Keys>,
+    /// Voters that a leader keeps up by itself, if it does.
+    pub(super) voters: Option<usize>,
 }
 
 /// A random delay of an election.
@@ -103,6 +106,7 @@
                     let jitter = jitter(self.timing);
                     self.step(Event::Tick { jitter });
                     self.repeat_hello();
+                    self.keep_members();
                 }
                 () = self.deliveries.closed() => return,
             }
@@ -142,6 +146,11 @@
                     self.step(Event::Found(members));
                 }
             }
+            PeerMessage::Group(members) => {
+                for (member, address) in members.members() {
+                    self.connect(member.id(), address);
+                }
+            }
         }
     }
 
@@ -149,7 +158,7 @@
     fn greet(&mut self, hello: Hello) {
         let (peer, formed) = (hello.identity, hello.formed);
         self.connect(peer.id(), hello.address);
-        self.heard.note(hello);
+        self.heard.note(boot_now(), hello);
         self.form();
         if formed {
             return;
@@ -161,15 +170,44 @@
         {
             link.send(PeerMessage::Found(group.clone()));
         }
+        let members = self.replica.log().members();
+        if !members.contains(peer)
+            && members.contains(self.replica.me())
+            && let Some(link) = link
+        {
+            link.send(PeerMessage::Group(members.clone()));
+        }
+    }
+
+    /// Adds or removes a member if this replica leads and one is to be.
+    fn keep_members(&mut self) {
+        let Some(voters) = self.voters.filter(|_| self.replica.is_leader()) else {
+            return;
+        };
+        let now = boot_now();
+        let group = self.replica.log().members();
+        let members = group.members().map(|(identity, _)| Member {
+            identity,
+            silent: self.replica.silence(now, identity).unwrap_or_default(),
+        });
+        let members: Vec<_> = members.collect();
+        let strangers = self.heard.strangers(now, group);
+        let Some(change) = keeper::next_change(group, &members, &strangers, voters) else {
+            return;
+        };
+        if let (Some(_), _) = self.step(Event::Change(change)) {
+            log::info!(change:? = change; "members change");
+        }
     }
 
-    /// Greets the peers again while no group is known.
+    /// Greets the peers again while no leader is known.
     ///
     /// The founder tells of the group once, and on each greeting; the first time is lost if its
-    /// connection to this replica is not there yet.
+    /// connection to this replica is not there yet. A leader lets in whoever greets it and is
+    /// no member.
     fn repeat_hello(&mut self) {
         let now = boot_now();
-        if self.replica.log().last_index() > 0 || now < self.hello_due {
+        if self.replica.leader().is_some() || now < self.hello_due {
             return;
         }
         self.hello_due = now + HELLO_PERIOD;
--- a/crates/masticfield-replica/src/runtime/start.rs
+++ b/crates/masticfield-replica/src/runtime/start.rs
@@ -44,7 +44,11 @@
     let hello = Hello {
         identity: me,
         address: address.unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
-        founders: founders(&options),
+        founders: if options.may_form() {
+            founders(&options)
+        } else {
+            Vec::new()
+        },
         formed: stored != Stored::default(),
     };
     let replica = Replica::new(me, options.periods(), stored)
@@ -90,6 +94,7 @@
         members: members_tx,
         traffic: Arc::clone(&traffic),
         hello_due: std::time::Duration::ZERO,
+        voters: options.voters(),
         keys: options.handshake_keys(),
     };
 
