feat(jobs): waves of upkeep, and hosts that follow the demand between pools

Change: hosts are listed, emptied, claimed in the log and ordered under a rising fence; pool sizes follow what runs, waits and was offered of late.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -19,7 +19,7 @@
 use super::asker::Asker;
 use super::handle::{ControlView, EntrySession, Input, JobControlHandle, Question, WaveProgress};
 use super::leading::Leading;
-use super::order::{CallOrder, ExecutorOrder};
+use super::order::{CallOrder, ExecutorOrder, HostOrder};
 
 /// Bytes of the log after which the state is stored as a whole.
 const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
@@ -27,6 +27,9 @@
 /// Inputs that one pass of the loop takes, at most.
 const MAX_BATCH: usize = 256;
 
+/// Orders about hosts in one leadership, at most; each has a fence of its own.
+const ORDERS_OF_A_TERM: u64 = 1 << 24;
+
 /// Longest wait between two looks at the replica's status.
 const IDLE_CHECK: Duration = Duration::from_millis(250);
 
@@ -355,6 +358,16 @@
                     };
                     drop(self.orders.send(ExecutorOrder::Call(order)));
                 }
+                Effect::ListHosts => drop(self.orders.send(ExecutorOrder::ListHosts)),
+                Effect::OrderHost {
+                    host,
+                    claim,
+                    number,
+                } => {
+                    let fence = leading.term * ORDERS_OF_A_TERM + number;
+                    let order = HostOrder { host, claim, fence };
+                    drop(self.orders.send(ExecutorOrder::Host(order)));
+                }
                 Effect::Forget { executor } => {
                     drop(self.orders.send(ExecutorOrder::Forget(executor)));
                 }
--- a/crates/masticfield-control/src/jobs/mod.rs
+++ b/crates/masticfield-control/src/jobs/mod.rs
@@ -14,4 +14,4 @@
 pub use entries::serve_entries;
 pub use handle::{ControlView, JobControlHandle, WaveProgress};
 pub use job_control::JobControl;
-pub use order::{CallOrder, ExecutorOrder};
+pub use order::{CallOrder, ExecutorOrder, HostOrder};
--- a/crates/masticfield-control/src/jobs/order.rs
+++ b/crates/masticfield-control/src/jobs/order.rs
@@ -3,19 +3,34 @@
 use std::sync::Arc;
 
 use masticfield_jobs::leader::Call;
-use masticfield_jobs::state::ExecutorKey;
+use masticfield_jobs::state::{ExecutorKey, MachineClaim};
 
 /// Something to do with an executor.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ExecutorOrder {
     /// A call to make, whose result is an event for the leader.
     Call(CallOrder),
+    /// The list of hosts to read.
+    ListHosts,
+    /// An order about a host.
+    Host(HostOrder),
     /// Connections to close, as the executor's life has ended.
     Forget(ExecutorKey),
     /// Everything to drop, as this replica no longer leads.
     Reset,
 }
 
+/// An order about a host.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostOrder {
+    /// The host.
+    pub host: Arc<str>,
+    /// What is asked.
+    pub claim: MachineClaim,
+    /// Fence of the order, higher than that of every earlier one.
+    pub fence: u64,
+}
+
 /// A call to an executor.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CallOrder {
--- a/crates/masticfield-jobs/src/job/spec.rs
+++ b/crates/masticfield-jobs/src/job/spec.rs
@@ -90,6 +90,17 @@
         self.steps.iter().any(|step| step.lasting)
     }
 
+    /// Estimated work of all tasks of one occurrence, in core-seconds.
+    #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+    pub fn work(&self) -> f64 {
+        let each = |step: &StepSpec| {
+            let time = step.estimate_ms as f64 / 1_000.0;
+            let cores = step.need.cpu_milli as f64 / 1_000.0;
+            f64::from(step.count) * time * cores
+        };
+        self.steps.iter().map(each).sum()
+    }
+
     /// Estimated time of the longest chain of steps, in milliseconds.
     pub fn chain_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -168,6 +168,7 @@
         fresh
             && trusted
             && !record.leaving
+            && !view.cordoned
             && view.left.is_none()
             && view.strays.is_empty()
             && at.now >= view.rests_until
--- a/crates/masticfield-jobs/src/leader/effect.rs
+++ b/crates/masticfield-jobs/src/leader/effect.rs
@@ -7,7 +7,7 @@
 
 use super::AskId;
 use crate::job::RunId;
-use crate::state::{Command, ExecutorKey, JobStatus};
+use crate::state::{Command, ExecutorKey, JobStatus, MachineClaim};
 
 /// Commands to commit, and what to do once they are committed.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -39,6 +39,17 @@
         /// The call.
         call: Call,
     },
+    /// Asks the platform for the list of hosts.
+    ListHosts,
+    /// Asks the platform to move a host or to begin its upkeep.
+    OrderHost {
+        /// The host.
+        host: Arc<str>,
+        /// What is asked.
+        claim: MachineClaim,
+        /// Number of the order in this leadership; it rises.
+        number: u64,
+    },
     /// Closes the connections to an executor, whose life has ended.
     Forget {
         /// The executor.
--- a/crates/masticfield-jobs/src/leader/event.rs
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::job::RunId;
+use crate::job::{Resources, RunId};
 use crate::queue::QueuesConfig;
-use crate::state::{EndKind, ExecutorKey, ExecutorLife, WaveOrder};
+use crate::state::{EndKind, ExecutorKey, ExecutorLife, MachineClaim, WaveOrder};
 
 use super::{AskId, Intake};
 
@@ -58,6 +58,20 @@
         /// The wave.
         order: WaveOrder,
     },
+    /// The platform has listed its hosts, or not.
+    Listed {
+        /// The hosts; none if the list could not be read.
+        hosts: Option<Vec<ListedHost>>,
+    },
+    /// The platform has answered an order about a host, or not.
+    HostOrdered {
+        /// The host.
+        host: Arc<str>,
+        /// What was asked.
+        claim: MachineClaim,
+        /// How it went.
+        result: Result<(), HostError>,
+    },
     /// An executor has answered the order to start a run, or not.
     Started {
         /// The executor.
@@ -87,6 +101,40 @@
     },
 }
 
+/// A host as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedHost {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its pool.
+    pub pool: Arc<str>,
+    /// Whether it is up; else it moves, is in upkeep or down.
+    pub up: bool,
+    /// The kind, which stays with the host.
+    pub kind: Option<Arc<str>>,
+    /// What its tasks may take together.
+    pub capacity: Resources,
+    /// Identifier of its executor, if it has one.
+    pub executor: Option<Arc<str>>,
+}
+
+/// Why an order about a host was not carried out, as far as is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostError {
+    /// Nothing is known: it may be carried out, also later.
+    Unknown,
+    /// The platform takes no more orders now.
+    Busy,
+    /// The host is not up, or its executor leaves.
+    NotUp,
+    /// A higher fence was seen.
+    Fence,
+    /// The host does not belong to the wave.
+    OtherWave,
+    /// There is no such host, or it does not suit the pool.
+    Unsuitable,
+}
+
 /// What an executor tells of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Announcement {
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -33,6 +33,8 @@
     pub(super) strays: HashMap<RunId, Duration>,
     /// No task starts there before this moment, as it rejected one.
     pub(super) rests_until: Duration,
+    /// Whether no task starts there, as its host is to be emptied.
+    pub(super) cordoned: bool,
     /// When it has said that it ends.
     pub(super) left: Option<Duration>,
 }
@@ -92,6 +94,7 @@
             used: Resources::default(),
             strays: HashMap::new(),
             rests_until: Duration::ZERO,
+            cordoned: false,
             left: None,
         }
     }
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -0,0 +1,338 @@
+//! Orders about hosts, and the platform's list of them.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::executor::ExecutorView;
+use super::host::{Errand, ErrandPhase, HostView};
+use super::{Effect, HostError, Leader, ListedHost, Moment};
+use crate::state::{Command, ExecutorKey, MachineClaim};
+
+/// Time between two readings of the list while an executor is there whose host is not known.
+const LIST_SOON: Duration = Duration::from_millis(800);
+
+/// Time between two readings of the list otherwise.
+const LIST_EVERY: Duration = Duration::from_secs(10);
+
+/// Time after which a reading that got no answer is given up.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time by which a host is taken to be away longer than the platform says.
+const AWAY_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time before the platform is asked again after it refused or did not answer.
+const ORDER_AGAIN: Duration = Duration::from_millis(400);
+
+/// Longest time that passing tasks may hold up an upkeep.
+const EMPTY_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// Lists in a row without a host after which it is gone.
+const MISSING_LISTS: u32 = 2;
+
+/// The hosts and what is asked about them.
+#[derive(Debug)]
+pub(super) struct Hosts {
+    pub(super) views: BTreeMap<Arc<str>, HostView>,
+    /// When the list was last asked for.
+    asked: Option<Duration>,
+    /// Whether an answer is awaited.
+    reading: bool,
+    pub(super) listed: bool,
+    since: Duration,
+    last_order: u64,
+    /// Pools that hosts of a kind do not suit.
+    pub(super) unsuitable: HashSet<(Option<Arc<str>>, Arc<str>)>,
+    /// Since when a pool has had more hosts than it needs.
+    pub(super) surplus: BTreeMap<Arc<str>, Duration>,
+}
+
+impl Hosts {
+    pub(super) fn new(since: Duration) -> Self {
+        Self {
+            views: BTreeMap::new(),
+            asked: None,
+            reading: false,
+            listed: false,
+            since,
+            last_order: 0,
+            unsuitable: HashSet::new(),
+            surplus: BTreeMap::new(),
+        }
+    }
+}
+
+impl Leader {
+    /// Looks at what is to be done about hosts.
+    pub(super) fn check_hosts(&mut self, at: Moment) {
+        let Some(options) = self.options.hosts else {
+            return;
+        };
+        self.list_if_due(at);
+        // The former leader may still order until its lease at the platform is over.
+        if !self.hosts.listed || at.now < self.hosts.since + options.hand_over {
+            return;
+        }
+        self.check_waves(at);
+        self.check_pools(at);
+        self.go_errands(at);
+    }
+
+    fn list_if_due(&mut self, at: Moment) {
+        let hosts = &self.hosts;
+        let waited = hosts.asked.map(|asked| at.now.saturating_sub(asked));
+        if hosts.reading && waited.is_some_and(|waited| waited < LIST_TIMEOUT) {
+            return;
+        }
+        let known: HashSet<_> = hosts.views.values().flat_map(|host| &host.executor).collect();
+        let unknown = self.state.executors().any(|(_, record)| !known.contains(&record.life.id));
+        let every = if unknown { LIST_SOON } else { LIST_EVERY };
+        if waited.is_none_or(|waited| waited >= every) {
+            self.hosts.asked = Some(at.now);
+            self.hosts.reading = true;
+            self.then(Effect::ListHosts);
+        }
+    }
+
+    pub(super) fn on_listed(&mut self, at: Moment, listed: Option<Vec<ListedHost>>) {
+        self.hosts.reading = false;
+        let Some(listed) = listed else {
+            return;
+        };
+        self.hosts.listed = true;
+        let names: HashSet<_> = listed.iter().map(|host| Arc::clone(&host.name)).collect();
+        for host in listed {
+            self.note_host(at, host);
+        }
+        for (name, view) in &mut self.hosts.views {
+            view.missing = if names.contains(name) { 0 } else { view.missing + 1 };
+        }
+        let gone = self.hosts.views.iter().filter(|(_, view)| view.missing >= MISSING_LISTS);
+        let gone: Vec<_> = gone.map(|(name, _)| Arc::clone(name)).collect();
+        for name in gone {
+            log::info!(host = name.as_ref(); "host gone");
+            self.hosts.views.remove(&name);
+            self.commit(Command::Unclaim { host: Arc::clone(&name) });
+            self.tend_everywhere(&name);
+        }
+    }
+
+    fn note_host(&mut self, at: Moment, listed: ListedHost) {
+        let claim = self.state.claims().get(&listed.name).cloned();
+        let view = self.hosts.views.entry(Arc::clone(&listed.name));
+        let view = view.or_insert_with(|| HostView {
+            pool: Arc::clone(&listed.pool),
+            kind: None,
+            capacity: listed.capacity,
+            executor: None,
+            up: false,
+            away_until: None,
+            in_upkeep: None,
+            // What the former leader began is settled first.
+            errand: claim.map(|claim| Errand {
+                claim,
+                since: at.now,
+                phase: ErrandPhase::Again(at.now),
+            }),
+            missing: 0,
+        });
+        if view.is_away(at.now) && listed.executor == view.executor {
+            // The list is older than the order.
+            return;
+        }
+        if listed.executor != view.executor && listed.executor.is_some() {
+            view.away_until = None;
+            view.in_upkeep = None;
+        }
+        view.pool = listed.pool;
+        view.kind = listed.kind;
+        view.capacity = listed.capacity;
+        view.executor = listed.executor;
+        view.up = listed.up;
+    }
+
+    /// The executor of a host that is known.
+    pub(super) fn executor_of(&self, host: &HostView) -> Option<ExecutorKey> {
+        self.by_id.get(host.executor.as_ref()?).copied()
+    }
+
+    pub(super) fn executor_view(&self, host: &HostView) -> Option<&ExecutorView> {
+        self.executors.get(&self.executor_of(host)?)
+    }
+
+    /// Begins an errand: the host takes no more tasks.
+    pub(super) fn begin_errand(&mut self, at: Moment, name: &Arc<str>, claim: MachineClaim) {
+        let Some(host) = self.hosts.views.get_mut(name) else {
+            return;
+        };
+        log::info!(host = name.as_ref(), pool = host.pool.as_ref(), claim:? = claim; "host is emptied");
+        host.errand = Some(Errand {
+            claim,
+            since: at.now,
+            phase: ErrandPhase::Emptying,
+        });
+        self.cordon(name, true);
+    }
+
+    /// Gives up an errand that the platform was not asked for yet.
+    pub(super) fn drop_errand(&mut self, name: &Arc<str>) {
+        if let Some(host) = self.hosts.views.get_mut(name) {
+            host.errand = None;
+        }
+        self.cordon(name, false);
+    }
+
+    fn cordon(&mut self, name: &Arc<str>, cordoned: bool) {
+        let Some(host) = self.hosts.views.get(name) else {
+            return;
+        };
+        let pool = Arc::clone(&host.pool);
+        if let Some(key) = self.executor_of(host)
+            && let Some(view) = self.executors.get_mut(&key)
+        {
+            view.cordoned = cordoned;
+        }
+        if !cordoned {
+            self.changed.insert(pool);
+        }
+    }
+
+    fn go_errands(&mut self, at: Moment) {
+        let hosts = self.hosts.views.iter().filter(|(_, host)| host.errand.is_some());
+        let names: Vec<_> = hosts.map(|(name, _)| Arc::clone(name)).collect();
+        for name in names {
+            self.go_errand(at, &name);
+        }
+    }
+
+    fn go_errand(&mut self, at: Moment, name: &Arc<str>) {
+        let Some(host) = self.hosts.views.get(name) else {
+            return;
+        };
+        let Some(errand) = &host.errand else {
+            return;
+        };
+        let due = match errand.phase {
+            ErrandPhase::Emptying => {
+                let hurried = matches!(errand.claim, MachineClaim::Upkeep { .. })
+                    && at.now > errand.since + EMPTY_TIMEOUT;
+                let key = self.executor_of(host);
+                key.is_none_or(|key| self.empty(at, key, hurried)) && self.may_order(at, name)
+            }
+            ErrandPhase::Again(due) => at.now >= due,
+            ErrandPhase::Ordered(_) => false,
+        };
+        if due {
+            self.order_host(at, name);
+        }
+    }
+
+    fn order_host(&mut self, at: Moment, name: &Arc<str>) {
+        let Some(host) = self.hosts.views.get_mut(name) else {
+            return;
+        };
+        let Some(errand) = &mut host.errand else {
+            return;
+        };
+        errand.phase = ErrandPhase::Ordered(at.now);
+        let claim = errand.claim.clone();
+        self.commit(Command::Claim {
+            host: Arc::clone(name),
+            claim: claim.clone(),
+        });
+        self.hosts.last_order += 1;
+        let number = self.hosts.last_order;
+        self.then(Effect::OrderHost {
+            host: Arc::clone(name),
+            claim,
+            number,
+        });
+    }
+
+    pub(super) fn on_host_ordered(
+        &mut self,
+        at: Moment,
+        name: &Arc<str>,
+        claim: &MachineClaim,
+        result: Result<(), HostError>,
+    ) {
+        let Some(host) = self.hosts.views.get_mut(name) else {
+            return;
+        };
+        let Some(errand) = host.errand.as_mut().filter(|errand| errand.claim == *claim) else {
+            return;
+        };
+        log::info!(host = name.as_ref(), claim:?, result:?; "host order answered");
+        match result {
+            Ok(()) => self.host_away(at, name, claim),
+            Err(HostError::Unknown | HostError::Busy | HostError::Fence) => {
+                errand.phase = ErrandPhase::Again(at.now + ORDER_AGAIN);
+            }
+            Err(HostError::NotUp) => match claim {
+                MachineClaim::Upkeep { .. } => {
+                    errand.phase = ErrandPhase::Again(at.now + ORDER_AGAIN);
+                }
+                MachineClaim::Move { .. } => self.settle(name),
+            },
+            Err(HostError::OtherWave) => {
+                self.settle(name);
+                self.tend_everywhere(name);
+            }
+            Err(HostError::Unsuitable) => {
+                if let MachineClaim::Move { pool } = claim {
+                    let kind = host.kind.clone();
+                    self.hosts.unsuitable.insert((kind, Arc::clone(pool)));
+                } else {
+                    self.tend_everywhere(name);
+                }
+                self.settle(name);
+            }
+        }
+    }
+
+    /// The platform has taken the host: everything on it has ended.
+    fn host_away(&mut self, at: Moment, name: &Arc<str>, claim: &MachineClaim) {
+        let Some(options) = self.options.hosts else {
+            return;
+        };
+        let Some(host) = self.hosts.views.get_mut(name) else {
+            return;
+        };
+        host.errand = None;
+        let time = match claim {
+            MachineClaim::Move { pool } => {
+                host.pool = Arc::clone(pool);
+                options.moving
+            }
+            MachineClaim::Upkeep { wave } => {
+                host.in_upkeep = Some(*wave);
+                options.upkeep
+            }
+        };
+        host.away_until = Some(at.now + time + AWAY_MARGIN);
+        if let Some(key) = self.hosts.views.get(name).and_then(|host| self.executor_of(host)) {
+            self.retire(at, key, "its host was taken");
+        }
+        if let MachineClaim::Upkeep { wave } = claim {
+            self.commit(Command::Tended {
+                wave: *wave,
+                host: Arc::clone(name),
+            });
+        }
+        self.commit(Command::Unclaim { host: Arc::clone(name) });
+    }
+
+    fn settle(&mut self, name: &Arc<str>) {
+        self.commit(Command::Unclaim { host: Arc::clone(name) });
+        self.drop_errand(name);
+    }
+
+    /// Takes a host out of every wave.
+    fn tend_everywhere(&mut self, name: &Arc<str>) {
+        let waves: Vec<_> = self.state.waves().keys().copied().collect();
+        for wave in waves {
+            let host = Arc::clone(name);
+            self.commit(Command::Tended { wave, host });
+        }
+    }
+}
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -74,11 +74,16 @@
         if spec.check().is_err() {
             return Reply::Malformed;
         }
+        self.note_offered(at, queue, &spec);
         if let Admission::Refuse { retry_after } = self.admission(queue, &spec) {
             let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             let retry_after_ms = retry_after_ms.min(MAX_RETRY_AFTER_MS);
             return Reply::Refused(Refusal::Busy { retry_after_ms });
         }
+        log::info!(
+            job:%, queue = queue.0, steps = spec.steps.len(), chain_ms = spec.chain_ms();
+            "job accepted"
+        );
         self.commit(Command::Submit {
             job,
             queue,
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use super::executor::{ExecutorView, RunPhase, RunView};
+use super::hosts::Hosts;
 use super::{Effect, Event, LeaderOptions, Moment, Turn};
 use crate::job::{JobId, RunId};
 use crate::queue::RouteTable;
-use crate::schedule::{Rank, lease_end};
+use crate::schedule::{Offered, Rank, lease_end};
 use crate::state::{Command, ExecutorKey, State};
 
 /// Time between two looks at what time alone changes.
@@ -36,6 +37,9 @@
     /// Pools in which something has changed since the last turn.
     pub(super) changed: BTreeSet<Arc<str>>,
     pub(super) turn: Turn,
+    pub(super) hosts: Hosts,
+    /// Work that jobs have brought of late, by pool.
+    pub(super) offered: HashMap<Arc<str>, Offered>,
     checked: Duration,
     forgot: Duration,
 }
@@ -53,6 +57,8 @@
             due: BTreeSet::new(),
             changed: BTreeSet::new(),
             turn: Turn::default(),
+            hosts: Hosts::new(at.now),
+            offered: HashMap::new(),
             checked: Duration::ZERO,
             forgot: at.now,
             state,
@@ -74,6 +80,12 @@
             Event::Announced { ask, announcement } => self.on_announced(at, ask, &announcement),
             Event::Left { ask, id } => self.on_left(at, ask, &id),
             Event::Wave { ask, order } => self.on_wave(at, ask, order),
+            Event::Listed { hosts } => self.on_listed(at, hosts),
+            Event::HostOrdered {
+                host,
+                claim,
+                result,
+            } => self.on_host_ordered(at, &host, &claim, result),
             Event::Started {
                 executor,
                 run,
@@ -98,6 +110,7 @@
             self.checked = at.now;
             self.check_due(at);
             self.check_executors(at);
+            self.check_hosts(at);
             self.forget(at);
         }
         self.plan(at);
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -9,19 +9,24 @@
 mod event;
 mod executor;
 mod hold;
+mod host;
+mod hosts;
 mod intake;
 #[expect(clippy::module_inception, reason = "the file has the type's name")]
 mod leader;
 mod options;
 mod orders;
 mod plan;
+mod pools;
 mod reads;
+mod upkeep;
 
 pub use effect::{Call, Effect, Refusal, Reply, Turn};
 pub use event::{
-    Announcement, CallError, Event, HoldReport, ListedEnd, ListedRun, Moment, Rejection,
+    Announcement, CallError, Event, HoldReport, HostError, ListedEnd, ListedHost, ListedRun, Moment,
+    Rejection,
 };
 pub use intake::{AskId, Intake, IntakeKind};
 pub use leader::Leader;
-pub use options::LeaderOptions;
+pub use options::{HostOptions, LeaderOptions};
 pub use reads::read;
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -13,6 +13,19 @@
     pub announce_every: Duration,
     /// Time for which the state of an ended job is kept.
     pub keep_ended: Duration,
+    /// What is known of the platform's hosts, if it lets them be moved.
+    pub hosts: Option<HostOptions>,
+}
+
+/// Periods of the platform's hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostOptions {
+    /// Time from an order to move a host until it is back.
+    pub moving: Duration,
+    /// Time from an order to begin upkeep until the host is back.
+    pub upkeep: Duration,
+    /// Time for which a new leader leaves hosts to the former one.
+    pub hand_over: Duration,
 }
 
 impl LeaderOptions {
@@ -23,6 +36,7 @@
             max_wait: Duration::from_secs(2),
             announce_every: Duration::from_millis(1_500),
             keep_ended: Duration::from_secs(150),
+            hosts: None,
         }
     }
 
@@ -33,6 +47,13 @@
         self
     }
 
+    /// Lets hosts be moved and taken for upkeep.
+    #[must_use]
+    pub const fn hosts(mut self, hosts: HostOptions) -> Self {
+        self.hosts = Some(hosts);
+        self
+    }
+
     /// Sets the time for which the state of an ended job is kept.
     #[must_use]
     pub const fn keep_ended(mut self, time: Duration) -> Self {
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -0,0 +1,210 @@
+//! Moves of hosts between pools.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::host::{ErrandPhase, HostView};
+use super::{Leader, Moment};
+use crate::job::{JobSpec, Resources};
+use crate::queue::QueueId;
+use crate::schedule::{PoolLoad, wanted_hosts};
+use crate::state::MachineClaim;
+
+/// Time for which a pool has more hosts than it needs before it gives some up. A host that is
+/// given up and taken back costs two moves, which pay for about two seconds in a pool.
+const SURPLUS_FOR: Duration = Duration::from_millis(1_500);
+
+/// Orders to move that are given in one look, at most, so that the platform's rate holds.
+const MOVES_AT_ONCE: usize = 12;
+
+impl Leader {
+    /// Notes the work of a job that was handed in, taken or not.
+    pub(super) fn note_offered(&mut self, at: Moment, queue: QueueId, spec: &JobSpec) {
+        if spec.lasts() || spec.timetable.is_some() {
+            return;
+        }
+        let Some(queue) = self.state.queue(queue) else {
+            return;
+        };
+        let offered = self.offered.entry(Arc::clone(&queue.pool)).or_default();
+        offered.add(at.now, spec.work());
+    }
+
+    /// Moves hosts to the pools that lack them, and those that nobody needs to standby.
+    pub(super) fn check_pools(&mut self, at: Moment) {
+        let Some(stored) = self.state.config() else {
+            return;
+        };
+        let config = Arc::clone(&stored.config);
+        let standby = config.pools.iter().find(|pool| pool.standby);
+        let standby = standby.map(|pool| Arc::clone(&pool.name));
+        let serving = config.pools.iter().filter(|pool| !pool.standby);
+        let mut short = BTreeMap::new();
+        let mut surplus = BTreeMap::new();
+        for pool in serving {
+            let (have, wanted) = self.size_of(at, &pool.name);
+            if have < wanted {
+                short.insert(Arc::clone(&pool.name), wanted - have);
+                self.hosts.surplus.remove(&pool.name);
+            } else if have > wanted {
+                let since = self.hosts.surplus.entry(Arc::clone(&pool.name)).or_insert(at.now);
+                if at.now >= *since + SURPLUS_FOR {
+                    surplus.insert(Arc::clone(&pool.name), have - wanted);
+                }
+            } else {
+                self.hosts.surplus.remove(&pool.name);
+            }
+        }
+        let mut moves = MOVES_AT_ONCE;
+        for (pool, lacking) in short {
+            let found = self.fill(at, &pool, lacking, &mut surplus, standby.as_ref(), moves);
+            moves = moves.saturating_sub(found);
+        }
+        if let Some(standby) = standby {
+            for (pool, many) in surplus {
+                self.release(at, &pool, many, &standby);
+            }
+        }
+    }
+
+    /// Hosts that a pool has or will have, and hosts that it needs.
+    fn size_of(&self, at: Moment, pool: &Arc<str>) -> (usize, usize) {
+        let hosts = self.hosts.views.values();
+        let have = hosts.filter(|host| match &host.errand {
+            Some(errand) => match &errand.claim {
+                MachineClaim::Move { pool: to } => to == pool,
+                MachineClaim::Upkeep { .. } => false,
+            },
+            None => host.pool == *pool && (host.up || host.is_away(at.now)),
+        });
+        let load = self.load(at, pool);
+        let each = self.host_size(pool);
+        (have.count(), wanted_hosts(&load, each) as usize)
+    }
+
+    fn host_size(&self, pool: &Arc<str>) -> Resources {
+        let hosts = self.hosts.views.values();
+        let of_pool = hosts.filter(|host| host.pool == *pool).map(|host| host.capacity);
+        of_pool.min_by_key(|capacity| capacity.cpu_milli).unwrap_or_default()
+    }
+
+    fn load(&self, at: Moment, pool: &Arc<str>) -> PoolLoad {
+        let mut load = PoolLoad::default();
+        for (key, record) in self.state.executors() {
+            if record.life.pool == *pool
+                && let Some(view) = self.executors.get(&key)
+            {
+                load.running = load.running.plus(view.used);
+            }
+        }
+        let pending = self.pending.get(pool).into_iter().flatten();
+        for (_, id) in pending {
+            let Some(job) = self.state.job(*id) else {
+                continue;
+            };
+            let Some(spec) = &job.spec else {
+                continue;
+            };
+            for round in &job.rounds {
+                for (step, tasks) in spec.steps.iter().zip(&round.steps) {
+                    if tasks.left == 0 || !round.is_ready(step) {
+                        continue;
+                    }
+                    let waiting = tasks.waiting().count();
+                    let need = step.reserved();
+                    for _ in 0..waiting {
+                        load.waiting = load.waiting.plus(need);
+                    }
+                    if let Some(most) = step.max_per_executor {
+                        load.apart = load.apart.max(step.count.div_ceil(most.max(1)));
+                    }
+                }
+            }
+        }
+        let offered = self.offered.get(pool);
+        load.offered_cores = offered.map_or(0.0, |offered| offered.cores(at.now));
+        load
+    }
+
+    /// Finds hosts for a pool; returns how many.
+    fn fill(
+        &mut self,
+        at: Moment,
+        pool: &Arc<str>,
+        lacking: usize,
+        surplus: &mut BTreeMap<Arc<str>, usize>,
+        standby: Option<&Arc<str>>,
+        moves: usize,
+    ) -> usize {
+        let mut found = self.take_back(pool, lacking);
+        let mut candidates: Vec<_> = self
+            .hosts
+            .views
+            .iter()
+            .filter(|(_, host)| host.pool != *pool && host.is_free(at.now))
+            .filter(|(_, host)| {
+                let pair = (host.kind.clone(), Arc::clone(pool));
+                !self.hosts.unsuitable.contains(&pair)
+            })
+            .filter_map(|(name, host)| {
+                let spare = standby == Some(&host.pool);
+                let runs = self.executor_view(host).map_or(0, |view| view.runs.len());
+                let given = spare || surplus.get(&host.pool).is_some_and(|many| *many > 0);
+                (given && runs == 0).then(|| (!spare, Arc::clone(name), Arc::clone(&host.pool)))
+            })
+            .collect();
+        candidates.sort_unstable();
+        for (_, name, from) in candidates {
+            if found >= lacking.min(moves) {
+                break;
+            }
+            if let Some(many) = surplus.get_mut(&from) {
+                if *many == 0 {
+                    continue;
+                }
+                *many -= 1;
+            }
+            found += 1;
+            let pool = Arc::clone(pool);
+            self.begin_errand(at, &name, MachineClaim::Move { pool });
+        }
+        found
+    }
+
+    /// Keeps hosts that were to leave the pool and have not been asked for yet.
+    fn take_back(&mut self, pool: &Arc<str>, lacking: usize) -> usize {
+        let leaving = |host: &HostView| {
+            let errand = host.errand.as_ref();
+            host.pool == *pool
+                && errand.is_some_and(|errand| {
+                    errand.phase == ErrandPhase::Emptying
+                        && matches!(errand.claim, MachineClaim::Move { .. })
+                })
+        };
+        let hosts = self.hosts.views.iter().filter(|(_, host)| leaving(host));
+        let names: Vec<_> = hosts.map(|(name, _)| Arc::clone(name)).take(lacking).collect();
+        for name in &names {
+            self.drop_errand(name);
+        }
+        names.len()
+    }
+
+    /// Empties hosts that a pool does not need, and moves them to standby.
+    fn release(&mut self, at: Moment, pool: &Arc<str>, many: usize, standby: &Arc<str>) {
+        let hosts = self.hosts.views.iter();
+        let mut hosts: Vec<_> = hosts
+            .filter(|(_, host)| host.pool == *pool && host.is_free(at.now))
+            .filter_map(|(name, host)| {
+                let view = self.executor_view(host)?;
+                let lasting = view.runs.values().any(|run| run.lasting);
+                (!lasting).then(|| (view.used.cpu_milli, Arc::clone(name)))
+            })
+            .collect();
+        hosts.sort_unstable();
+        for (_, name) in hosts.into_iter().take(many) {
+            let pool = Arc::clone(standby);
+            self.begin_errand(at, &name, MachineClaim::Move { pool });
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -0,0 +1,144 @@
+//! Waves of upkeep: which hosts are emptied when.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::executor::RunPhase;
+use super::host::ErrandPhase;
+use super::{Leader, Moment};
+use crate::job::RunId;
+use crate::schedule::hosts_at_once;
+use crate::state::{ExecutorKey, MachineClaim, Wave};
+
+/// Percentage of a lasting task that is at work.
+const AT_WORK: u32 = 100;
+
+impl Leader {
+    /// Begins the upkeep of further hosts where it is their turn.
+    pub(super) fn check_waves(&mut self, at: Moment) {
+        let waves = self.state.waves().values().filter(|wave| !wave.left.is_empty());
+        let waves: Vec<Wave> = waves.cloned().collect();
+        for wave in waves {
+            self.check_wave(at, &wave);
+        }
+    }
+
+    fn check_wave(&mut self, at: Moment, wave: &Wave) {
+        let Some(options) = self.options.hosts else {
+            return;
+        };
+        let passed = at.wall_ms.saturating_sub(wave.started_ms);
+        let time_left = Duration::from_millis(wave.order.duration_ms.saturating_sub(passed));
+        let cap = wave.order.cap;
+        let at_once = hosts_at_once(wave.left.len(), time_left, options.upkeep, cap);
+        let claim = MachineClaim::Upkeep {
+            wave: wave.order.number,
+        };
+        let hosts = self.hosts.views.values();
+        let busy = hosts.filter(|host| {
+            let errand = host.errand.as_ref();
+            errand.is_some_and(|errand| errand.claim == claim)
+                || (host.in_upkeep == Some(wave.order.number) && host.is_away(at.now))
+        });
+        let mut busy = busy.count();
+        let mut waiting: Vec<_> = wave
+            .left
+            .iter()
+            .filter(|name| {
+                let host = self.hosts.views.get(*name);
+                host.is_some_and(|host| host.is_free(at.now))
+            })
+            .map(|name| (self.load_of(name), Arc::clone(name)))
+            .collect();
+        waiting.sort_unstable();
+        for (_, name) in waiting {
+            if busy >= at_once {
+                break;
+            }
+            busy += 1;
+            self.begin_errand(at, &name, claim.clone());
+        }
+    }
+
+    /// Lasting tasks on a host, and the processor time reserved there.
+    fn load_of(&self, name: &Arc<str>) -> (usize, u64) {
+        let host = self.hosts.views.get(name);
+        let view = host.and_then(|host| self.executor_view(host));
+        view.map_or((0, 0), |view| {
+            let lasting = view.runs.values().filter(|run| run.lasting).count();
+            (lasting, view.used.cpu_milli)
+        })
+    }
+
+    /// Whether the platform may be asked now: no more hosts of a wave are away than allowed.
+    pub(super) fn may_order(&self, at: Moment, name: &Arc<str>) -> bool {
+        let host = self.hosts.views.get(name);
+        let errand = host.and_then(|host| host.errand.as_ref());
+        let Some(MachineClaim::Upkeep { wave }) = errand.map(|errand| &errand.claim) else {
+            return true;
+        };
+        let cap = self.state.waves().get(wave).map_or(0, |wave| wave.order.cap as usize);
+        let away = self.hosts.views.values().filter(|host| {
+            let ordered = host.errand.as_ref().is_some_and(|errand| {
+                errand.phase != ErrandPhase::Emptying
+                    && matches!(&errand.claim, MachineClaim::Upkeep { wave: other } if other == wave)
+            });
+            ordered || (host.in_upkeep == Some(*wave) && host.is_away(at.now))
+        });
+        away.count() < cap
+    }
+
+    /// Empties an executor; says whether it is empty, or empty enough if it is `hurried`.
+    pub(super) fn empty(&mut self, at: Moment, key: ExecutorKey, hurried: bool) -> bool {
+        let Some(view) = self.executors.get(&key) else {
+            return true;
+        };
+        let lasting: Vec<_> = view
+            .runs
+            .iter()
+            .filter(|(_, run)| run.lasting)
+            .map(|(run, view)| (*run, view.phase))
+            .collect();
+        if lasting.is_empty() {
+            return hurried || view.runs.is_empty();
+        }
+        for (run, phase) in lasting {
+            if matches!(phase, RunPhase::There(_)) && self.may_be_away(run) {
+                self.stop(at, key, run);
+            }
+        }
+        false
+    }
+
+    /// Whether a lasting task may be stopped: few enough others of its step are away.
+    fn may_be_away(&self, run: RunId) -> bool {
+        let task = run.task;
+        let Some(job) = self.state.job(task.job) else {
+            return true;
+        };
+        let Some(spec) = job.spec.as_ref() else {
+            return true;
+        };
+        let step = &spec.steps[usize::from(task.step)];
+        let tasks = &job.rounds[task.occurrence as usize].steps[usize::from(task.step)].tasks;
+        let others = tasks.iter().zip(0..).filter(|(_, index)| *index != task.index);
+        let away = others.filter(|(other, index)| {
+            let id = crate::job::TaskId { index: *index, ..task };
+            let mut runs = other.runs.iter();
+            !runs.any(|(number, executor)| self.is_at_work(*executor, id.run(*number)))
+        });
+        let away = u32::try_from(away.count()).unwrap_or(u32::MAX);
+        away < step.may_miss.max(1)
+    }
+
+    fn is_at_work(&self, executor: ExecutorKey, run: RunId) -> bool {
+        let view = self.executors.get(&executor);
+        let Some(view) = view.filter(|view| view.failures == 0) else {
+            return false;
+        };
+        let run = view.runs.get(&run);
+        run.is_some_and(|run| {
+            matches!(run.phase, RunPhase::There(_)) && run.percent >= AT_WORK
+        })
+    }
+}
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -4,10 +4,16 @@
 
 mod admission;
 mod lease;
+mod offered;
 mod place;
+mod pool_size;
 mod rank;
+mod upkeep;
 
 pub use admission::{Admission, Backlog, admit};
 pub use lease::{ClockReading, lease_end};
+pub use offered::Offered;
 pub use place::{Candidate, Wish, choose};
+pub use pool_size::{PoolLoad, wanted_hosts};
 pub use rank::{Rank, on_time_ms, rank};
+pub use upkeep::hosts_at_once;
