perf(jobs): a pool in need takes hosts that another has too many of at once

Cause: hosts went to standby first and were away twice (3 s of a turn of 8.5 s). Change: a surplus can be taken without waiting; only the way to standby waits 1.5 s.

--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -42,15 +42,17 @@
         let serving = config.pools.iter().filter(|pool| !pool.standby);
         let mut short = BTreeMap::new();
         let mut surplus = BTreeMap::new();
+        let mut lasting_surplus = Vec::new();
         for pool in serving {
             let (have, wanted) = self.size_of(at, &pool.name);
             if have < wanted {
                 short.insert(Arc::clone(&pool.name), wanted - have);
                 self.hosts.surplus.remove(&pool.name);
             } else if have > wanted {
+                surplus.insert(Arc::clone(&pool.name), have - wanted);
                 let since = self.hosts.surplus.entry(Arc::clone(&pool.name)).or_insert(at.now);
                 if at.now >= *since + SURPLUS_FOR {
-                    surplus.insert(Arc::clone(&pool.name), have - wanted);
+                    lasting_surplus.push(Arc::clone(&pool.name));
                 }
             } else {
                 self.hosts.surplus.remove(&pool.name);
@@ -62,7 +64,8 @@
             moves = moves.saturating_sub(found);
         }
         if let Some(standby) = standby {
-            for (pool, many) in surplus {
+            for pool in lasting_surplus {
+                let many = surplus.get(&pool).copied().unwrap_or_default();
                 self.release(at, &pool, many, &standby);
             }
         }
