--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -129,7 +129,7 @@
             away_until: None,
             in_upkeep: None,
             // What the former leader began is settled first.
-            errand: claim.map(|claim| Errand {
+            errand: claim.map(|(claim, _)| Errand {
                 claim,
                 since: at.now,
                 phase: ErrandPhase::Again(at.now),
@@ -144,11 +144,15 @@
             view.away_until = None;
             view.in_upkeep = None;
         }
+        let inherited = view.errand.is_some();
         view.pool = listed.pool;
         view.kind = listed.kind;
         view.capacity = listed.capacity;
         view.executor = listed.executor;
         view.up = listed.up;
+        if inherited {
+            self.cordon(&listed.name, true);
+        }
     }
 
     /// The executor of a host that is known.
@@ -236,9 +240,11 @@
         };
         errand.phase = ErrandPhase::Ordered(at.now);
         let claim = errand.claim.clone();
+        let executor = self.hosts.views.get(name).and_then(|host| self.executor_of(host));
         self.commit(Command::Claim {
             host: Arc::clone(name),
             claim: claim.clone(),
+            executor,
         });
         self.hosts.last_order += 1;
         let number = self.hosts.last_order;
@@ -309,8 +315,17 @@
                 options.upkeep
             }
         };
-        host.away_until = Some(at.now + time + AWAY_MARGIN);
-        if let Some(key) = self.hosts.views.get(name).and_then(|host| self.executor_of(host)) {
+        // An order that is repeated may have been carried out long before: only the life that
+        // it was first given for has ended.
+        let ended = self.state.claims().get(name).and_then(|(_, executor)| *executor);
+        let current = self.hosts.views.get(name).and_then(|host| self.executor_of(host));
+        let back = current.is_some() && current != ended;
+        if back {
+            self.cordon(name, false);
+        } else if let Some(host) = self.hosts.views.get_mut(name) {
+            host.away_until = Some(at.now + time + AWAY_MARGIN);
+        }
+        if let Some(key) = ended {
             self.retire(at, key, "its host was taken");
         }
         if let MachineClaim::Upkeep { wave } = claim {
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -95,6 +95,8 @@
         host: Arc<str>,
         /// What is asked.
         claim: MachineClaim,
+        /// The executor that ends when it is carried out.
+        executor: Option<ExecutorKey>,
     },
     /// Notes that nothing is asked for a host any more.
     Unclaim {
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -27,7 +27,7 @@
     executors: BTreeMap<ExecutorKey, ExecutorRecord>,
     last_executor: u32,
     waves: BTreeMap<u64, Wave>,
-    claims: BTreeMap<Arc<str>, MachineClaim>,
+    claims: BTreeMap<Arc<str>, (MachineClaim, Option<ExecutorKey>)>,
 }
 
 /// The configuration in force.
@@ -109,8 +109,8 @@
         &self.waves
     }
 
-    /// What is asked of the platform, by host.
-    pub const fn claims(&self) -> &BTreeMap<Arc<str>, MachineClaim> {
+    /// What is asked of the platform, by host, and the executor that ends with it.
+    pub const fn claims(&self) -> &BTreeMap<Arc<str>, (MachineClaim, Option<ExecutorKey>)> {
         &self.claims
     }
 
@@ -150,9 +150,11 @@
                 let wave = self.waves.get_mut(&wave);
                 wave.is_some_and(|wave| wave.left.remove(&host))
             }
-            Command::Claim { host, claim } => {
-                self.claims.insert(host, claim.clone()) != Some(claim)
-            }
+            Command::Claim {
+                host,
+                claim,
+                executor,
+            } => self.claim(host, (claim, executor)),
             Command::Unclaim { host } => self.claims.remove(&host).is_some(),
             Command::Forget { before_ms } => self.forget(before_ms),
         }
@@ -277,6 +279,15 @@
         true
     }
 
+    /// Notes a claim; one that is repeated keeps the executor that it was first made for.
+    fn claim(&mut self, host: Arc<str>, claim: (MachineClaim, Option<ExecutorKey>)) -> bool {
+        let same = self.claims.get(&host).is_some_and(|stored| stored.0 == claim.0);
+        if !same {
+            self.claims.insert(host, claim);
+        }
+        !same
+    }
+
     fn forget(&mut self, before_ms: u64) -> bool {
         let before = self.jobs.len();
         self.jobs
