--- a/crates/masticfield-control/src/jobs/entries.rs
+++ b/crates/masticfield-control/src/jobs/entries.rs
@@ -47,11 +47,7 @@
     }
 }
 
-async fn serve(
-    stream: TcpStream,
-    number: u64,
-    control: JobControlHandle,
-) -> Result<(), WireError> {
+async fn serve(stream: TcpStream, number: u64, control: JobControlHandle) -> Result<(), WireError> {
     let (mut reader, writer) = Entry::new(stream)?.split();
     let hello = tokio::time::timeout(SILENCE, reader.receive()).await;
     let Ok(hello) = hello else {
--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -17,10 +17,7 @@
     /// An event that nobody waits for.
     Event(Event),
     /// An event whose result someone waits for; `event` is given the number.
-    Ask {
-        asker: Asker,
-        event: Question,
-    },
+    Ask { asker: Asker, event: Question },
     /// A question over the connection of an entry.
     EntryAsk {
         session: u64,
@@ -33,10 +30,7 @@
     /// Asks how many hosts of a wave are left.
     ReadWave(u64, oneshot::Sender<WaveProgress>),
     /// An entry has connected.
-    Entry {
-        process: u64,
-        session: EntrySession,
-    },
+    Entry { process: u64, session: EntrySession },
 }
 
 /// The connection of an entry; it closes when this is dropped.
--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -93,7 +93,9 @@
         let mut inputs = Vec::new();
         loop {
             let leading = self.leading.as_mut();
-            let idle = leading.as_ref().is_none_or(|leading| leading.in_flight.is_empty());
+            let idle = leading
+                .as_ref()
+                .is_none_or(|leading| leading.in_flight.is_empty());
             let wait = leading.as_ref().map_or(IDLE_CHECK, |leading| {
                 leading.leader.next_check().saturating_sub(boot_now())
             });
@@ -197,7 +199,9 @@
             Input::Ask { asker, event } => self.take_question(asker, event).await,
             Input::ReadConfig(reply) => {
                 let content = if self.may_read().await {
-                    self.state.config().map(|stored| Arc::clone(&stored.content))
+                    self.state
+                        .config()
+                        .map(|stored| Arc::clone(&stored.content))
                 } else {
                     None
                 };
@@ -299,7 +303,10 @@
             let leader = members.find(leader)?;
             members.address(leader)
         });
-        self.publish(address, members.members().map(|(_, address)| address).collect());
+        self.publish(
+            address,
+            members.members().map(|(_, address)| address).collect(),
+        );
     }
 
     fn publish(&self, leader: Option<SocketAddr>, members: Vec<SocketAddr>) {
@@ -393,4 +400,3 @@
         }
     }
 }
-
--- a/crates/masticfield-core/src/lib.rs
+++ b/crates/masticfield-core/src/lib.rs
@@ -17,8 +17,8 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
-pub mod clock;
 pub mod claim;
+pub mod clock;
 pub mod config;
 pub mod fleet;
 pub mod ids;
--- a/crates/masticfield-emulator/src/day.rs
+++ b/crates/masticfield-emulator/src/day.rs
@@ -59,7 +59,10 @@
     /// Sets the mean rate of jobs of each queue.
     #[must_use]
     pub fn jobs_per_s(mut self, rate: f64) -> Self {
-        self.fleet.queues.iter_mut().for_each(|queue| queue.per_s = rate);
+        self.fleet
+            .queues
+            .iter_mut()
+            .for_each(|queue| queue.per_s = rate);
         self
     }
 
--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -174,7 +174,10 @@
 
     /// Ends what has done its work and what has no lease; returns the runs that are done.
     pub(crate) fn advance(&mut self, now: u64) -> Vec<RunId> {
-        let over = self.running.iter().filter(|(_, run)| run.ends.is_some_and(|ends| ends <= now));
+        let over = self
+            .running
+            .iter()
+            .filter(|(_, run)| run.ends.is_some_and(|ends| ends <= now));
         let over: Vec<_> = over.map(|(run, running)| (*run, running.fails)).collect();
         let mut done = Vec::new();
         for (run, fails) in over {
--- a/crates/masticfield-emulator/src/ledger.rs
+++ b/crates/masticfield-emulator/src/ledger.rs
@@ -28,25 +28,27 @@
     pub(crate) running: BTreeMap<TaskId, BTreeSet<(usize, u32)>>,
     /// Tasks that are done.
     pub(crate) done: BTreeSet<TaskId>,
-    pub(crate) failed: BTreeMap<TaskId, u32>,
     pub(crate) broken: Vec<String>,
     pub(crate) over_room: u32,
     pub(crate) run_twice: u32,
 }
 
 impl Ledger {
-    /// Notes a start; `late` if the order was carried out long after it was given, `noted` if the
-    /// leader has noted that the task is done.
+    /// Notes a start; `late` if the order was carried out long after it was given, with what the
+    /// leader has noted of the task: whether it is done, and how often it has failed.
     pub(crate) fn start(
         &mut self,
         now: u64,
         executor: usize,
         run: RunId,
-        (late, noted): (bool, bool),
+        late: bool,
+        (done, failures): (bool, u32),
     ) {
         let task = run.task;
         let Some(sent) = self.sent.get(&task.job) else {
-            return self.broken.push(format!("{now}: {run} was asked for by nobody"));
+            return self
+                .broken
+                .push(format!("{now}: {run} was asked for by nobody"));
         };
         let Some(step) = sent.spec.steps.get(usize::from(task.step)) else {
             return self.broken.push(format!("{now}: {run} is of no step"));
@@ -54,23 +56,28 @@
         let (copies, lasting) = (step.copies, step.lasting);
         let waits = step.depends_on.iter().any(|needed| {
             let count = sent.spec.steps[usize::from(*needed)].count;
-            let tasks = (0..count).map(|index| TaskId::new(task.job, task.occurrence, *needed, index));
+            let tasks =
+                (0..count).map(|index| TaskId::new(task.job, task.occurrence, *needed, index));
             tasks.into_iter().any(|task| !self.done.contains(&task))
         });
         if waits {
-            self.broken.push(format!("{now}: {run} started before what it depends on"));
+            self.broken
+                .push(format!("{now}: {run} started before what it depends on"));
         }
         if sent.cancelled.is_some_and(|at| now > at + CANCEL_MS) && !late {
-            self.broken.push(format!("{now}: {run} started after its job was cancelled"));
+            self.broken
+                .push(format!("{now}: {run} started after its job was cancelled"));
         }
-        let failures = self.failed.get(&task).copied().unwrap_or_default();
         if failures >= 3 && !lasting && !late {
-            self.broken.push(format!("{now}: {run} started after too many failures"));
+            self.broken
+                .push(format!("{now}: {run} started after too many failures"));
         }
         let running = self.running.entry(task).or_default();
-        if !copies && !late && (!running.is_empty() || noted) {
+        if !copies && !late && (!running.is_empty() || done) {
             self.run_twice += 1;
-            self.broken.push(format!("{now}: {run} runs twice, on {executor} and {running:?}"));
+            self.broken.push(format!(
+                "{now}: {run} runs twice, on {executor} and {running:?}"
+            ));
         }
         running.insert((executor, run.number));
     }
--- a/crates/masticfield-emulator/src/load.rs
+++ b/crates/masticfield-emulator/src/load.rs
@@ -70,12 +70,22 @@
 
     /// The shape of the first users' fleet: 40 hosts, four queues that surge by turns.
     pub fn vitoria() -> Self {
-        Self::by_turns([8, 9, 11, 12], [11.0, 1.33, 13.8, 1.62], (640.0, 1_700.0), (1.8, 3.8))
+        Self::by_turns(
+            [8, 9, 11, 12],
+            [11.0, 1.33, 13.8, 1.62],
+            (640.0, 1_700.0),
+            (1.8, 3.8),
+        )
     }
 
     /// The shape of the second users' fleet: 41 hosts, four queues that surge by turns.
     pub fn vulpescu() -> Self {
-        Self::by_turns([9, 9, 11, 12], [5.52, 0.817, 6.91, 1.0], (1_000.0, 2_100.0), (2.3, 5.0))
+        Self::by_turns(
+            [9, 9, 11, 12],
+            [5.52, 0.817, 6.91, 1.0],
+            (1_000.0, 2_100.0),
+            (2.3, 5.0),
+        )
     }
 
     fn by_turns(
@@ -153,14 +163,21 @@
     pub(crate) fn job(&self, rng: &mut ChaCha8Rng) -> JobSpec {
         let steps = whole(spread(rng, self.steps, 0.4)).clamp(1, 5);
         let steps = (0..steps).map(|number| StepSpec {
-            count: u32::try_from(whole(spread(rng, self.tasks, 0.6))).unwrap_or(1).clamp(1, 32),
+            count: u32::try_from(whole(spread(rng, self.tasks, 0.6)))
+                .unwrap_or(1)
+                .clamp(1, 32),
             need: Resources {
                 cpu_milli: whole(spread(rng, self.task_cpu_milli, 0.45)).clamp(100, 12_000),
                 memory_mb: whole(spread(rng, self.task_memory_mb, 0.6)).clamp(64, 42_000),
                 gpus: 0,
             },
             estimate_ms: whole(spread(rng, self.task_ms, 0.5)).clamp(20, 5_000),
-            depends_on: u16::try_from(number).ok().filter(|n| *n > 0).map(|n| n - 1).into_iter().collect(),
+            depends_on: u16::try_from(number)
+                .ok()
+                .filter(|n| *n > 0)
+                .map(|n| n - 1)
+                .into_iter()
+                .collect(),
             copies: rng.random_bool(0.2),
             checkpointing: rng.random_bool(0.3),
             ..StepSpec::default()
--- a/crates/masticfield-entry/src/jobs/pending.rs
+++ b/crates/masticfield-entry/src/jobs/pending.rs
@@ -64,9 +64,16 @@
     /// Gives up the questions that have waited too long.
     pub(super) fn expire(&mut self, now: Duration) {
         let expired = self.questions.iter().filter(|(_, waiting)| {
-            now >= waiting.asked + if waiting.sent { SENT_TIMEOUT } else { UNSENT_TIMEOUT }
+            now >= waiting.asked
+                + if waiting.sent {
+                    SENT_TIMEOUT
+                } else {
+                    UNSENT_TIMEOUT
+                }
         });
-        let expired: Vec<_> = expired.map(|(number, waiting)| (*number, waiting.sent)).collect();
+        let expired: Vec<_> = expired
+            .map(|(number, waiting)| (*number, waiting.sent))
+            .collect();
         for (number, sent) in expired {
             let reply = if sent {
                 Reply::Unknown
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -36,9 +36,10 @@
         }
         view.hold = HoldPhase::Asked(at.now);
         let noted = view.noted;
-        let doubtful = view.runs.values().any(|run| {
-            !matches!(run.phase, RunPhase::There(_) | RunPhase::Ordered)
-        });
+        let doubtful = view
+            .runs
+            .values()
+            .any(|run| !matches!(run.phase, RunPhase::There(_) | RunPhase::Ordered));
         let settled = view.heard && view.failures == 0;
         let wait = match (settled, doubtful) {
             (false, _) => Duration::ZERO,
@@ -85,7 +86,11 @@
                 view.failures += 1;
                 view.heard = false;
                 let idle = view.runs.is_empty();
-                let wait = if idle { ASK_IDLE_AGAIN_AFTER } else { ASK_AGAIN_AFTER };
+                let wait = if idle {
+                    ASK_IDLE_AGAIN_AFTER
+                } else {
+                    ASK_AGAIN_AFTER
+                };
                 view.hold = HoldPhase::Due(at.now + wait);
             }
         }
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -84,8 +84,15 @@
         if hosts.reading && waited.is_some_and(|waited| waited < LIST_TIMEOUT) {
             return;
         }
-        let known: HashSet<_> = hosts.views.values().flat_map(|host| &host.executor).collect();
-        let unknown = self.state.executors().any(|(_, record)| !known.contains(&record.life.id));
+        let known: HashSet<_> = hosts
+            .views
+            .values()
+            .flat_map(|host| &host.executor)
+            .collect();
+        let unknown = self
+            .state
+            .executors()
+            .any(|(_, record)| !known.contains(&record.life.id));
         let every = if unknown { LIST_SOON } else { LIST_EVERY };
         if waited.is_none_or(|waited| waited >= every) {
             self.hosts.asked = Some(at.now);
@@ -105,14 +112,24 @@
             self.note_host(at, host);
         }
         for (name, view) in &mut self.hosts.views {
-            view.missing = if names.contains(name) { 0 } else { view.missing + 1 };
+            view.missing = if names.contains(name) {
+                0
+            } else {
+                view.missing + 1
+            };
         }
-        let gone = self.hosts.views.iter().filter(|(_, view)| view.missing >= MISSING_LISTS);
+        let gone = self
+            .hosts
+            .views
+            .iter()
+            .filter(|(_, view)| view.missing >= MISSING_LISTS);
         let gone: Vec<_> = gone.map(|(name, _)| Arc::clone(name)).collect();
         for name in gone {
             log::info!(host = name.as_ref(); "host gone");
             self.hosts.views.remove(&name);
-            self.commit(Command::Unclaim { host: Arc::clone(&name) });
+            self.commit(Command::Unclaim {
+                host: Arc::clone(&name),
+            });
             self.tend_everywhere(&name);
         }
     }
@@ -202,7 +219,11 @@
     }
 
     fn go_errands(&mut self, at: Moment) {
-        let hosts = self.hosts.views.iter().filter(|(_, host)| host.errand.is_some());
+        let hosts = self
+            .hosts
+            .views
+            .iter()
+            .filter(|(_, host)| host.errand.is_some());
         let names: Vec<_> = hosts.map(|(name, _)| Arc::clone(name)).collect();
         for name in names {
             self.go_errand(at, &name);
@@ -240,7 +261,11 @@
         };
         errand.phase = ErrandPhase::Ordered(at.now);
         let claim = errand.claim.clone();
-        let executor = self.hosts.views.get(name).and_then(|host| self.executor_of(host));
+        let executor = self
+            .hosts
+            .views
+            .get(name)
+            .and_then(|host| self.executor_of(host));
         self.commit(Command::Claim {
             host: Arc::clone(name),
             claim: claim.clone(),
@@ -317,8 +342,16 @@
         };
         // An order that is repeated may have been carried out long before: only the life that
         // it was first given for has ended.
-        let ended = self.state.claims().get(name).and_then(|(_, executor)| *executor);
-        let current = self.hosts.views.get(name).and_then(|host| self.executor_of(host));
+        let ended = self
+            .state
+            .claims()
+            .get(name)
+            .and_then(|(_, executor)| *executor);
+        let current = self
+            .hosts
+            .views
+            .get(name)
+            .and_then(|host| self.executor_of(host));
         let back = current.is_some() && current != ended;
         if back {
             self.cordon(name, false);
@@ -334,11 +367,15 @@
                 host: Arc::clone(name),
             });
         }
-        self.commit(Command::Unclaim { host: Arc::clone(name) });
+        self.commit(Command::Unclaim {
+            host: Arc::clone(name),
+        });
     }
 
     fn settle(&mut self, name: &Arc<str>) {
-        self.commit(Command::Unclaim { host: Arc::clone(name) });
+        self.commit(Command::Unclaim {
+            host: Arc::clone(name),
+        });
         self.drop_errand(name);
     }
 
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -114,7 +114,8 @@
             self.forget(at);
             // Time alone makes executors usable again.
             let pending = self.pending.iter().filter(|(_, jobs)| !jobs.is_empty());
-            self.changed.extend(pending.map(|(pool, _)| Arc::clone(pool)));
+            self.changed
+                .extend(pending.map(|(pool, _)| Arc::clone(pool)));
         }
         self.plan(at);
         std::mem::take(&mut self.turn)
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -23,8 +23,8 @@
 
 pub use effect::{Call, Effect, Refusal, Reply, Turn};
 pub use event::{
-    Announcement, CallError, Event, HoldReport, HostError, ListedEnd, ListedHost, ListedRun, Moment,
-    Rejection,
+    Announcement, CallError, Event, HoldReport, HostError, ListedEnd, ListedHost, ListedRun,
+    Moment, Rejection,
 };
 pub use intake::{AskId, Intake, IntakeKind};
 pub use leader::Leader;
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -50,7 +50,11 @@
                 self.hosts.surplus.remove(&pool.name);
             } else if have > wanted {
                 surplus.insert(Arc::clone(&pool.name), have - wanted);
-                let since = self.hosts.surplus.entry(Arc::clone(&pool.name)).or_insert(at.now);
+                let since = self
+                    .hosts
+                    .surplus
+                    .entry(Arc::clone(&pool.name))
+                    .or_insert(at.now);
                 if at.now >= *since + SURPLUS_FOR {
                     lasting_surplus.push(Arc::clone(&pool.name));
                 }
@@ -80,7 +84,9 @@
                 MachineClaim::Upkeep { .. } => false,
             },
             None => {
-                let answers = self.executor_view(host).is_none_or(|view| view.failures == 0);
+                let answers = self
+                    .executor_view(host)
+                    .is_none_or(|view| view.failures == 0);
                 host.pool == *pool && answers && (host.up || host.is_away(at.now))
             }
         });
@@ -91,8 +97,12 @@
 
     fn host_size(&self, pool: &Arc<str>) -> Resources {
         let hosts = self.hosts.views.values();
-        let of_pool = hosts.filter(|host| host.pool == *pool).map(|host| host.capacity);
-        of_pool.min_by_key(|capacity| capacity.cpu_milli).unwrap_or_default()
+        let of_pool = hosts
+            .filter(|host| host.pool == *pool)
+            .map(|host| host.capacity);
+        of_pool
+            .min_by_key(|capacity| capacity.cpu_milli)
+            .unwrap_or_default()
     }
 
     fn load(&self, at: Moment, pool: &Arc<str>) -> PoolLoad {
@@ -189,7 +199,10 @@
                 })
         };
         let hosts = self.hosts.views.iter().filter(|(_, host)| leaving(host));
-        let names: Vec<_> = hosts.map(|(name, _)| Arc::clone(name)).take(lacking).collect();
+        let names: Vec<_> = hosts
+            .map(|(name, _)| Arc::clone(name))
+            .take(lacking)
+            .collect();
         for name in &names {
             self.drop_errand(name);
         }
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -16,7 +16,11 @@
 impl Leader {
     /// Begins the upkeep of further hosts where it is their turn.
     pub(super) fn check_waves(&mut self, at: Moment) {
-        let waves = self.state.waves().values().filter(|wave| !wave.left.is_empty());
+        let waves = self
+            .state
+            .waves()
+            .values()
+            .filter(|wave| !wave.left.is_empty());
         let waves: Vec<Wave> = waves.cloned().collect();
         for wave in waves {
             self.check_wave(at, &wave);
@@ -77,7 +81,11 @@
         let Some(MachineClaim::Upkeep { wave }) = errand.map(|errand| &errand.claim) else {
             return true;
         };
-        let cap = self.state.waves().get(wave).map_or(0, |wave| wave.order.cap as usize);
+        let cap = self
+            .state
+            .waves()
+            .get(wave)
+            .map_or(0, |wave| wave.order.cap as usize);
         let away = self.hosts.views.values().filter(|host| {
             let ordered = host.errand.as_ref().is_some_and(|errand| {
                 errand.phase != ErrandPhase::Emptying
@@ -121,9 +129,15 @@
         };
         let step = &spec.steps[usize::from(task.step)];
         let tasks = &job.rounds[task.occurrence as usize].steps[usize::from(task.step)].tasks;
-        let others = tasks.iter().zip(0..).filter(|(_, index)| *index != task.index);
+        let others = tasks
+            .iter()
+            .zip(0..)
+            .filter(|(_, index)| *index != task.index);
         let away = others.filter(|(other, index)| {
-            let id = crate::job::TaskId { index: *index, ..task };
+            let id = crate::job::TaskId {
+                index: *index,
+                ..task
+            };
             let mut runs = other.runs.iter();
             !runs.any(|(number, executor)| self.is_at_work(*executor, id.run(*number)))
         });
@@ -137,8 +151,6 @@
             return false;
         };
         let run = view.runs.get(&run);
-        run.is_some_and(|run| {
-            matches!(run.phase, RunPhase::There(_)) && run.percent >= AT_WORK
-        })
+        run.is_some_and(|run| matches!(run.phase, RunPhase::There(_)) && run.percent >= AT_WORK)
     }
 }
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -281,7 +281,10 @@
 
     /// Notes a claim; one that is repeated keeps the executor that it was first made for.
     fn claim(&mut self, host: Arc<str>, claim: (MachineClaim, Option<ExecutorKey>)) -> bool {
-        let same = self.claims.get(&host).is_some_and(|stored| stored.0 == claim.0);
+        let same = self
+            .claims
+            .get(&host)
+            .is_some_and(|stored| stored.0 == claim.0);
         if !same {
             self.claims.insert(host, claim);
         }
--- a/crates/masticfield-replica/src/runtime/formation.rs
+++ b/crates/masticfield-replica/src/runtime/formation.rs
@@ -48,9 +48,7 @@
         let of_late = |heard: Duration| now.saturating_sub(heard) <= GREETING_LASTS;
         let greetings = self.hellos.values();
         greetings
-            .filter(|greeting| {
-                of_late(greeting.heard) && !group.contains(greeting.hello.identity)
-            })
+            .filter(|greeting| of_late(greeting.heard) && !group.contains(greeting.hello.identity))
             .map(|greeting| Stranger {
                 identity: greeting.hello.identity,
                 address: greeting.hello.address,
--- a/crates/masticfield-replica/src/runtime/keeper.rs
+++ b/crates/masticfield-replica/src/runtime/keeper.rs
@@ -91,14 +91,19 @@
     {
         return Some(Change::Remove(gone));
     }
-    let mut learners = members.iter().filter(|member| {
-        group.is_learner(member.identity) && member.silent > LEARNER_GONE_AFTER
-    });
-    learners.next().map(|member| Change::Remove(member.identity))
+    let mut learners = members
+        .iter()
+        .filter(|member| group.is_learner(member.identity) && member.silent > LEARNER_GONE_AFTER);
+    learners
+        .next()
+        .map(|member| Change::Remove(member.identity))
 }
 
 fn gone(group: &Membership, members: &[Member]) -> Option<Identity> {
-    let voters = members.iter().filter(|member| group.is_voter(member.identity));
+    let voters = members
+        .iter()
+        .filter(|member| group.is_voter(member.identity));
     let gone = voters.filter(|member| member.silent > GONE_AFTER);
-    gone.max_by_key(|member| member.silent).map(|member| member.identity)
+    gone.max_by_key(|member| member.silent)
+        .map(|member| member.identity)
 }
