--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -1,6 +1,7 @@
 //! Leases, and what executors tell of their runs.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::executor::{HoldPhase, RunPhase};
@@ -12,7 +13,7 @@
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
 
 /// The same for one on which nothing runs.
-const ASK_IDLE_AGAIN_AFTER: Duration = Duration::from_millis(1_000);
+const ASK_IDLE_AGAIN_AFTER: Duration = Duration::from_secs(1);
 
 /// Longest wait for an end while it is in doubt what an executor runs.
 const DOUBT_WAIT: Duration = Duration::from_millis(150);
@@ -132,7 +133,7 @@
         self.settle_missing(at, key, sent, report);
         self.stop_strays(at, key, report);
         if first && let Some(record) = self.state.executor(key) {
-            self.changed.insert(record.life.pool.clone());
+            self.changed.insert(Arc::clone(&record.life.pool));
         }
     }
 
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -25,7 +25,7 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(400);
 
 /// Longest time that passing tasks may hold up an upkeep.
-const EMPTY_TIMEOUT: Duration = Duration::from_millis(3_000);
+const EMPTY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Lists in a row without a host after which it is gone.
 const MISSING_LISTS: u32 = 2;
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -142,7 +142,9 @@
     pub(super) fn reconfigured(&mut self, at: Moment) {
         self.read_config();
         let jobs: Vec<_> = self.ranks.keys().copied().collect();
-        jobs.into_iter().for_each(|job| self.refresh(at, job));
+        for job in jobs {
+            self.refresh(at, job);
+        }
     }
 
     fn read_config(&mut self) {
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -5,9 +5,9 @@
 
 use super::executor::RunPhase;
 use super::{Leader, Moment};
-use crate::job::{JobId, TaskId};
-use crate::schedule::{Backlog, Candidate, Wish, choose, rank};
-use crate::state::{ExecutorKey, JobPhase};
+use crate::job::{JobId, JobSpec, TaskId};
+use crate::schedule::{Backlog, Candidate, Standing, Wish, choose, on_time_ms, rank, standing};
+use crate::state::{ExecutorKey, JobPhase, Round};
 
 impl Leader {
     /// Brings the place of a job among the pending ones up to date.
@@ -71,6 +71,7 @@
             Some(pending) if !pending.is_empty() => pending.iter().map(|(_, job)| *job).collect(),
             _ => return,
         };
+        let jobs = self.by_standing(at, jobs);
         let executors = self.state.executors();
         let of_pool = executors.filter(|(_, record)| record.life.pool == *pool);
         let usable: Vec<_> = of_pool.map(|(key, _)| key).collect();
@@ -87,6 +88,32 @@
         }
     }
 
+    /// Puts jobs that can be on time first; the order is kept otherwise.
+    fn by_standing(&self, at: Moment, jobs: Vec<JobId>) -> Vec<JobId> {
+        let mut jobs: Vec<_> = jobs
+            .into_iter()
+            .map(|id| (self.standing(at, id), id))
+            .collect();
+        jobs.sort_by_key(|(standing, _)| *standing);
+        jobs.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn standing(&self, at: Moment, id: JobId) -> Standing {
+        let Some(job) = self.state.job(id) else {
+            return Standing::TooLate;
+        };
+        let (Some(spec), Some(queue)) = (&job.spec, self.state.queue(job.queue)) else {
+            return Standing::TooLate;
+        };
+        if spec.lasts() || spec.timetable.is_some() {
+            return Standing::OnTime;
+        }
+        let waited = at.wall_ms.saturating_sub(job.accepted_ms);
+        let left = job.rounds.iter().map(|round| chain_left_ms(spec, round));
+        let left = left.max().unwrap_or_default();
+        standing(on_time_ms(spec, queue), waited, left)
+    }
+
     fn plan_job(&mut self, at: Moment, id: JobId, usable: &[ExecutorKey]) {
         for (task, last_run) in self.startable(at, id) {
             if let Some(executor) = self.find_executor(task, usable) {
@@ -207,6 +234,24 @@
     }
 }
 
+/// Estimated time of the longest chain of steps that are not done, in milliseconds.
+///
+/// A step that is under way counts by half.
+fn chain_left_ms(spec: &JobSpec, round: &Round) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for (step, tasks) in spec.steps.iter().zip(&round.steps) {
+        let needed = step.depends_on.iter();
+        let starts = needed.filter_map(|needed| ends.get(usize::from(*needed)));
+        let time = match (tasks.left, tasks.waiting().next()) {
+            (0, _) => 0,
+            (_, Some(_)) => step.estimate_ms,
+            (_, None) => step.estimate_ms / 2,
+        };
+        ends.push(starts.max().copied().unwrap_or_default() + time);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
 #[expect(clippy::cast_precision_loss, reason = "cores of one executor or task")]
 fn milli(cpu_milli: u64) -> f64 {
     cpu_milli as f64 / 1_000.0
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -1,5 +1,6 @@
 //! Moves of hosts between pools.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,21 +46,26 @@
         let mut lasting_surplus = Vec::new();
         for pool in serving {
             let (have, wanted) = self.size_of(at, &pool.name);
-            if have < wanted {
-                short.insert(Arc::clone(&pool.name), wanted - have);
-                self.hosts.surplus.remove(&pool.name);
-            } else if have > wanted {
-                surplus.insert(Arc::clone(&pool.name), have - wanted);
-                let since = self
-                    .hosts
-                    .surplus
-                    .entry(Arc::clone(&pool.name))
-                    .or_insert(at.now);
-                if at.now >= *since + SURPLUS_FOR {
-                    lasting_surplus.push(Arc::clone(&pool.name));
+            let name = Arc::clone(&pool.name);
+            match have.cmp(&wanted) {
+                Ordering::Less => {
+                    self.hosts.surplus.remove(&name);
+                    short.insert(name, wanted - have);
+                }
+                Ordering::Equal => {
+                    self.hosts.surplus.remove(&name);
+                }
+                Ordering::Greater => {
+                    let since = self
+                        .hosts
+                        .surplus
+                        .entry(Arc::clone(&name))
+                        .or_insert(at.now);
+                    if at.now >= *since + SURPLUS_FOR {
+                        lasting_surplus.push(Arc::clone(&name));
+                    }
+                    surplus.insert(name, have - wanted);
                 }
-            } else {
-                self.hosts.surplus.remove(&pool.name);
             }
         }
         let mut moves = MOVES_AT_ONCE;
@@ -78,17 +84,12 @@
     /// Hosts that a pool has or will have, and hosts that it needs.
     fn size_of(&self, at: Moment, pool: &Arc<str>) -> (usize, usize) {
         let hosts = self.hosts.views.values();
-        let have = hosts.filter(|host| match &host.errand {
-            Some(errand) => match &errand.claim {
-                MachineClaim::Move { pool: to } => to == pool,
-                MachineClaim::Upkeep { .. } => false,
-            },
-            None => {
-                let answers = self
-                    .executor_view(host)
-                    .is_none_or(|view| view.failures == 0);
-                host.pool == *pool && answers && (host.up || host.is_away(at.now))
+        let have = hosts.filter(|host| {
+            if let Some(errand) = &host.errand {
+                return matches!(&errand.claim, MachineClaim::Move { pool: to } if to == pool);
             }
+            let answers = self.executor_view(host).is_none_or(|view| view.failures == 0);
+            host.pool == *pool && answers && (host.up || host.is_away(at.now))
         });
         let load = self.load(at, pool);
         let each = self.host_size(pool);
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -44,7 +44,7 @@
             errand.is_some_and(|errand| errand.claim == claim)
                 || (host.in_upkeep == Some(wave.order.number) && host.is_away(at.now))
         });
-        let mut busy = busy.count();
+        let free = at_once.saturating_sub(busy.count());
         let mut waiting: Vec<_> = wave
             .left
             .iter()
@@ -55,11 +55,7 @@
             .map(|name| (self.load_of(name), Arc::clone(name)))
             .collect();
         waiting.sort_unstable();
-        for (_, name) in waiting {
-            if busy >= at_once {
-                break;
-            }
-            busy += 1;
+        for (_, name) in waiting.into_iter().take(free) {
             self.begin_errand(at, &name, claim.clone());
         }
     }
--- a/crates/masticfield-jobs/src/schedule/place.rs
+++ b/crates/masticfield-jobs/src/schedule/place.rs
@@ -36,8 +36,9 @@
 /// Chooses the executor for a task, or none if no candidate will do.
 ///
 /// Tasks go to the rack of their data. Tasks that serve users and tasks that fill keep apart,
-/// as they disturb each other. Otherwise the emptiest executor is taken, so that a burst is
-/// spread over as many connections as there are.
+/// as they disturb each other. Lasting tasks share few executors, so that the others can be given
+/// up or taken for upkeep; those of one step are spread over them. Otherwise the emptiest executor
+/// is taken, so that a burst is spread over as many connections as there are.
 pub fn choose<'a>(
     wish: Wish<'_>,
     candidates: impl Iterator<Item = Candidate<'a>>,
@@ -55,15 +56,27 @@
         && below.is_none_or(|most| candidate.siblings < most.max(1))
 }
 
-fn cost(wish: Wish<'_>, candidate: &Candidate<'_>) -> (bool, u32, std::cmp::Reverse<u64>) {
+/// Lower is better, in this order: far from where it should be, disturbed, apart from other
+/// lasting tasks, beside tasks of the same step, and by room.
+type Cost = (bool, u32, bool, u32, u64);
+
+fn cost(wish: Wish<'_>, candidate: &Candidate<'_>) -> Cost {
     let wanted = wish.step.data_rack.as_ref().or(wish.near);
     let far = wanted.is_some() && wanted != candidate.rack;
-    let disturbed = if wish.step.filler {
-        candidate.serving + candidate.fillers
-    } else if wish.step.lasting {
-        candidate.fillers
-    } else {
-        0
-    };
-    (far, disturbed, std::cmp::Reverse(candidate.free.cpu_milli))
+    let room = candidate.free.cpu_milli;
+    if wish.step.filler {
+        let disturbed = candidate.serving + candidate.fillers;
+        return (far, disturbed, false, candidate.siblings, u64::MAX - room);
+    }
+    if wish.step.lasting {
+        let apart = candidate.serving == 0;
+        return (
+            far,
+            candidate.fillers,
+            apart,
+            candidate.siblings,
+            u64::MAX - room,
+        );
+    }
+    (far, 0, false, 0, u64::MAX - room)
 }
--- a/crates/masticfield-jobs/src/schedule/rank.rs
+++ b/crates/masticfield-jobs/src/schedule/rank.rs
@@ -23,6 +23,35 @@
     }
 }
 
+/// How a job stands to its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It can be on time if it gets room now.
+    OnTime,
+    /// It will be late, and its caller may still have a use for it.
+    Late,
+    /// It will be so late that its caller has hardly a use for it.
+    TooLate,
+}
+
+/// Multiple of the objective after which callers have hardly a use for a job.
+const USEFUL_FACTOR: u64 = 3;
+
+/// How a job stands that needs at least `left_ms` more.
+///
+/// In a surge that a pool cannot hold, jobs that can be on time come before those that will be
+/// late anyway; else each job would wait behind others until it is late as well.
+pub fn standing(on_time_ms: u64, waited_ms: u64, left_ms: u64) -> Standing {
+    let total = waited_ms + left_ms;
+    if total <= on_time_ms {
+        Standing::OnTime
+    } else if total <= on_time_ms * USEFUL_FACTOR {
+        Standing::Late
+    } else {
+        Standing::TooLate
+    }
+}
+
 /// Time within which a job is on time, in milliseconds.
 pub fn on_time_ms(spec: &JobSpec, queue: &QueueConfig) -> u64 {
     #[expect(
