perf(jobs): pool sizes by jobs that can be on time, fullest host first

Cause: one large job counted as a rate (43 hosts wanted for it); late jobs drew hosts for nothing; tasks spread over all hosts left none empty to give away (bridal held 35 hosts while others had 3).

--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -98,7 +98,7 @@
         jobs.into_iter().map(|(_, id)| id).collect()
     }
 
-    fn standing(&self, at: Moment, id: JobId) -> Standing {
+    pub(super) fn standing(&self, at: Moment, id: JobId) -> Standing {
         let Some(job) = self.state.job(id) else {
             return Standing::TooLate;
         };
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -9,7 +9,7 @@
 use super::{Leader, Moment};
 use crate::job::{JobSpec, Resources};
 use crate::queue::QueueId;
-use crate::schedule::{PoolLoad, wanted_hosts};
+use crate::schedule::{PoolLoad, Standing, wanted_hosts};
 use crate::state::MachineClaim;
 
 /// Time for which a pool has more hosts than it needs before it gives some up. A host that is
@@ -49,6 +49,7 @@
             let name = Arc::clone(&pool.name);
             match have.cmp(&wanted) {
                 Ordering::Less => {
+                    log::info!(pool = name.as_ref(), have, wanted; "pool is short of hosts");
                     self.hosts.surplus.remove(&name);
                     short.insert(name, wanted - have);
                 }
@@ -120,6 +121,10 @@
             let Some(job) = self.state.job(*id) else {
                 continue;
             };
+            // Hosts that come for a job that is late already come for nothing.
+            if self.standing(at, *id) != Standing::OnTime {
+                continue;
+            }
             let Some(spec) = &job.spec else {
                 continue;
             };
@@ -166,13 +171,14 @@
             })
             .filter_map(|(name, host)| {
                 let spare = standby == Some(&host.pool);
-                let runs = self.executor_view(host).map_or(0, |view| view.runs.len());
                 let given = spare || surplus.get(&host.pool).is_some_and(|many| *many > 0);
-                (given && runs == 0).then(|| (!spare, Arc::clone(name), Arc::clone(&host.pool)))
+                let (lasting, used) = self.load_of(name);
+                let key = (!spare, used, Arc::clone(name), Arc::clone(&host.pool));
+                (given && lasting == 0).then_some(key)
             })
             .collect();
         candidates.sort_unstable();
-        for (_, name, from) in candidates {
+        for (_, _, name, from) in candidates {
             if found >= lacking.min(moves) {
                 break;
             }
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -61,7 +61,7 @@
     }
 
     /// Lasting tasks on a host, and the processor time reserved there.
-    fn load_of(&self, name: &Arc<str>) -> (usize, u64) {
+    pub(super) fn load_of(&self, name: &Arc<str>) -> (usize, u64) {
         let host = self.hosts.views.get(name);
         let view = host.and_then(|host| self.executor_view(host));
         view.map_or((0, 0), |view| {
--- a/crates/masticfield-jobs/src/schedule/place.rs
+++ b/crates/masticfield-jobs/src/schedule/place.rs
@@ -37,8 +37,8 @@
 ///
 /// Tasks go to the rack of their data. Tasks that serve users and tasks that fill keep apart,
 /// as they disturb each other. Lasting tasks share few executors, so that the others can be given
-/// up or taken for upkeep; those of one step are spread over them. Otherwise the emptiest executor
-/// is taken, so that a burst is spread over as many connections as there are.
+/// up or taken for upkeep; those of one step are spread over them. Otherwise the fullest executor
+/// with room is taken, so that the others become empty and can help where a surge is.
 pub fn choose<'a>(
     wish: Wish<'_>,
     candidates: impl Iterator<Item = Candidate<'a>>,
@@ -78,5 +78,5 @@
             u64::MAX - room,
         );
     }
-    (far, 0, false, 0, u64::MAX - room)
+    (far, 0, false, 0, room)
 }
