--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -4,7 +4,7 @@
 
 use super::{Effect, Event, Leader, Moment, Refusal, Reply};
 use crate::job::{JobId, JobSpec};
-use crate::schedule::{Admission, admit, on_time_ms};
+use crate::schedule::{Admission, USEFUL_FACTOR, admit, on_time_ms};
 use crate::state::{Command, JobPhase};
 
 /// Someone who waits for an answer.
@@ -101,8 +101,9 @@
         if spec.lasts() || spec.timetable.is_some() {
             return Admission::Accept;
         }
-        let slack = on_time_ms(spec, config).saturating_sub(spec.chain_ms());
-        let backlog = self.backlog(&config.pool, config.priority);
+        let useful = on_time_ms(spec, config) * USEFUL_FACTOR;
+        let slack = useful.saturating_sub(spec.chain_ms());
+        let backlog = self.backlog(&config.pool);
         admit(backlog, std::time::Duration::from_millis(slack))
     }
 
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -191,8 +191,8 @@
         }
     }
 
-    /// What waits in a pool ahead of a new job of a priority, and the cores that can work it off.
-    pub(super) fn backlog(&self, pool: &Arc<str>, _priority: u32) -> Backlog {
+    /// What waits in a pool ahead of a new job, and the cores that can work it off.
+    pub(super) fn backlog(&self, pool: &Arc<str>) -> Backlog {
         let mut cores = 0.0;
         for (key, record) in self.state.executors() {
             if record.life.pool != *pool || record.leaving {
--- a/crates/masticfield-jobs/src/schedule/admission.rs
+++ b/crates/masticfield-jobs/src/schedule/admission.rs
@@ -14,18 +14,20 @@
 /// Whether a job is taken in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
-    /// It can be on time.
+    /// It can be done while it is of use.
     Accept,
-    /// It cannot; there is room again after this time.
+    /// It cannot; a job handed in after this time can.
     Refuse {
         /// When to come back.
         retry_after: Duration,
     },
 }
 
-/// Refuses a job that could only start when it is already too late to be on time.
+/// Refuses a job that could only start when it is already too late to be of use.
 ///
-/// `slack` is the time that the job can wait and still be on time.
+/// `slack` is the time that the job can wait and still be of use. A surge is over after some
+/// seconds, so a job that is only late is better taken than sent away: it would come back later,
+/// and be later still.
 pub fn admit(backlog: Backlog, slack: Duration) -> Admission {
     if backlog.cores <= 0.0 {
         return Admission::Accept;
--- a/crates/masticfield-jobs/src/schedule/rank.rs
+++ b/crates/masticfield-jobs/src/schedule/rank.rs
@@ -35,7 +35,7 @@
 }
 
 /// Multiple of the objective after which callers have hardly a use for a job.
-const USEFUL_FACTOR: u64 = 3;
+pub const USEFUL_FACTOR: u64 = 3;
 
 /// How a job stands that needs at least `left_ms` more.
 ///
