perf(jobs): waiting short tasks ask for fewer hosts

Cause: pools took up to 39 hosts where 17 hold the rate: every waiting task asked for room at once, although short tasks free it several times while a host comes.

--- a/crates/masticfield-jobs/src/job/resources.rs
+++ b/crates/masticfield-jobs/src/job/resources.rs
@@ -31,6 +31,23 @@
         }
     }
 
+    /// A share of each.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "resources of a pool, rounded"
+    )]
+    pub fn times(self, factor: f64) -> Self {
+        let scaled = |value: u64| (value as f64 * factor).ceil() as u64;
+        Self {
+            cpu_milli: scaled(self.cpu_milli),
+            memory_mb: scaled(self.memory_mb),
+            gpus: scaled(self.gpus),
+        }
+    }
+
     /// What is left after taking `other` away; nothing where there is less.
     #[must_use]
     pub const fn minus(self, other: Self) -> Self {
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -9,7 +9,7 @@
 use super::{Leader, Moment};
 use crate::job::{JobSpec, Resources};
 use crate::queue::QueueId;
-use crate::schedule::{PoolLoad, Standing, wanted_hosts};
+use crate::schedule::{PoolLoad, Standing, share_when_host_comes, wanted_hosts};
 use crate::state::MachineClaim;
 
 /// Time for which a pool has more hosts than it needs before it gives some up. A host that is
@@ -134,10 +134,14 @@
                         continue;
                     }
                     let waiting = tasks.waiting().count();
-                    let need = step.reserved();
-                    for _ in 0..waiting {
-                        load.waiting = load.waiting.plus(need);
-                    }
+                    let share = if step.lasting {
+                        1.0
+                    } else {
+                        share_when_host_comes(step.estimate_ms)
+                    };
+                    #[expect(clippy::cast_precision_loss, reason = "tasks of a step")]
+                    let need = step.reserved().times(waiting as f64 * share);
+                    load.waiting = load.waiting.plus(need);
                     if let Some(most) = step.max_per_executor {
                         load.apart = load.apart.max(step.count.div_ceil(most.max(1)));
                     }
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -14,6 +14,6 @@
 pub use lease::{ClockReading, lease_end};
 pub use offered::Offered;
 pub use place::{Candidate, Wish, choose};
-pub use pool_size::{PoolLoad, wanted_hosts};
+pub use pool_size::{PoolLoad, share_when_host_comes, wanted_hosts};
 pub use rank::{Rank, Standing, USEFUL_FACTOR, on_time_ms, rank, standing};
 pub use upkeep::hosts_at_once;
--- a/crates/masticfield-jobs/src/schedule/pool_size.rs
+++ b/crates/masticfield-jobs/src/schedule/pool_size.rs
@@ -1,5 +1,7 @@
 //! How many hosts a pool needs.
 
+use std::time::Duration;
+
 use crate::job::Resources;
 
 /// Room above the demand, so that arrivals that cluster do not wait.
@@ -16,7 +18,8 @@
 pub struct PoolLoad {
     /// Reserved by what runs.
     pub running: Resources,
-    /// Wanted by tasks that could start now.
+    /// Wanted by tasks that could start now, as far as they would still be waiting when a host
+    /// has come; see [`share_when_host_comes`].
     pub waiting: Resources,
     /// Work that jobs have brought of late, in cores: core-seconds in each second.
     pub offered_cores: f64,
@@ -24,6 +27,21 @@
     pub apart: u32,
 }
 
+/// Time until a host that is asked for takes tasks.
+const HOST_COMES: Duration = Duration::from_millis(1_500);
+
+/// Share of a waiting task's need that is still there when a host has come.
+///
+/// Room that short tasks wait for becomes free several times meanwhile.
+#[expect(clippy::cast_precision_loss, reason = "milliseconds of a task")]
+pub fn share_when_host_comes(estimate_ms: u64) -> f64 {
+    let waits = HOST_COMES.as_millis() as f64;
+    (estimate_ms as f64 / waits).clamp(SMALLEST_SHARE, 1.0)
+}
+
+/// Smallest share that a waiting task counts with.
+const SMALLEST_SHARE: f64 = 0.1;
+
 /// Hosts that a pool needs, for a surge in which each queue asks several times its mean.
 ///
 /// What runs and waits shows the demand of jobs that are here; what was offered of late shows
