fix(jobs): a host that was refused is emptied again before it is asked for again

Also: orders to start that got no answer three times were stopped although the task was at work; a foreign announcement under a known identifier ended its life. Change: refused hosts are emptied and counted again; an unknown executor counts as empty only on a newer list; lists settle unanswered starts; contradictions are ignored and logged.

--- a/crates/masticfield-emulator/src/day.rs
+++ b/crates/masticfield-emulator/src/day.rs
@@ -11,6 +11,8 @@
     pub length_ms: u64,
     /// Time after the load within which every job must have ended, in milliseconds.
     pub settle_ms: u64,
+    /// Whether half of the hosts are due for upkeep.
+    pub upkeep: bool,
     /// What goes wrong.
     pub faults: Faults,
 }
@@ -43,6 +45,7 @@
             fleet,
             length_ms: 10_000,
             settle_ms: 60_000,
+            upkeep: false,
             faults: Faults {
                 late_orders: 0.0,
                 lost_answers: 0.0,
@@ -73,6 +76,13 @@
         self
     }
 
+    /// Lets half of the hosts be due for upkeep from the start of the load on.
+    #[must_use]
+    pub const fn upkeep(mut self) -> Self {
+        self.upkeep = true;
+        self
+    }
+
     /// Sets what goes wrong.
     #[must_use]
     pub const fn faults(mut self, faults: Faults) -> Self {
--- a/crates/masticfield-emulator/src/host.rs
+++ b/crates/masticfield-emulator/src/host.rs
@@ -12,4 +12,6 @@
     /// Index of its executor, if it has one.
     pub(crate) executor: Option<usize>,
     pub(crate) fence: u64,
+    /// Whether its upkeep has begun.
+    pub(crate) tended: bool,
 }
--- a/crates/masticfield-emulator/src/ledger.rs
+++ b/crates/masticfield-emulator/src/ledger.rs
@@ -7,6 +7,9 @@
 /// Time after which nothing of a cancelled job may start, in milliseconds.
 pub(crate) const CANCEL_MS: u64 = 3_000;
 
+/// Time after which a task that is not at work counts as away, in milliseconds.
+const NOTICE_MS: u64 = 4_500;
+
 /// A job that a caller sent.
 #[derive(Debug, Clone)]
 pub(crate) struct Sent {
@@ -28,6 +31,8 @@
     pub(crate) running: BTreeMap<TaskId, BTreeSet<(usize, u32)>>,
     /// Tasks that are done.
     pub(crate) done: BTreeSet<TaskId>,
+    /// Since when a lasting task has not run, and whether an order about its host ended it.
+    away: BTreeMap<TaskId, (u64, bool)>,
     pub(crate) broken: Vec<String>,
     pub(crate) over_room: u32,
     pub(crate) run_twice: u32,
@@ -80,12 +85,41 @@
             ));
         }
         running.insert((executor, run.number));
+        self.away.remove(&task);
     }
 
     /// Notes that a run is over.
-    pub(crate) fn over(&mut self, executor: usize, run: RunId) {
-        if let Some(running) = self.running.get_mut(&run.task) {
-            running.remove(&(executor, run.number));
+    pub(crate) fn over(&mut self, now: u64, executor: usize, run: RunId) {
+        if let Some(running) = self.running.get_mut(&run.task)
+            && running.remove(&(executor, run.number))
+            && running.is_empty()
+        {
+            self.away.entry(run.task).or_insert((now, false));
+        }
+    }
+
+    /// Notes that an order is about to end a run; few enough others of its step may be away.
+    pub(crate) fn ends_by_order(&mut self, now: u64, run: RunId) {
+        let task = run.task;
+        let sent = self.sent.get(&task.job);
+        let step = sent.and_then(|sent| sent.spec.steps.get(usize::from(task.step)));
+        let Some(step) = step.filter(|step| step.lasting) else {
+            return;
+        };
+        let (count, may_miss) = (step.count, step.may_miss);
+        let others = (0..count).filter(|index| *index != task.index);
+        let away = others.filter(|index| {
+            let away = self.away.get(&TaskId {
+                index: *index,
+                ..task
+            });
+            away.is_some_and(|(since, ordered)| *ordered || now >= since + NOTICE_MS)
+        });
+        let away = u32::try_from(away.count()).unwrap_or(u32::MAX);
+        if away >= may_miss {
+            let text = format!("{now}: {run} is ended while {away} others of its step are away");
+            self.broken.push(text);
         }
+        self.away.insert(task, (now, true));
     }
 }
--- a/crates/masticfield-emulator/src/world.rs
+++ b/crates/masticfield-emulator/src/world.rs
@@ -9,7 +9,7 @@
     Announcement, AskId, Call, CallError, Effect, Event, HostError, HostOptions, Intake,
     IntakeKind, Leader, LeaderOptions, ListedHost, Moment, Refusal, Reply, Turn,
 };
-use masticfield_jobs::state::{Command, ExecutorKey, ExecutorLife, MachineClaim, State};
+use masticfield_jobs::state::{Command, ExecutorKey, ExecutorLife, MachineClaim, State, WaveOrder};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -41,6 +41,9 @@
 /// Time that a move takes, in milliseconds.
 const MOVE_MS: u64 = 1_500;
 
+/// Time that an upkeep takes, in milliseconds.
+const UPKEEP_MS: u64 = 2_000;
+
 /// Length of each queue's turn of a surge, as a share of the day.
 const TURN_SHARE: f64 = 0.25;
 
@@ -77,6 +80,7 @@
     NewLeader,
     HostBack(usize),
     Tick,
+    Wave,
 }
 
 /// A hold that waits for an end.
@@ -184,6 +188,7 @@
                     back: 0,
                     executor: None,
                     fence: 0,
+                    tended: false,
                 });
                 self.boot(self.hosts.len() - 1);
             }
@@ -199,6 +204,9 @@
         self.later_by_chance(faults.cut_every_ms, Happening::Cut);
         self.later_by_chance(faults.new_leader_every_ms, Happening::NewLeader);
         self.later(1, Happening::Tick);
+        if self.day.upkeep {
+            self.later(LEAD_MS, Happening::Wave);
+        }
     }
 
     fn later(&mut self, after: u64, happening: Happening) {
@@ -244,6 +252,7 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Tick => self.later(20, Happening::Tick),
+            Happening::Wave => self.start_wave(),
             Happening::Announce(executor) => self.announce(executor),
             Happening::Submit(queue) => {
                 self.submit(queue, false);
@@ -421,9 +430,14 @@
                 }
             }
             Call::Stop { run } => {
+                let there = self.executors[index].running.contains_key(run);
                 let stopped = self.executors[index].stop(now, fence, *run);
                 if stopped.is_ok() {
-                    self.ledger.over(index, *run);
+                    let sound = there && self.wants(*run);
+                    if sound {
+                        self.ledger.ends_by_order(now, *run);
+                    }
+                    self.ledger.over(now, index, *run);
                 }
                 let clock = self.executors[index].clock(now);
                 self.wake_hold(index);
@@ -517,7 +531,7 @@
         let done = self.executors[index].advance(self.now);
         for run in before {
             if !self.executors[index].running.contains_key(&run) {
-                self.ledger.over(index, run);
+                self.ledger.over(self.now, index, run);
             }
         }
         if self.executors[index].up {
@@ -598,7 +612,7 @@
     fn end_executor(&mut self, index: usize) {
         let runs: Vec<_> = self.executors[index].running.keys().copied().collect();
         for run in runs {
-            self.ledger.over(index, run);
+            self.ledger.over(self.now, index, run);
         }
         let host = self.executors[index].host;
         self.executors[index].running.clear();
@@ -641,6 +655,31 @@
         }
     }
 
+    /// Whether a run on a sound executor is still asked for.
+    fn wants(&self, run: RunId) -> bool {
+        let job = self.state.job(run.task.job);
+        let task = job.and_then(|job| job.task(run.task));
+        let current =
+            task.is_some_and(|task| task.runs.iter().any(|(number, _)| *number == run.number));
+        current && job.is_some_and(|job| job.wants(run))
+    }
+
+    fn start_wave(&mut self) {
+        let hosts = self
+            .hosts
+            .iter()
+            .step_by(2)
+            .map(|host| Arc::clone(&host.name));
+        let order = WaveOrder {
+            number: 1,
+            hosts: hosts.collect(),
+            duration_ms: 20_000,
+            cap: 3,
+        };
+        let ask = self.next_ask();
+        self.tell(self.epoch, Event::Wave { ask, order });
+    }
+
     fn list(&self) -> Vec<ListedHost> {
         let hosts = self.hosts.iter();
         hosts
@@ -686,27 +725,42 @@
     ) -> Result<(), HostError> {
         let index = self.hosts.iter().position(|host| host.name == *name);
         let index = index.ok_or(HostError::Unsuitable)?;
-        let MachineClaim::Move { pool } = claim else {
-            return Err(HostError::OtherWave);
-        };
         let host = &mut self.hosts[index];
         if fence <= host.fence {
             return Err(HostError::Fence);
         }
         host.fence = fence;
-        if host.pool == *pool {
+        let done = match claim {
+            MachineClaim::Move { pool } => host.pool == *pool,
+            MachineClaim::Upkeep { .. } => host.tended,
+        };
+        if done {
             return Ok(());
         }
         if self.now < host.back || host.executor.is_none() {
             return Err(HostError::NotUp);
         }
-        host.pool = Arc::clone(pool);
-        host.back = self.now + MOVE_MS;
-        self.report.moves += 1;
+        let time = match claim {
+            MachineClaim::Move { pool } => {
+                host.pool = Arc::clone(pool);
+                self.report.moves += 1;
+                MOVE_MS
+            }
+            MachineClaim::Upkeep { .. } => {
+                host.tended = true;
+                UPKEEP_MS
+            }
+        };
+        host.back = self.now + time;
         if let Some(executor) = self.hosts[index].executor {
+            self.advance(executor);
+            let runs: Vec<_> = self.executors[executor].running.keys().copied().collect();
+            for run in runs {
+                self.ledger.ends_by_order(self.now, run);
+            }
             self.end_executor(executor);
         }
-        self.later(MOVE_MS, Happening::HostBack(index));
+        self.later(time, Happening::HostBack(index));
         Ok(())
     }
 
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -16,6 +16,11 @@
     World::new(day, seed).play()
 }
 
+fn play_upkeep(faults: Faults, seed: u64) -> Report {
+    let day = Day::calm(Fleet::small()).length_ms(15_000).upkeep();
+    World::new(day.faults(faults), seed).play()
+}
+
 fn calm() -> Faults {
     Faults::default()
 }
@@ -82,6 +87,20 @@
     }
 }
 
+/// Hosts crash and come back while their upkeep is due: an order that the platform has refused must
+/// not be repeated on a host that has tasks again.
+#[rstest]
+#[case::calm(calm())]
+#[case::crashes_and_cuts(crashes())]
+#[case::lost_answers(late())]
+fn upkeep_leaves_enough_lasting_tasks(#[case] faults: Faults) {
+    for seed in seeds() {
+        let report = play_upkeep(faults, seed);
+        let first: Vec<_> = report.broken.iter().take(5).collect();
+        assert!(report.broken.is_empty(), "seed {seed}: {first:#?}");
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_day() {
     assert_eq!(play(all(), 3), play(all(), 3));
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -35,10 +35,13 @@
             if life.born_ms < record.life.born_ms {
                 return None;
             }
-            let same = life.born_ms == record.life.born_ms;
-            let moved = life.address != record.life.address || life.pool != record.life.pool;
-            if same && !moved {
-                return Some(known);
+            if life.born_ms == record.life.born_ms {
+                let same = life.address == record.life.address && life.pool == record.life.pool;
+                if !same {
+                    // A life keeps its place: somebody else wrote this.
+                    log::warn!(executor = life.id.as_ref(); "an announcement contradicts its life");
+                }
+                return same.then_some(known);
             }
             self.retire(at, known, "reborn");
         }
@@ -48,8 +51,9 @@
             life: life.clone(),
         });
         self.by_id.insert(Arc::clone(&life.id), key);
-        self.executors
-            .insert(key, ExecutorView::new(Duration::ZERO));
+        let mut view = ExecutorView::new(Duration::ZERO);
+        view.cordoned = self.has_errand(&life.id);
+        self.executors.insert(key, view);
         log::info!(
             executor = life.id.as_ref(), born_ms = life.born_ms, pool = life.pool.as_ref(),
             address = life.address.as_ref();
--- a/crates/masticfield-jobs/src/leader/host.rs
+++ b/crates/masticfield-jobs/src/leader/host.rs
@@ -20,6 +20,8 @@
     /// Wave of the upkeep that it is away for.
     pub(super) in_upkeep: Option<u64>,
     pub(super) errand: Option<Errand>,
+    /// When a list that names it was last read.
+    pub(super) listed: Duration,
     /// Lists in a row in which it was missing.
     pub(super) missing: u32,
 }
@@ -35,8 +37,10 @@
 /// How far an errand is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ErrandPhase {
-    /// The host is being emptied.
+    /// The host is being emptied, and the platform was not asked.
     Emptying,
+    /// The platform has refused for now; the host may have come back meanwhile, with tasks.
+    Refused(Duration),
     /// The platform is being asked since this moment.
     Ordered(Duration),
     /// The platform is to be asked again at this moment.
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -151,8 +151,10 @@
                 since: at.now,
                 phase: ErrandPhase::Again(at.now),
             }),
+            listed: at.now,
             missing: 0,
         });
+        view.listed = at.now;
         if view.is_away(at.now) && listed.executor == view.executor {
             // The list is older than the order.
             return;
@@ -161,13 +163,13 @@
             view.away_until = None;
             view.in_upkeep = None;
         }
-        let inherited = view.errand.is_some();
+        let planned = view.errand.is_some();
         view.pool = listed.pool;
         view.kind = listed.kind;
         view.capacity = listed.capacity;
         view.executor = listed.executor;
         view.up = listed.up;
-        if inherited {
+        if planned {
             self.cordon(&listed.name, true);
         }
     }
@@ -181,6 +183,12 @@
         self.executors.get(&self.executor_of(host)?)
     }
 
+    /// Whether something is planned for the host of an executor.
+    pub(super) fn has_errand(&self, id: &Arc<str>) -> bool {
+        let mut hosts = self.hosts.views.values();
+        hosts.any(|host| host.errand.is_some() && host.executor.as_ref() == Some(id))
+    }
+
     /// Begins an errand: the host takes no more tasks.
     pub(super) fn begin_errand(&mut self, at: Moment, name: &Arc<str>, claim: MachineClaim) {
         let Some(host) = self.hosts.views.get_mut(name) else {
@@ -241,8 +249,10 @@
             ErrandPhase::Emptying => {
                 let hurried = matches!(errand.claim, MachineClaim::Upkeep { .. })
                     && at.now > errand.since + EMPTY_TIMEOUT;
-                let key = self.executor_of(host);
-                key.is_none_or(|key| self.empty(at, key, hurried)) && self.may_order(at, name)
+                self.is_empty(at, name, hurried) && self.may_order(at, name)
+            }
+            ErrandPhase::Refused(due) => {
+                at.now >= due && self.is_empty(at, name, false) && self.may_order(at, name)
             }
             ErrandPhase::Again(due) => at.now >= due,
             ErrandPhase::Ordered(_) => false,
@@ -252,6 +262,30 @@
         }
     }
 
+    /// Whether nothing runs on a host, or little enough if it is `hurried`.
+    fn is_empty(&mut self, at: Moment, name: &Arc<str>, hurried: bool) -> bool {
+        let Some(host) = self.hosts.views.get(name) else {
+            return false;
+        };
+        if let Some(key) = self.executor_of(host) {
+            return self.empty(at, key, hurried);
+        }
+        // An executor that is not known here may have tasks, unless the list is newer than the
+        // errand. Hosts on standby run none.
+        let since = host.errand.as_ref().map(|errand| match errand.phase {
+            ErrandPhase::Refused(due) => due,
+            _ => errand.since,
+        });
+        self.is_standby(&host.pool) || since.is_none_or(|since| host.listed > since)
+    }
+
+    /// Whether hosts of a pool are switched off.
+    pub(super) fn is_standby(&self, pool: &Arc<str>) -> bool {
+        let config = self.state.config();
+        let mut pools = config.into_iter().flat_map(|stored| &stored.config.pools);
+        pools.any(|known| known.standby && known.name == *pool)
+    }
+
     fn order_host(&mut self, at: Moment, name: &Arc<str>) {
         let Some(host) = self.hosts.views.get_mut(name) else {
             return;
@@ -301,7 +335,7 @@
             }
             Err(HostError::NotUp) => match claim {
                 MachineClaim::Upkeep { .. } => {
-                    errand.phase = ErrandPhase::Again(at.now + ORDER_AGAIN);
+                    errand.phase = ErrandPhase::Refused(at.now + ORDER_AGAIN);
                 }
                 MachineClaim::Move { .. } => self.settle(name),
             },
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -11,6 +11,9 @@
 /// Tries of an order to start after which the run is stopped instead.
 const START_TRIES: u32 = 3;
 
+/// The same for a task that lasts: it may well be at work, and a list will show it.
+const LASTING_START_TRIES: u32 = 7;
+
 /// Time before an order is repeated that got no answer.
 const REPEAT_AFTER: Duration = Duration::from_millis(100);
 
@@ -128,7 +131,16 @@
         let Some(view) = self.run_mut(executor, run).filter(|_| !stopping) else {
             return;
         };
-        if view.open_tries < START_TRIES {
+        if matches!(view.phase, RunPhase::There(_)) {
+            // A list has shown it meanwhile.
+            return;
+        }
+        let tries = if view.lasting {
+            LASTING_START_TRIES
+        } else {
+            START_TRIES
+        };
+        if view.open_tries < tries {
             view.phase = RunPhase::Again(at.now + REPEAT_AFTER);
         } else {
             self.stop(at, executor, run);
@@ -274,7 +286,7 @@
         if !noted {
             return;
         }
-        log::debug!(run:%, executor = executor.0, how = how.name(); "run ended");
+        log::info!(run:%, executor = executor.0, how = how.name(); "run ended");
         if let Some(view) = self.executors.get_mut(&executor) {
             view.remove(run);
         }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -117,7 +117,7 @@
     fn plan_job(&mut self, at: Moment, id: JobId, usable: &[ExecutorKey]) {
         for (task, last_run) in self.startable(at, id) {
             if let Some(executor) = self.find_executor(task, usable) {
-                log::debug!(task:%, executor = executor.0; "placed");
+                log::info!(task:%, executor = executor.0; "placed");
                 self.start(at, task.run(last_run + 1), executor);
             }
         }
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -89,7 +89,9 @@
             if let Some(errand) = &host.errand {
                 return matches!(&errand.claim, MachineClaim::Move { pool: to } if to == pool);
             }
-            let answers = self.executor_view(host).is_none_or(|view| view.failures == 0);
+            let answers = self
+                .executor_view(host)
+                .is_none_or(|view| view.failures == 0);
             host.pool == *pool && answers && (host.up || host.is_away(at.now))
         });
         let load = self.load(at, pool);
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -84,8 +84,10 @@
             .map_or(0, |wave| wave.order.cap as usize);
         let away = self.hosts.views.values().filter(|host| {
             let ordered = host.errand.as_ref().is_some_and(|errand| {
-                errand.phase != ErrandPhase::Emptying
-                    && matches!(&errand.claim, MachineClaim::Upkeep { wave: other } if other == wave)
+                matches!(
+                    errand.phase,
+                    ErrandPhase::Ordered(_) | ErrandPhase::Again(_)
+                ) && matches!(&errand.claim, MachineClaim::Upkeep { wave: other } if other == wave)
             });
             ordered || (host.in_upkeep == Some(*wave) && host.is_away(at.now))
         });
