--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -93,7 +93,15 @@
             .state
             .executors()
             .any(|(_, record)| !known.contains(&record.life.id));
-        let every = if unknown { LIST_SOON } else { LIST_EVERY };
+        let refused = self.hosts.views.values().any(|host| {
+            let errand = host.errand.as_ref();
+            errand.is_some_and(|errand| matches!(errand.phase, ErrandPhase::Refused(_)))
+        });
+        let every = if unknown || refused {
+            LIST_SOON
+        } else {
+            LIST_EVERY
+        };
         if waited.is_none_or(|waited| waited >= every) {
             self.hosts.asked = Some(at.now);
             self.hosts.reading = true;
@@ -267,16 +275,26 @@
         let Some(host) = self.hosts.views.get(name) else {
             return false;
         };
-        if let Some(key) = self.executor_of(host) {
-            return self.empty(at, key, hurried);
-        }
-        // An executor that is not known here may have tasks, unless the list is newer than the
-        // errand. Hosts on standby run none.
-        let since = host.errand.as_ref().map(|errand| match errand.phase {
+        let Some(errand) = &host.errand else {
+            return false;
+        };
+        // An executor that has joined since may have tasks: unless the known one answers, the
+        // list must be newer than the errand. Hosts on standby run none.
+        let since = match errand.phase {
             ErrandPhase::Refused(due) => due,
             _ => errand.since,
-        });
-        self.is_standby(&host.pool) || since.is_none_or(|since| host.listed > since)
+        };
+        let answers = |view: &ExecutorView| view.heard || view.failures == 0;
+        let refused = matches!(errand.phase, ErrandPhase::Refused(_));
+        let known = !refused && self.executor_view(host).is_some_and(answers);
+        let listed = host.up && host.listed > since;
+        if !known && !self.is_standby(&host.pool) && !listed {
+            return false;
+        }
+        match self.executor_of(host) {
+            Some(key) => self.empty(at, key, hurried),
+            None => true,
+        }
     }
 
     /// Whether hosts of a pool are switched off.
