style: lints of the new crates

Cause: the linter had only seen the crates up to the first error. Measured: clippy with warnings as errors and rustdoc pass for the workspace.

--- a/crates/masticfield-control/src/jobs/entries.rs
+++ b/crates/masticfield-control/src/jobs/entries.rs
@@ -12,7 +12,7 @@
 use super::handle::{EntrySession, Input, Question};
 
 /// Longest silence of an entry before its connection is closed.
-const SILENCE: Duration = Duration::from_millis(2_000);
+const SILENCE: Duration = Duration::from_secs(2);
 
 /// Time between two signs that a connection works.
 const ALIVE_EVERY: Duration = Duration::from_millis(400);
--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -27,11 +27,10 @@
     fence: u64,
     deadline: u64,
     pub(crate) running: BTreeMap<RunId, Running>,
-    ended: BTreeMap<RunId, ()>,
+    ended: BTreeSet<RunId>,
     highest: BTreeMap<masticfield_jobs::job::TaskId, u32>,
     finished: Vec<ListedEnd>,
     last_end: u64,
-    stopped: BTreeSet<RunId>,
 }
 
 /// A run under way.
@@ -56,11 +55,10 @@
             fence: 0,
             deadline: 0,
             running: BTreeMap::new(),
-            ended: BTreeMap::new(),
+            ended: BTreeSet::new(),
             highest: BTreeMap::new(),
             finished: Vec::new(),
             last_end: 0,
-            stopped: BTreeSet::new(),
         }
     }
 
@@ -107,7 +105,7 @@
             return Ok(false);
         }
         let highest = self.highest.get(&run.task).copied().unwrap_or_default();
-        if run.number <= highest || self.ended.contains_key(&run) {
+        if run.number <= highest || self.ended.contains(&run) {
             return Err(Rejection::Old);
         }
         if deadline <= self.clock(now) {
@@ -122,7 +120,6 @@
         let highest = self.highest.entry(run.task).or_default();
         *highest = (*highest).max(run.number);
         if self.running.contains_key(&run) {
-            self.stopped.insert(run);
             self.end(run, EndKind::Stopped);
         }
         Ok(())
@@ -160,7 +157,7 @@
 
     fn end(&mut self, run: RunId, how: EndKind) {
         self.running.remove(&run);
-        self.ended.insert(run, ());
+        self.ended.insert(run);
         let highest = self.highest.entry(run.task).or_default();
         *highest = (*highest).max(run.number);
         self.last_end += 1;
--- a/crates/masticfield-emulator/src/load.rs
+++ b/crates/masticfield-emulator/src/load.rs
@@ -190,7 +190,7 @@
     }
 
     /// A job whose tasks last.
-    pub(crate) fn lasting_job(&self) -> JobSpec {
+    pub(crate) fn lasting_job() -> JobSpec {
         JobSpec {
             payload: "payload".into(),
             steps: vec![StepSpec {
--- a/crates/masticfield-emulator/src/world.rs
+++ b/crates/masticfield-emulator/src/world.rs
@@ -193,8 +193,8 @@
                 self.boot(self.hosts.len() - 1);
             }
         }
-        for index in 0..queues.len() {
-            for _ in 0..queues[index].lasting_jobs {
+        for (index, queue) in queues.iter().enumerate() {
+            for _ in 0..queue.lasting_jobs {
                 self.submit(index, true);
             }
             self.next_submit(index, LEAD_MS);
@@ -458,7 +458,7 @@
                 if held.is_ok() && !self.executors[index].has_ends_after(*noted) && !wait.is_zero()
                 {
                     let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-                    let hold = WaitingHold {
+                    let waiting = WaitingHold {
                         epoch,
                         key,
                         sent: *sent,
@@ -466,7 +466,7 @@
                         until: now + wait,
                         fence,
                     };
-                    self.waiting.insert(index, hold);
+                    self.waiting.insert(index, waiting);
                     return self.later(wait, Happening::HoldOver(index));
                 }
                 Event::Held {
@@ -800,7 +800,7 @@
         let queue: QueueLoad = self.day.fleet.queues[index].clone();
         let job = JobId::new(self.rng.random());
         let spec = if lasting {
-            queue.lasting_job()
+            QueueLoad::lasting_job()
         } else {
             queue.job(&mut self.rng)
         };
--- a/crates/masticfield-entry/src/jobs/link.rs
+++ b/crates/masticfield-entry/src/jobs/link.rs
@@ -32,7 +32,10 @@
 const MAX_BATCH: usize = 128;
 
 /// Longest time for the network to take a frame.
-const SEND_TIMEOUT: Duration = Duration::from_millis(1_000);
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The halves of a connection to the leading replica.
+type Halves = (FrameReader<Vec<ToEntry>>, FrameWriter<Vec<FromEntry>>);
 
 type Leader = Connection<Vec<ToEntry>, Vec<FromEntry>>;
 
@@ -63,7 +66,7 @@
 
 /// What became of an attempt to reach the leading replica.
 enum Found {
-    Leader(FrameReader<Vec<ToEntry>>, FrameWriter<Vec<FromEntry>>),
+    Leader(Box<Halves>),
     Other,
     Nobody,
 }
@@ -90,9 +93,10 @@
         let mut misses = 0_usize;
         while !(self.rx.is_closed() && self.pending.is_empty()) {
             match self.find().await {
-                Found::Leader(reader, writer) => {
+                Found::Leader(connection) => {
                     misses = 0;
                     log::info!("the leading replica is connected");
+                    let (reader, writer) = *connection;
                     let end = self.serve(reader, writer).await;
                     let why = end.err().map(|error| error.to_string()).unwrap_or_default();
                     log::info!(why; "the leading replica is not connected");
@@ -168,7 +172,7 @@
             self.known.extend(&self.options.seeds);
         }
         if leads {
-            return Found::Leader(reader, writer);
+            return Found::Leader(Box::new((reader, writer)));
         }
         self.next = leader.map(with_port).filter(|leader| *leader != address);
         if self.next.is_some() {
--- a/crates/masticfield-node/tests/log_writer.rs
+++ b/crates/masticfield-node/tests/log_writer.rs
@@ -12,7 +12,7 @@
 impl Write for Stalled {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
         // Dropping the sender ends the wait.
-        drop(self.0.recv());
+        _ = self.0.recv();
         Ok(buf.len())
     }
 
