--- a/crates/masticfield-replica/src/runtime/keeper.rs
+++ b/crates/masticfield-replica/src/keeper.rs
@@ -3,6 +3,15 @@
 //! A replica that lost its disk comes back under another identity and asks to be let in; its
 //! former identity goes first. A replica that is new takes the place of one that is gone. Only
 //! one change is made at a time, and only a leader whose last change is committed makes one.
+//!
+//! # Examples
+//!
+//! ```
+//! use masticfield_replica::Membership;
+//! use masticfield_replica::keeper::next_change;
+//!
+//! assert_eq!(next_change(&Membership::default(), &[], &[], 3), None);
+//! ```
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,30 +26,32 @@
 const LEARNER_GONE_AFTER: Duration = Duration::from_secs(6);
 
 /// Time for which a greeting of a replica outside the group counts. It greets each 0.2 s.
-pub(super) const GREETING_LASTS: Duration = Duration::from_millis(700);
+pub const GREETING_LASTS: Duration = Duration::from_millis(700);
 
 /// A replica outside the group that asks to be let in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Stranger {
+pub struct Stranger {
     /// Who it is.
-    pub(super) identity: Identity,
+    pub identity: Identity,
     /// Where it listens.
-    pub(super) address: SocketAddr,
+    pub address: SocketAddr,
     /// Whether it has greeted more than once of late.
-    pub(super) repeated: bool,
+    pub repeated: bool,
 }
 
 /// A member and the time since it last answered the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Member {
-    pub(super) identity: Identity,
-    pub(super) silent: Duration,
+pub struct Member {
+    /// Who it is.
+    pub identity: Identity,
+    /// Time since it last answered.
+    pub silent: Duration,
 }
 
 /// The change to make next, if any.
 ///
 /// `target` is the number of voters that bears the losses the group has to bear.
-pub(super) fn next_change(
+pub fn next_change(
     group: &Membership,
     members: &[Member],
     strangers: &[Stranger],
--- a/crates/masticfield-replica/src/lib.rs
+++ b/crates/masticfield-replica/src/lib.rs
@@ -24,6 +24,7 @@
 mod error;
 mod handle;
 mod identity;
+pub mod keeper;
 mod membership;
 mod options;
 mod runtime;
--- a/crates/masticfield-replica/src/runtime/formation.rs
+++ b/crates/masticfield-replica/src/runtime/formation.rs
@@ -10,8 +10,8 @@
 
 use masticfield_core::ids::ReplicaId;
 
-use super::keeper::{GREETING_LASTS, Stranger};
 use super::message::Hello;
+use crate::keeper::{GREETING_LASTS, Stranger};
 use crate::{Identity, Membership};
 
 /// What a replica has heard of its peers.
--- a/crates/masticfield-replica/src/runtime/mod.rs
+++ b/crates/masticfield-replica/src/runtime/mod.rs
@@ -3,7 +3,6 @@
 mod deliver;
 mod disk;
 mod formation;
-mod keeper;
 mod link;
 mod listen;
 mod message;
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -15,12 +15,12 @@
 use super::deliver::Delivery;
 use super::disk::Disk;
 use super::formation::Heard;
-use super::keeper::{self, Member};
 use super::link::Link;
 use super::message::{Hello, PeerMessage};
 use super::request::{Request, Waiter};
 use super::traffic::TrafficCounter;
 use crate::consensus::{Appended, ChangeError, Envelope, Event, Next, Replica, Timing};
+use crate::keeper::{self, Member};
 use crate::{Applied, AppliedKind, EntryBody, Identity, Membership, ReplicaStatus, Write};
 
 /// Period in which the replica looks at the clock.
