--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -29,6 +29,9 @@
     pub(super) runs: BTreeMap<RunId, RunView>,
     /// What those runs take.
     pub(super) used: Resources,
+    /// How many of them serve users, and how many fill.
+    pub(super) serving: u32,
+    pub(super) fillers: u32,
     /// Runs there that the state does not know, and when they were last told to stop.
     pub(super) strays: BTreeMap<RunId, Duration>,
     /// No task starts there before this moment, as it rejected one.
@@ -92,6 +95,8 @@
             noted: 0,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            serving: 0,
+            fillers: 0,
             strays: BTreeMap::new(),
             rests_until: Duration::ZERO,
             cordoned: false,
@@ -111,6 +116,8 @@
     /// Adds a run.
     pub(super) fn add(&mut self, run: RunId, view: RunView) {
         self.used = self.used.plus(view.reserved);
+        self.serving += u32::from(view.lasting && !view.filler);
+        self.fillers += u32::from(view.filler);
         self.runs.insert(run, view);
     }
 
@@ -118,6 +125,8 @@
     pub(super) fn remove(&mut self, run: RunId) -> Option<RunView> {
         let view = self.runs.remove(&run)?;
         self.used = self.used.minus(view.reserved);
+        self.serving -= u32::from(view.lasting && !view.filler);
+        self.fillers -= u32::from(view.filler);
         Some(view)
     }
 
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -80,15 +80,41 @@
             .into_iter()
             .filter(|key| self.is_usable(at, *key))
             .collect();
+        let mut room = self.most_room(&usable);
         for job in jobs {
+            if !self.may_fit(job, room) {
+                continue;
+            }
             self.plan_job(at, job, &usable);
             self.refresh(at, job);
+            room = self.most_room(&usable);
         }
         for key in usable {
             self.hold_if_due(at, key);
         }
     }
 
+    /// At most what is free on any one of the executors.
+    fn most_room(&self, usable: &[ExecutorKey]) -> Resources {
+        let free = usable.iter().filter_map(|key| {
+            let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
+            Some(record.life.capacity.minus(view.used))
+        });
+        free.fold(Resources::default(), |most, free| Resources {
+            cpu_milli: most.cpu_milli.max(free.cpu_milli),
+            memory_mb: most.memory_mb.max(free.memory_mb),
+            gpus: most.gpus.max(free.gpus),
+        })
+    }
+
+    /// Whether a task of some step of a job may find room: in a surge most jobs need no closer
+    /// look.
+    fn may_fit(&self, id: JobId, room: Resources) -> bool {
+        let spec = self.state.job(id).and_then(|job| job.spec.as_ref());
+        let mut steps = spec.into_iter().flat_map(|spec| &spec.steps);
+        steps.any(|step| room.fit(step.reserved()))
+    }
+
     /// Puts jobs that can be on time first; the order is kept otherwise.
     fn by_standing(&self, at: Moment, jobs: Vec<JobId>) -> Vec<JobId> {
         let mut jobs: Vec<_> = jobs
@@ -119,11 +145,18 @@
         for gang in self.startable_gangs(at, id) {
             self.start_gang(at, &gang, usable);
         }
+        let mut full = None;
         for (task, last_run) in self.startable(at, id) {
-            if let Some(executor) = self.find_executor(task, usable, &BTreeMap::new()) {
-                log::info!(task:%, executor = executor.0; "placed");
-                self.start(at, task.run(last_run + 1), executor);
+            // Tasks of a step are alike: where one finds no room, the others do not either.
+            if full == Some((task.occurrence, task.step)) {
+                continue;
             }
+            let Some(executor) = self.find_executor(task, usable, &BTreeMap::new()) else {
+                full = Some((task.occurrence, task.step));
+                continue;
+            };
+            log::info!(task:%, executor = executor.0; "placed");
+            self.start(at, task.run(last_run + 1), executor);
         }
     }
 
@@ -214,10 +247,6 @@
         let near = near.and_then(|key| self.state.executor(*key)?.life.rack.as_ref());
         let candidates = usable.iter().filter_map(|key| {
             let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
-            let count = |fits: &dyn Fn(&super::executor::RunView) -> bool| {
-                let runs = view.runs.values().filter(|run| fits(run)).count();
-                u32::try_from(runs).unwrap_or(u32::MAX)
-            };
             let here = siblings.iter().filter(|executor| *executor == key).count();
             Some(Candidate {
                 key: *key,
@@ -229,8 +258,8 @@
                 labels: &record.life.labels,
                 rack: record.life.rack.as_ref(),
                 siblings: u32::try_from(here).unwrap_or(u32::MAX),
-                serving: count(&|run| run.lasting && !run.filler),
-                fillers: count(&|run| run.filler),
+                serving: view.serving,
+                fillers: view.fillers,
             })
         });
         choose(Wish { step, near }, candidates)
