--- a/crates/masticfield-emulator/src/day.rs
+++ b/crates/masticfield-emulator/src/day.rs
@@ -1,5 +1,7 @@
 //! What happens on a day.
 
+use masticfield_jobs::leader::Defect;
+
 use crate::load::Fleet;
 
 /// A day to play.
@@ -15,6 +17,8 @@
     pub upkeep: bool,
     /// What goes wrong.
     pub faults: Faults,
+    /// A guard of the leader that is left out.
+    pub defect: Option<Defect>,
 }
 
 /// What goes wrong, as shares of calls or as mean times between events.
@@ -46,6 +50,7 @@
             length_ms: 10_000,
             settle_ms: 60_000,
             upkeep: false,
+            defect: None,
             faults: Faults {
                 late_orders: 0.0,
                 lost_answers: 0.0,
@@ -76,6 +81,13 @@
         self
     }
 
+    /// Leaves out a guard of the leader, to show that the checks notice it.
+    #[must_use]
+    pub const fn defect(mut self, defect: Defect) -> Self {
+        self.defect = Some(defect);
+        self
+    }
+
     /// Lets half of the hosts be due for upkeep from the start of the load on.
     #[must_use]
     pub const fn upkeep(mut self) -> Self {
--- a/crates/masticfield-emulator/src/world/mod.rs
+++ b/crates/masticfield-emulator/src/world/mod.rs
@@ -10,7 +10,7 @@
 
 use masticfield_jobs::job::JobId;
 use masticfield_jobs::leader::{
-    AskId, Call, CallError, Effect, Event, HostOptions, Leader, LeaderOptions, Moment, Turn,
+    AskId, Call, CallError, Defect, Effect, Event, HostOptions, Leader, LeaderOptions, Moment, Turn,
 };
 use masticfield_jobs::state::{Command, ExecutorKey, State};
 use rand::{RngExt, SeedableRng};
@@ -128,7 +128,7 @@
         let config = day.fleet.config();
         let content: Arc<[u8]> = Arc::from(&b"config"[..]);
         state.apply(Command::Configure { config, content });
-        let leader = Leader::new(state.clone(), options(), moment(0));
+        let leader = Leader::new(state.clone(), options(day.defect), moment(0));
         let mut world = Self {
             day,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -353,7 +353,11 @@
         }
         self.uncommitted = 0;
         self.epoch += 1;
-        self.leader = Leader::new(self.state.clone(), options(), moment(self.now));
+        self.leader = Leader::new(
+            self.state.clone(),
+            options(self.day.defect),
+            moment(self.now),
+        );
         for (_, (job, cancels)) in std::mem::take(&mut self.asks) {
             let again = if cancels {
                 Happening::Cancel(job)
@@ -410,8 +414,9 @@
     }
 }
 
-fn options() -> LeaderOptions {
-    LeaderOptions::new(Duration::from_secs(5)).hosts(HostOptions {
+fn options(defect: Option<Defect>) -> LeaderOptions {
+    let options = LeaderOptions::new(Duration::from_secs(5)).with_defect(defect);
+    options.hosts(HostOptions {
         moving: Duration::from_millis(MOVE_MS),
         upkeep: Duration::from_secs(2),
         hand_over: Duration::from_secs(3),
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -1,6 +1,7 @@
 //! What must hold on every day, whatever goes wrong.
 
 use masticfield_emulator::{Day, Faults, Fleet, Report, World};
+use masticfield_jobs::leader::Defect;
 use rstest::rstest;
 
 /// Seeds that CI plays; more are played by hand with `MASTICFIELD_SEEDS`.
@@ -101,6 +102,26 @@
     }
 }
 
+/// Each guard that is left out is noticed on one of the seeds.
+#[rstest]
+#[case::room(Defect::PlaceWithoutRoom, calm(), 0)]
+#[case::single_run(Defect::UnansweredNeverRan, late(), 0)]
+#[case::order(Defect::StepsInAnyOrder, calm(), 0)]
+#[case::leases(Defect::LapseAtOnce, crashes(), 0)]
+#[case::availability(Defect::RepeatRefused, crashes(), 560)]
+fn a_guard_that_is_left_out_is_noticed(
+    #[case] defect: Defect,
+    #[case] faults: Faults,
+    #[case] first: u64,
+) {
+    let broken = (first..first + 60).find(|seed| {
+        let day = Day::calm(Fleet::small()).length_ms(15_000).upkeep();
+        let day = day.faults(faults).defect(defect);
+        !World::new(day, *seed).play().broken.is_empty()
+    });
+    assert!(broken.is_some(), "seed {broken:?}");
+}
+
 #[test]
 fn the_same_seed_gives_the_same_day() {
     assert_eq!(play(all(), 3), play(all(), 3));
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::executor::{ExecutorView, HoldPhase};
-use super::{Announcement, AskId, Effect, Leader, Moment, Reply};
+use super::{Announcement, AskId, Defect, Effect, Leader, Moment, Reply};
 use crate::state::{Command, EndKind, ExecutorKey};
 
 /// Time between an executor's word that it ends and its end.
@@ -132,7 +132,9 @@
         };
         let sign = view.clock.map_or(Duration::ZERO, |clock| clock.heard);
         let left = view.left.is_some_and(|left| at.now > left + LEAVE_TIME);
-        let lapsed = !view.heard && !view.runs.is_empty() && view.lapsed(at.now);
+        let at_once = self.options.defect == Some(Defect::LapseAtOnce) && view.failures > 0;
+        let over = at_once || view.lapsed(at.now);
+        let lapsed = !view.heard && !view.runs.is_empty() && over;
         let silent = at.now > sign.max(view.earlier_leases) + FORGET_AFTER;
         if left {
             return self.retire(at, key, "left");
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -6,7 +6,7 @@
 
 use super::executor::ExecutorView;
 use super::host::{Errand, ErrandPhase, HostView};
-use super::{Effect, HostError, Leader, ListedHost, Moment};
+use super::{Defect, Effect, HostError, Leader, ListedHost, Moment};
 use crate::state::{Command, ExecutorKey, MachineClaim};
 
 /// Time between two readings of the list while an executor is there whose host is not known.
@@ -353,7 +353,13 @@
             }
             Err(HostError::NotUp) => match claim {
                 MachineClaim::Upkeep { .. } => {
-                    errand.phase = ErrandPhase::Refused(at.now + ORDER_AGAIN);
+                    let again = at.now + ORDER_AGAIN;
+                    let repeats = self.options.defect == Some(Defect::RepeatRefused);
+                    errand.phase = if repeats {
+                        ErrandPhase::Again(again)
+                    } else {
+                        ErrandPhase::Refused(again)
+                    };
                 }
                 MachineClaim::Move { .. } => self.settle(name),
             },
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -28,5 +28,7 @@
 };
 pub use intake::{AskId, Intake, IntakeKind};
 pub use leader::Leader;
+#[doc(hidden)]
+pub use options::Defect;
 pub use options::{HostOptions, LeaderOptions};
 pub use reads::read;
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -15,6 +15,25 @@
     pub keep_ended: Duration,
     /// What is known of the platform's hosts, if it lets them be moved.
     pub hosts: Option<HostOptions>,
+    /// A guard that is left out.
+    #[doc(hidden)]
+    pub defect: Option<Defect>,
+}
+
+/// A guard that is left out, to show that the checks notice it.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    /// Tasks are placed as if nothing ran on the executor.
+    PlaceWithoutRoom,
+    /// An order to start without an answer is taken for one that was not carried out.
+    UnansweredNeverRan,
+    /// Steps start before those that they depend on are done.
+    StepsInAnyOrder,
+    /// Leases are taken for over as soon as an executor does not answer.
+    LapseAtOnce,
+    /// A host that was refused is asked for again without being emptied.
+    RepeatRefused,
 }
 
 /// Periods of the platform's hosts.
@@ -37,6 +56,7 @@
             announce_every: Duration::from_millis(1_500),
             keep_ended: Duration::from_secs(150),
             hosts: None,
+            defect: None,
         }
     }
 
@@ -47,6 +67,14 @@
         self
     }
 
+    /// Leaves out a guard, to show that the checks notice it.
+    #[doc(hidden)]
+    #[must_use]
+    pub const fn with_defect(mut self, defect: Option<Defect>) -> Self {
+        self.defect = defect;
+        self
+    }
+
     /// Lets hosts be moved and taken for upkeep.
     #[must_use]
     pub const fn hosts(mut self, hosts: HostOptions) -> Self {
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::executor::RunPhase;
-use super::{Call, CallError, Effect, Leader, Moment, Rejection};
+use super::{Call, CallError, Defect, Effect, Leader, Moment, Rejection};
 use crate::job::{JobId, RunId};
 use crate::state::{Command, EndKind, ExecutorKey};
 
@@ -135,6 +135,12 @@
             // A list has shown it meanwhile.
             return;
         }
+        if self.options.defect == Some(Defect::UnansweredNeverRan) {
+            return self.end(at, executor, run, EndKind::NotRun, None);
+        }
+        let Some(view) = self.run_mut(executor, run) else {
+            return;
+        };
         let tries = if view.lasting {
             LASTING_START_TRIES
         } else {
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::executor::RunPhase;
-use super::{Leader, Moment};
+use super::{Defect, Leader, Moment};
 use crate::job::{JobId, JobSpec, Resources, TaskId};
 use crate::schedule::{Backlog, Candidate, Standing, Wish, choose, on_time_ms, rank, standing};
 use crate::state::{ExecutorKey, JobPhase, Round};
@@ -219,7 +219,9 @@
                 break;
             }
             for (number, (step, tasks)) in (0..).zip(spec.steps.iter().zip(&round.steps)) {
-                if step.gang || tasks.left == 0 || !round.is_ready(step) {
+                let any_order = self.options.defect == Some(Defect::StepsInAnyOrder);
+                let ready = any_order || round.is_ready(step);
+                if step.gang || tasks.left == 0 || !ready {
                     continue;
                 }
                 let waiting = tasks.waiting();
@@ -245,6 +247,7 @@
         let siblings: Vec<_> = siblings.map(|(_, executor)| *executor).collect();
         let near = step.same_rack.then(|| siblings.first()).flatten();
         let near = near.and_then(|key| self.state.executor(*key)?.life.rack.as_ref());
+        let crowded = self.options.defect == Some(Defect::PlaceWithoutRoom);
         let candidates = usable.iter().filter_map(|key| {
             let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
             let here = siblings.iter().filter(|executor| *executor == key).count();
@@ -253,7 +256,11 @@
                 free: record
                     .life
                     .capacity
-                    .minus(view.used)
+                    .minus(if crowded {
+                        Resources::default()
+                    } else {
+                        view.used
+                    })
                     .minus(taken.get(key).copied().unwrap_or_default()),
                 labels: &record.life.labels,
                 rack: record.life.rack.as_ref(),
