--- a/crates/masticfield-emulator/src/world/callers.rs
+++ b/crates/masticfield-emulator/src/world/callers.rs
@@ -23,27 +23,18 @@
         let queue = &self.day.fleet.queues[index];
         let rate = queue.per_s * surge(self.day.fleet.queues.len(), index, now, self.day.length_ms);
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate.max(0.01) * 1_000.0;
-        // A queue out of its turn looks again at the rate soon.
         let gap = whole(gap).clamp(1, 500);
         let looks_only = gap == 500 && rate < 2.0 && !self.rng.random_bool((rate / 2.0).min(1.0));
-        if looks_only {
-            self.last += 1;
-            self.agenda.insert(
-                (now + gap, self.last),
-                Happening::Submit(usize::MAX - index),
-            );
+        let next = if looks_only {
+            Happening::LookAtRate(index)
         } else {
-            self.last += 1;
-            self.agenda
-                .insert((now + gap, self.last), Happening::Submit(index));
-        }
+            Happening::Submit(index)
+        };
+        self.last += 1;
+        self.agenda.insert((now + gap, self.last), next);
     }
 
     pub(super) fn submit(&mut self, index: usize, lasting: bool) {
-        if index >= self.day.fleet.queues.len() {
-            // Only a look at the rate.
-            return self.next_submit(usize::MAX - index, 0);
-        }
         if !lasting && self.now >= LEAD_MS + self.day.length_ms {
             return;
         }
--- a/crates/masticfield-emulator/src/world/mod.rs
+++ b/crates/masticfield-emulator/src/world/mod.rs
@@ -63,7 +63,10 @@
 #[derive(Debug, Clone)]
 enum Happening {
     Announce(usize),
+    /// A caller of this queue hands in a job.
     Submit(usize),
+    /// A queue out of its turn looks at its rate again.
+    LookAtRate(usize),
     SubmitAgain(JobId),
     Cancel(JobId),
     Commit(u64, Turn),
@@ -234,6 +237,7 @@
                 self.submit(queue, false);
                 self.next_submit(queue, 0);
             }
+            Happening::LookAtRate(queue) => self.next_submit(queue, 0),
             Happening::SubmitAgain(job) => self.ask(job),
             Happening::Cancel(job) => self.cancel(job),
             Happening::Commit(epoch, turn) => self.committed(epoch, turn),
