feat(jobs): suspend executors that fail what they start, and retry elsewhere

From second 5 on one executor failed each task some 40 ms after its start. Its room was free again at once, so best fit chose it for the next task and for the retry of the same one; with two attempts a task nearly every job of the pool ended as failed. Ruled out: jobs that fail wherever they run (the same tasks were done on other executors), the change of the leader at 3.2 s (failures began at 5.1 s).

Change: a track record for each executor (schedule::TrackRecord, a circuit breaker). Failures of two jobs in a row suspend it for 2 s; then one task that has attempts to spare is tried. A job that fails on a second executor is held to be at fault itself. A suspended host does not count for the size of its pool.

--- a/crates/masticfield-emulator/src/day.rs
+++ b/crates/masticfield-emulator/src/day.rs
@@ -40,6 +40,12 @@
     pub cancelled_jobs: f64,
     /// Share by which executors' clocks are slow.
     pub slow_clocks: f64,
+    /// Share of executors that fail all that they start, from a second into the load to its end.
+    pub failing_executors: f64,
+    /// Share of executors on which work takes `slow_factor` times as long, for the same time.
+    pub slow_executors: f64,
+    /// How much longer work takes there; tasks stand still with a large one.
+    pub slow_factor: u32,
 }
 
 impl Day {
@@ -60,6 +66,9 @@
                 failing_runs: 0.0,
                 cancelled_jobs: 0.0,
                 slow_clocks: 0.0,
+                failing_executors: 0.0,
+                slow_executors: 0.0,
+                slow_factor: 0,
             },
         }
     }
--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -20,6 +20,7 @@
     pub(crate) up: bool,
     pub(crate) cut_until: u64,
     pub(crate) host: usize,
+    pub(crate) conduct: Conduct,
     pub(crate) sequence: u64,
     started: u64,
     /// Share of true time that its clock counts.
@@ -33,15 +34,48 @@
     last_end: u64,
 }
 
+/// How an executor treats what it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Conduct {
+    /// As it should.
+    Sound,
+    /// It fails all that it starts.
+    Fails,
+    /// Work takes so many times as long.
+    Slow(u32),
+}
+
 /// A run under way.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Running {
     pub(crate) need: Resources,
+    pub(crate) began: u64,
     /// When it ends by itself; none if it lasts.
     pub(crate) ends: Option<u64>,
     pub(crate) fails: bool,
 }
 
+impl Conduct {
+    /// How much longer work takes.
+    pub(crate) fn factor(self) -> u64 {
+        match self {
+            Self::Sound | Self::Fails => 1,
+            Self::Slow(factor) => u64::from(factor),
+        }
+    }
+}
+
+impl Running {
+    /// Progress as executors list it; 100 for what lasts.
+    fn percent(&self, now: u64) -> u32 {
+        let Some(ends) = self.ends else {
+            return 100;
+        };
+        let done = now.saturating_sub(self.began) * 100 / (ends - self.began).max(1);
+        u32::try_from(done.min(99)).unwrap_or(99)
+    }
+}
+
 impl Executor {
     pub(crate) fn new(life: ExecutorLife, host: usize, now: u64, rate: f64) -> Self {
         Self {
@@ -49,6 +83,7 @@
             up: true,
             cut_until: 0,
             host,
+            conduct: Conduct::Sound,
             sequence: 0,
             started: now,
             rate,
@@ -139,11 +174,11 @@
             born_ms: Some(self.life.born_ms),
             running: self
                 .running
-                .keys()
-                .map(|run| ListedRun {
+                .iter()
+                .map(|(run, running)| ListedRun {
                     run: *run,
                     saved: None,
-                    percent: 100,
+                    percent: running.percent(now),
                     load: None,
                 })
                 .collect(),
@@ -151,6 +186,17 @@
         })
     }
 
+    /// Changes how it treats what it runs; what has begun goes on from where it is.
+    pub(crate) fn behave(&mut self, now: u64, conduct: Conduct) {
+        let before = std::mem::replace(&mut self.conduct, conduct);
+        for run in self.running.values_mut() {
+            if let Some(ends) = run.ends.as_mut().filter(|_| !run.fails) {
+                let left = ends.saturating_sub(now) / before.factor();
+                *ends = now + left * conduct.factor();
+            }
+        }
+    }
+
     pub(crate) fn has_ends_after(&self, noted: u64) -> bool {
         self.finished.iter().any(|end| end.number > noted)
     }
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -15,6 +15,8 @@
     pub refused: u32,
     /// Jobs that were cancelled or have failed.
     pub ended_otherwise: u32,
+    /// Those of them that have failed.
+    pub failed: u32,
     /// Share of the credit owed that was earned: a late job earns 7%.
     pub worth: f64,
     /// Starts that took an executor above its capacity.
--- a/crates/masticfield-emulator/src/world/executors.rs
+++ b/crates/masticfield-emulator/src/world/executors.rs
@@ -10,9 +10,12 @@
 use super::{
     ANNOUNCE_MS, CALL_TIMEOUT_MS, EPOCH_MS, Happening, TRIP_MS, WaitingHold, World, unanswered,
 };
-use crate::executor::{Executor, Running};
+use crate::executor::{Conduct, Executor, Running};
 use crate::load::whole;
 
+/// Time after which a run ends on an executor that fails all that it starts, in milliseconds.
+const FAILS_AFTER_MS: u64 = 40;
+
 impl World {
     /// Starts an executor on a host.
     pub(super) fn boot(&mut self, host: usize) {
@@ -101,7 +104,7 @@
             Call::Start {
                 run, deadline_ms, ..
             } => {
-                let begin = self.running_of(*run);
+                let begin = self.running_of(index, *run);
                 let executor = &mut self.executors[index];
                 let started = executor.start(now, fence, *deadline_ms, *run, begin);
                 if started == Ok(true) {
@@ -166,19 +169,26 @@
         }
     }
 
-    pub(super) fn running_of(&mut self, run: RunId) -> Running {
+    pub(super) fn running_of(&mut self, index: usize, run: RunId) -> Running {
+        let conduct = self.executors[index].conduct;
         let sent = self.ledger.sent.get(&run.task.job);
         let step = sent.and_then(|sent| sent.spec.steps.get(usize::from(run.task.step)));
         let factor = 0.85 + 0.3 * self.rng.random::<f64>();
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a task")]
         let time = step.map_or(0, |step| whole(step.estimate_ms as f64 * factor));
         let lasting = step.is_some_and(|step| step.lasting);
+        let fails = self.rng.random_bool(self.day.faults.failing_runs);
+        let need = step.map(masticfield_jobs::job::StepSpec::reserved);
+        let ends = if conduct == Conduct::Fails {
+            Some(self.now + FAILS_AFTER_MS)
+        } else {
+            (!lasting).then_some(self.now + time * conduct.factor())
+        };
         Running {
-            need: step
-                .map(masticfield_jobs::job::StepSpec::reserved)
-                .unwrap_or_default(),
-            ends: (!lasting).then_some(self.now + time),
-            fails: self.rng.random_bool(self.day.faults.failing_runs),
+            need: need.unwrap_or_default(),
+            began: self.now,
+            ends,
+            fails: fails || conduct == Conduct::Fails,
         }
     }
 
@@ -277,6 +287,42 @@
         }
     }
 
+    /// Some executors turn bad.
+    pub(super) fn spoil(&mut self) {
+        let faults = self.day.faults;
+        for executor in &mut self.executors {
+            let draw: f64 = self.rng.random();
+            if draw < faults.failing_executors {
+                executor.behave(self.now, Conduct::Fails);
+            } else if draw < faults.failing_executors + faults.slow_executors {
+                executor.behave(self.now, Conduct::Slow(faults.slow_factor));
+            }
+        }
+        self.wake_runs();
+    }
+
+    /// All executors are sound again.
+    pub(super) fn mend(&mut self) {
+        for executor in &mut self.executors {
+            executor.behave(self.now, Conduct::Sound);
+        }
+        self.wake_runs();
+    }
+
+    /// Looks at each run when it ends now.
+    fn wake_runs(&mut self) {
+        let ends: Vec<_> = (0..)
+            .zip(&self.executors)
+            .flat_map(|(index, executor)| {
+                let runs = executor.running.values();
+                runs.filter_map(move |run| Some((index, run.ends?)))
+            })
+            .collect();
+        for (index, ends) in ends {
+            self.later(ends - self.now, Happening::Advance(index));
+        }
+    }
+
     /// An executor ends; its host starts another one soon.
     pub(super) fn crash(&mut self) {
         let index = self.rng.random_range(0..self.executors.len());
--- a/crates/masticfield-emulator/src/world/mod.rs
+++ b/crates/masticfield-emulator/src/world/mod.rs
@@ -47,6 +47,9 @@
 /// Time that an upkeep takes, in milliseconds.
 const UPKEEP_MS: u64 = 2_000;
 
+/// Time of the load before executors turn bad, in milliseconds.
+const SOUND_MS: u64 = 1_000;
+
 /// Length of each queue's turn of a surge, as a share of the day.
 const TURN_SHARE: f64 = 0.25;
 
@@ -87,6 +90,8 @@
     HostBack(usize),
     Tick,
     Wave,
+    Spoil,
+    Mend,
 }
 
 /// A hold that waits for an end.
@@ -213,6 +218,10 @@
         if self.day.upkeep {
             self.later(LEAD_MS, Happening::Wave);
         }
+        if faults.failing_executors > 0.0 || faults.slow_executors > 0.0 {
+            self.later(LEAD_MS + SOUND_MS, Happening::Spoil);
+            self.later(LEAD_MS + self.day.length_ms, Happening::Mend);
+        }
     }
 
     fn later(&mut self, after: u64, happening: Happening) {
@@ -232,6 +241,8 @@
         match happening {
             Happening::Tick => self.later(20, Happening::Tick),
             Happening::Wave => self.start_wave(),
+            Happening::Spoil => self.spoil(),
+            Happening::Mend => self.mend(),
             Happening::Announce(executor) => self.announce(executor),
             Happening::Submit(queue) => {
                 self.submit(queue, false);
@@ -396,7 +407,11 @@
                 }
                 Some(_) => {
                     self.report.ended_otherwise += 1;
-                    owed -= credit;
+                    if sent.cancelled.is_some() {
+                        owed -= credit;
+                    } else {
+                        self.report.failed += 1;
+                    }
                 }
                 None if sent.accepted => {
                     self.report.lost += 1;
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -69,7 +69,38 @@
         failing_runs: 0.05,
         cancelled_jobs: 0.1,
         slow_clocks: 0.02,
+        ..calm()
+    }
+}
+
+/// Executors that are up and fail all that they start: they always have room.
+fn failing_executors() -> Faults {
+    Faults {
+        failing_executors: 0.2,
+        failing_runs: 0.005,
+        ..calm()
+    }
+}
+
+/// A failing executor must not draw in one job after the other: without a track record of
+/// executors, each task is tried there until its attempts are used up.
+#[test]
+fn failing_executors_cost_few_jobs() {
+    let (mut asked, mut failed) = (0, 0);
+    for seed in seeds() {
+        let report = play(failing_executors(), seed);
+        assert!(
+            report.broken.is_empty(),
+            "seed {seed}: {:#?}",
+            report.broken
+        );
+        asked += report.asked;
+        failed += report.failed;
     }
+    assert!(
+        failed * 100 <= asked,
+        "{failed} of {asked} jobs have failed"
+    );
 }
 
 #[rstest]
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::job::{Resources, RunId};
-use crate::schedule::ClockReading;
+use crate::schedule::{ClockReading, TrackRecord, Trust};
 
 /// What the leader knows of an executor beyond the state.
 #[derive(Debug, Clone)]
@@ -40,6 +40,8 @@
     pub(super) cordoned: bool,
     /// When it has said that it ends.
     pub(super) left: Option<Duration>,
+    /// How it has treated the tasks that it was given.
+    pub(super) track: TrackRecord,
 }
 
 /// Whether the executor is being asked what runs.
@@ -55,6 +57,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct RunView {
     pub(super) phase: RunPhase,
+    /// When it was placed.
+    pub(super) placed: Duration,
     pub(super) reserved: Resources,
     /// Tries of the order that may yet be carried out.
     pub(super) open_tries: u32,
@@ -101,6 +105,7 @@
             rests_until: Duration::ZERO,
             cordoned: false,
             left: None,
+            track: TrackRecord::default(),
         }
     }
 
@@ -130,6 +135,16 @@
         Some(view)
     }
 
+    /// Whether its track record lets a task be started; on trial, one that has attempts to spare,
+    /// and one at a time.
+    pub(super) fn is_trusted(&self, now: Duration, has_failed: bool) -> bool {
+        match self.track.trust(now) {
+            Trust::Full => true,
+            Trust::Trial => !has_failed && self.runs.values().all(|run| run.lasting),
+            Trust::None => false,
+        }
+    }
+
     /// Whether every lease there has run out for certain.
     pub(super) fn lapsed(&self, now: Duration) -> bool {
         let clock = self.clock;
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -7,10 +7,10 @@
 use super::executor::{ExecutorView, RunPhase, RunView};
 use super::hosts::Hosts;
 use super::{Effect, Event, LeaderOptions, Moment, Turn};
-use crate::job::{JobId, RunId};
+use crate::job::{JobId, RunId, TaskId};
 use crate::queue::RouteTable;
 use crate::schedule::{Offered, Rank, lease_end};
-use crate::state::{Command, ExecutorKey, State};
+use crate::state::{Command, ExecutorKey, JobPhase, State};
 
 /// Time between two looks at what time alone changes.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
@@ -38,6 +38,8 @@
     pub(super) changed: BTreeSet<Arc<str>>,
     pub(super) turn: Turn,
     pub(super) hosts: Hosts,
+    /// Where tasks of open jobs have failed last, and when.
+    pub(super) failed_on: BTreeMap<TaskId, (ExecutorKey, Duration)>,
     /// Work that jobs have brought of late, by pool.
     pub(super) offered: BTreeMap<Arc<str>, Offered>,
     checked: Duration,
@@ -58,6 +60,7 @@
             changed: BTreeSet::new(),
             turn: Turn::default(),
             hosts: Hosts::new(at.now),
+            failed_on: BTreeMap::new(),
             offered: BTreeMap::new(),
             checked: Duration::ZERO,
             forgot: at.now,
@@ -167,7 +170,7 @@
             self.by_id.insert(Arc::clone(&record.life.id), key);
             let mut view = ExecutorView::new(earlier_leases);
             for run in runs {
-                view.add(run, self.run_view(run, RunPhase::Inherited));
+                view.add(run, self.run_view(at, run, RunPhase::Inherited));
             }
             self.executors.insert(key, view);
         }
@@ -178,12 +181,13 @@
     }
 
     /// What is kept of a run on its executor.
-    pub(super) fn run_view(&self, run: RunId, phase: RunPhase) -> RunView {
+    pub(super) fn run_view(&self, at: Moment, run: RunId, phase: RunPhase) -> RunView {
         let job = self.state.job(run.task.job);
         let spec = job.and_then(|job| job.spec.as_ref());
         let step = spec.and_then(|spec| spec.steps.get(usize::from(run.task.step)));
         RunView {
             phase,
+            placed: at.now,
             reserved: step.map(crate::job::StepSpec::reserved).unwrap_or_default(),
             open_tries: 0,
             lasting: step.is_some_and(|step| step.lasting),
@@ -200,5 +204,12 @@
         let keep = u64::try_from(self.options.keep_ended.as_millis()).unwrap_or(u64::MAX);
         let before_ms = at.wall_ms.saturating_sub(keep);
         self.commit(Command::Forget { before_ms });
+        let state = &self.state;
+        let open = |job| {
+            state
+                .job(job)
+                .is_some_and(|job| job.phase == JobPhase::Open)
+        };
+        self.failed_on.retain(|task, _| open(task.job));
     }
 }
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -19,6 +19,7 @@
 mod plan;
 mod pools;
 mod reads;
+mod track;
 mod upkeep;
 
 pub use effect::{Call, Effect, Refusal, Reply, Turn};
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -29,7 +29,7 @@
         if !self.commit(Command::Start { run, executor }) {
             return;
         }
-        let view = self.run_view(run, RunPhase::Ordered);
+        let view = self.run_view(at, run, RunPhase::Ordered);
         if let Some(executor) = self.executors.get_mut(&executor) {
             executor.add(run, view);
         }
@@ -293,8 +293,10 @@
             return;
         }
         log::info!(run:%, executor = executor.0, how = how.name(); "run ended");
-        if let Some(view) = self.executors.get_mut(&executor) {
-            view.remove(run);
+        if let Some(view) = self.executors.get_mut(&executor)
+            && let Some(ended) = view.remove(run)
+        {
+            self.judge(at, executor, run, &ended, how);
         }
         if let Some(record) = self.state.executor(executor) {
             self.changed.insert(Arc::clone(&record.life.pool));
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -7,7 +7,9 @@
 use super::executor::RunPhase;
 use super::{Defect, Leader, Moment};
 use crate::job::{JobId, JobSpec, Resources, TaskId};
-use crate::schedule::{Backlog, Candidate, Standing, Wish, choose, on_time_ms, rank, standing};
+use crate::schedule::{
+    Backlog, Candidate, Standing, Trust, Wish, choose, on_time_ms, rank, standing,
+};
 use crate::state::{ExecutorKey, JobPhase, Round};
 
 impl Leader {
@@ -80,14 +82,14 @@
             .into_iter()
             .filter(|key| self.is_usable(at, *key))
             .collect();
-        let mut room = self.most_room(&usable);
+        let mut room = self.most_room(at, &usable);
         for job in jobs {
             if !self.may_fit(job, room) {
                 continue;
             }
             self.plan_job(at, job, &usable);
             self.refresh(at, job);
-            room = self.most_room(&usable);
+            room = self.most_room(at, &usable);
         }
         for key in usable {
             self.hold_if_due(at, key);
@@ -95,9 +97,12 @@
     }
 
     /// At most what is free on any one of the executors.
-    fn most_room(&self, usable: &[ExecutorKey]) -> Resources {
+    fn most_room(&self, at: Moment, usable: &[ExecutorKey]) -> Resources {
         let free = usable.iter().filter_map(|key| {
             let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
+            if !view.is_trusted(at.now, false) {
+                return None;
+            }
             Some(record.life.capacity.minus(view.used))
         });
         free.fold(Resources::default(), |most, free| Resources {
@@ -151,7 +156,7 @@
             if full == Some((task.occurrence, task.step)) {
                 continue;
             }
-            let Some(executor) = self.find_executor(task, usable, &BTreeMap::new()) else {
+            let Some(executor) = self.find_executor(at, task, usable, &BTreeMap::new()) else {
                 full = Some((task.occurrence, task.step));
                 continue;
             };
@@ -165,10 +170,10 @@
         let mut taken = BTreeMap::new();
         let mut places = Vec::with_capacity(gang.len());
         for (task, _) in gang {
-            let Some(executor) = self.find_executor(*task, usable, &taken) else {
+            let Some(executor) = self.find_executor(at, *task, usable, &taken) else {
                 return;
             };
-            let need = self.run_view(task.run(0), RunPhase::Ordered).reserved;
+            let need = self.run_view(at, task.run(0), RunPhase::Ordered).reserved;
             let sum: &mut Resources = taken.entry(executor).or_default();
             *sum = sum.plus(need);
             places.push(executor);
@@ -236,6 +241,7 @@
     /// `taken` is what is promised on executors beside what runs there.
     fn find_executor(
         &self,
+        at: Moment,
         task: TaskId,
         usable: &[ExecutorKey],
         taken: &BTreeMap<ExecutorKey, Resources>,
@@ -248,8 +254,14 @@
         let near = step.same_rack.then(|| siblings.first()).flatten();
         let near = near.and_then(|key| self.state.executor(*key)?.life.rack.as_ref());
         let crowded = self.options.defect == Some(Defect::PlaceWithoutRoom);
+        let has_failed = job.task(task).is_some_and(|task| task.failures > 0);
+        let shunned = self.shunned(at, task);
+        let any_trusted = has_failed && self.any_trusted(at, usable);
         let candidates = usable.iter().filter_map(|key| {
             let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
+            if shunned == Some(*key) || !view.is_trusted(at.now, has_failed && any_trusted) {
+                return None;
+            }
             let here = siblings.iter().filter(|executor| *executor == key).count();
             Some(Candidate {
                 key: *key,
@@ -272,6 +284,13 @@
         choose(Wish { step, near }, candidates)
     }
 
+    /// Whether any of the executors has a good track record.
+    fn any_trusted(&self, at: Moment, usable: &[ExecutorKey]) -> bool {
+        let views = usable.iter().filter_map(|key| self.executors.get(key));
+        let mut trust = views.map(|view| view.track.trust(at.now));
+        trust.any(|trust| trust == Trust::Full)
+    }
+
     /// Stops the lasting tasks on an executor that leaves, so that they start elsewhere.
     pub(super) fn evacuate(&mut self, at: Moment, key: ExecutorKey) {
         let Some(view) = self.executors.get(&key) else {
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -9,7 +9,7 @@
 use super::{Leader, Moment};
 use crate::job::{JobSpec, Resources};
 use crate::queue::QueueId;
-use crate::schedule::{PoolLoad, Standing, share_when_host_comes, wanted_hosts};
+use crate::schedule::{PoolLoad, Standing, Trust, share_when_host_comes, wanted_hosts};
 use crate::state::MachineClaim;
 
 /// Time for which a pool has more hosts than it needs before it gives some up. A host that is
@@ -91,7 +91,7 @@
             }
             let answers = self
                 .executor_view(host)
-                .is_none_or(|view| view.failures == 0);
+                .is_none_or(|view| view.failures == 0 && view.track.trust(at.now) == Trust::Full);
             host.pool == *pool && answers && (host.up || host.is_away(at.now))
         });
         let load = self.load(at, pool);
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod place;
 mod pool_size;
 mod rank;
+mod track_record;
 mod upkeep;
 
 pub use admission::{Admission, Backlog, admit};
@@ -16,4 +17,5 @@
 pub use place::{Candidate, Wish, choose};
 pub use pool_size::{PoolLoad, share_when_host_comes, wanted_hosts};
 pub use rank::{Rank, Standing, USEFUL_FACTOR, on_time_ms, rank, standing};
+pub use track_record::{TrackRecord, Trust};
 pub use upkeep::hosts_at_once;
--- /dev/null
+++ b/crates/masticfield-jobs/src/schedule/track_record.rs
@@ -0,0 +1,127 @@
+//! How an executor has treated the tasks that it was given.
+
+use std::time::Duration;
+
+use crate::job::JobId;
+
+/// Weight of the last end in the share of failures: two failures in a row are enough to suspend
+/// an executor, and one among many ends is not.
+const WEIGHT: f64 = 0.25;
+
+/// Share of failures from which on an executor is suspended.
+const SUSPECT_SHARE: f64 = 0.4;
+
+/// Time for which a suspended executor gets no task; then one is tried. The users' platform wants
+/// a job that has room to be started within 3 s.
+const SUSPENDED_FOR: Duration = Duration::from_secs(2);
+
+/// What may be started on an executor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trust {
+    /// Any task.
+    Full,
+    /// One task at a time, to find out.
+    Trial,
+    /// Nothing.
+    None,
+}
+
+/// How an executor has treated the tasks that it was given; a circuit breaker.
+///
+/// An executor that fails at once what it starts always has room, and would draw in one job after
+/// the other until their attempts are used up.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use masticfield_jobs::job::JobId;
+/// use masticfield_jobs::schedule::{TrackRecord, Trust};
+///
+/// let mut record = TrackRecord::default();
+/// record.failed(Duration::ZERO, JobId::new(1));
+/// assert_eq!(record.trust(Duration::ZERO), Trust::Full);
+/// record.failed(Duration::ZERO, JobId::new(2));
+/// assert_eq!(record.trust(Duration::ZERO), Trust::None);
+/// assert_eq!(record.trust(Duration::from_secs(3)), Trust::Trial);
+/// ```
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct TrackRecord {
+    /// Share of ends that were failures, the last ones counting most.
+    failures: f64,
+    /// Jobs whose failures are counted since a task was done; each counts once, as it may fail
+    /// with all its tasks.
+    counted: Vec<JobId>,
+    /// When a suspension ends.
+    suspended_until: Option<Duration>,
+}
+
+impl TrackRecord {
+    /// Notes that a task was done.
+    pub fn done(&mut self, now: Duration) {
+        if self.trust(now) == Trust::None {
+            // What began before may still end well.
+            return;
+        }
+        self.failures *= 1.0 - WEIGHT;
+        self.counted.clear();
+        self.suspended_until = None;
+    }
+
+    /// Notes that a task of `job` has failed; says whether the executor is suspended for it.
+    pub fn failed(&mut self, now: Duration, job: JobId) -> bool {
+        let trust = self.trust(now);
+        let counted = self.counted.contains(&job);
+        if trust == Trust::None || (trust == Trust::Full && counted) {
+            return false;
+        }
+        if !counted {
+            self.counted.push(job);
+        }
+        self.failures += (1.0 - self.failures) * WEIGHT;
+        self.judge(now)
+    }
+
+    /// Takes the failure of a job back that has failed elsewhere too: the job is at fault.
+    pub fn pardon(&mut self, job: JobId) {
+        let Some(index) = self.counted.iter().position(|counted| *counted == job) else {
+            return;
+        };
+        self.counted.swap_remove(index);
+        self.failures = ((self.failures - WEIGHT) / (1.0 - WEIGHT)).max(0.0);
+        if self.failures < SUSPECT_SHARE {
+            self.suspended_until = None;
+        }
+    }
+
+    /// Notes that work makes no headway there; says whether the executor is suspended for it.
+    pub fn stalled(&mut self, now: Duration) -> bool {
+        if self.trust(now) == Trust::None {
+            return false;
+        }
+        self.failures = self.failures.max(SUSPECT_SHARE);
+        self.judge(now)
+    }
+
+    /// What may be started there.
+    pub fn trust(&self, now: Duration) -> Trust {
+        match self.suspended_until {
+            None => Trust::Full,
+            Some(until) if now < until => Trust::None,
+            Some(_) => Trust::Trial,
+        }
+    }
+
+    /// Share of ends that were failures, the last ones counting most.
+    pub const fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    fn judge(&mut self, now: Duration) -> bool {
+        let suspect = self.failures >= SUSPECT_SHARE;
+        if suspect {
+            self.suspended_until = Some(now + SUSPENDED_FOR);
+        }
+        suspect
+    }
+}
--- a/crates/masticfield-jobs/tests/schedule.rs
+++ b/crates/masticfield-jobs/tests/schedule.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticfield_jobs::job::{JobSpec, Resources, StepSpec};
+use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec};
 use masticfield_jobs::queue::QueueConfig;
 use masticfield_jobs::schedule::{
-    Admission, Backlog, Candidate, ClockReading, Offered, PoolLoad, Standing, Wish, admit, choose,
-    hosts_at_once, rank, share_when_host_comes, standing, wanted_hosts,
+    Admission, Backlog, Candidate, ClockReading, Offered, PoolLoad, Standing, TrackRecord, Trust,
+    Wish, admit, choose, hosts_at_once, rank, share_when_host_comes, standing, wanted_hosts,
 };
 use masticfield_jobs::state::ExecutorKey;
 use rstest::rstest;
@@ -251,3 +251,59 @@
     assert!(!clock.is_past(6_000, Duration::from_millis(15_150)));
     assert!(clock.is_past(6_000, Duration::from_millis(15_200)));
 }
+
+fn record(failed_jobs: u64, done: u32) -> TrackRecord {
+    let mut record = TrackRecord::default();
+    for _ in 0..done {
+        record.done(Duration::ZERO);
+    }
+    for job in 0..failed_jobs {
+        record.failed(Duration::ZERO, JobId::new(job));
+    }
+    record
+}
+
+/// Load: an executor that fails at once what it starts always has room, so that one job after the
+/// other would be drawn in.
+#[rstest]
+#[case::one_failure(1, 0, Trust::Full)]
+#[case::two_jobs_fail_in_a_row(2, 0, Trust::None)]
+#[case::much_was_done_before(2, 100, Trust::None)]
+fn an_executor_that_fails_tasks_is_suspended(
+    #[case] failed_jobs: u64,
+    #[case] done: u32,
+    #[case] expected: Trust,
+) {
+    assert_eq!(record(failed_jobs, done).trust(Duration::ZERO), expected);
+}
+
+#[test]
+fn a_job_that_fails_with_all_its_tasks_counts_once() {
+    let mut record = TrackRecord::default();
+    for _ in 0..8 {
+        assert!(!record.failed(Duration::ZERO, JobId::new(1)));
+    }
+    assert_eq!(record.trust(Duration::ZERO), Trust::Full);
+}
+
+#[test]
+fn a_suspended_executor_is_tried_again_and_trusted_once_a_task_is_done() {
+    let mut record = record(2, 0);
+    let later = Duration::from_secs(3);
+    assert_eq!(record.trust(later), Trust::Trial);
+    assert!(record.failed(later, JobId::new(3)), "suspended again");
+    assert_eq!(record.trust(later), Trust::None);
+    let later = later * 2;
+    record.done(later);
+    assert_eq!(record.trust(later), Trust::Full);
+}
+
+/// Load: jobs that fail wherever they run, a few of them on each executor.
+#[test]
+fn a_job_that_fails_elsewhere_too_does_not_count() {
+    let mut record = record(2, 0);
+    record.pardon(JobId::new(0));
+    record.pardon(JobId::new(0));
+    assert_eq!(record.trust(Duration::ZERO), Trust::Full);
+    assert!(record.failures() > 0.2, "the other failure counts");
+}
