feat(jobs): admission counts the hosts that can come to a pool

The pool was in the first seconds of its turn: three hosts were there, and over thirty on standby were free to come within 1.5 s, but the estimate divided the backlog by the three. A refused caller comes back later and its job counts from its first try.

Change: the estimate counts the cores that are there for 1.5 s and from then on those of hosts under way or free on standby.

--- a/crates/masticfield-jobs/src/job/resources.rs
+++ b/crates/masticfield-jobs/src/job/resources.rs
@@ -21,6 +21,12 @@
             && need.gpus <= self.gpus
     }
 
+    /// Processor time in cores.
+    #[expect(clippy::cast_precision_loss, reason = "cores of a pool")]
+    pub fn cores(self) -> f64 {
+        self.cpu_milli as f64 / 1_000.0
+    }
+
     /// The sum.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -83,7 +83,7 @@
             return Reply::Refused(Refusal::NotReady);
         }
         self.note_offered(at, queue, &spec);
-        if let Admission::Refuse { retry_after } = self.admission(queue, &spec) {
+        if let Admission::Refuse { retry_after } = self.admission(at, queue, &spec) {
             let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             let retry_after_ms = retry_after_ms.min(MAX_RETRY_AFTER_MS);
             return Reply::Refused(Refusal::Busy { retry_after_ms });
@@ -102,7 +102,7 @@
         Reply::Done
     }
 
-    fn admission(&self, queue: crate::queue::QueueId, spec: &JobSpec) -> Admission {
+    fn admission(&self, at: Moment, queue: crate::queue::QueueId, spec: &JobSpec) -> Admission {
         let Some(config) = self.state.queue(queue) else {
             return Admission::Accept;
         };
@@ -111,7 +111,7 @@
         }
         let useful = on_time_ms(spec, config) * USEFUL_FACTOR;
         let slack = useful.saturating_sub(spec.chain_ms());
-        let backlog = self.backlog(&config.pool);
+        let backlog = self.backlog(at, &config.pool);
         admit(backlog, std::time::Duration::from_millis(slack))
     }
 
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -307,7 +307,7 @@
     }
 
     /// What waits in a pool ahead of a new job, and the cores that can work it off.
-    pub(super) fn backlog(&self, pool: &Arc<str>) -> Backlog {
+    pub(super) fn backlog(&self, at: Moment, pool: &Arc<str>) -> Backlog {
         let mut cores = 0.0;
         for (key, record) in self.state.executors() {
             if record.life.pool != *pool || record.leaving {
@@ -316,15 +316,21 @@
             let view = self.executors.get(&key);
             let lasting = view.into_iter().flat_map(|view| view.runs.values());
             let lasting = lasting.filter(|run| run.lasting);
-            let held: u64 = lasting.map(|run| run.reserved.cpu_milli).sum();
-            cores += milli(record.life.capacity.cpu_milli.saturating_sub(held));
+            let held = lasting.map(|run| run.reserved);
+            let held = held.fold(Resources::default(), Resources::plus);
+            cores += record.life.capacity.minus(held).cores();
         }
         let mut work = 0.0;
         let pending = self.pending.get(pool).into_iter().flatten();
         for (_, id) in pending {
             work += self.work_left(*id);
         }
-        Backlog { work, cores }
+        let coming = self.cores_to_come(at, pool);
+        Backlog {
+            work,
+            cores,
+            coming,
+        }
     }
 
     /// Estimated work of a job's tasks that have not started, in core-seconds.
@@ -343,7 +349,7 @@
             .map(|(step, tasks)| {
                 let waiting = u32::try_from(tasks.waiting().count()).unwrap_or(u32::MAX);
                 let time = Duration::from_millis(step.estimate_ms).as_secs_f64();
-                f64::from(waiting) * time * milli(step.need.cpu_milli)
+                f64::from(waiting) * time * step.need.cores()
             })
             .sum()
     }
@@ -366,8 +372,3 @@
     }
     ends.into_iter().max().unwrap_or_default()
 }
-
-#[expect(clippy::cast_precision_loss, reason = "cores of one executor or task")]
-fn milli(cpu_milli: u64) -> f64 {
-    cpu_milli as f64 / 1_000.0
-}
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -99,6 +99,21 @@
         (have.count(), wanted_hosts(&load, each) as usize)
     }
 
+    /// Cores of hosts that are on their way to a pool, or on standby and free to go.
+    pub(super) fn cores_to_come(&self, at: Moment, pool: &Arc<str>) -> f64 {
+        let hosts = self.hosts.views.values().filter(|host| {
+            let sent = host.errand.as_ref().is_some_and(
+                |errand| matches!(&errand.claim, MachineClaim::Move { pool: to } if to == pool),
+            );
+            let away = host.pool == *pool && host.is_away(at.now);
+            let pair = (host.kind.clone(), Arc::clone(pool));
+            let suits = !self.hosts.unsuitable.contains(&pair);
+            let spare = host.is_free(at.now) && self.is_standby(&host.pool) && suits;
+            sent || away || spare
+        });
+        hosts.map(|host| host.capacity.cores()).sum()
+    }
+
     fn host_size(&self, pool: &Arc<str>) -> Resources {
         let hosts = self.hosts.views.values();
         let of_pool = hosts
--- a/crates/masticfield-jobs/src/schedule/pool_size.rs
+++ b/crates/masticfield-jobs/src/schedule/pool_size.rs
@@ -28,7 +28,7 @@
 }
 
 /// Time until a host that is asked for takes tasks.
-const HOST_COMES: Duration = Duration::from_millis(1_500);
+pub(super) const HOST_COMES: Duration = Duration::from_millis(1_500);
 
 /// Share of a waiting task's need that is still there when a host has come.
 ///
@@ -48,8 +48,8 @@
 /// the demand of a surge before its backlog has grown.
 pub fn wanted_hosts(load: &PoolLoad, host: Resources) -> u32 {
     let here = load.running.plus(load.waiting);
-    let cores = cores(here.cpu_milli).max(load.offered_cores * HEADROOM);
-    let by_cores = hosts(cores, self::cores(host.cpu_milli));
+    let cores = here.cores().max(load.offered_cores * HEADROOM);
+    let by_cores = hosts(cores, host.cores());
     let by_memory = hosts(number(here.memory_mb), number(host.memory_mb));
     let by_gpus = hosts(number(here.gpus), number(host.gpus));
     let needed = by_cores.max(by_memory).max(by_gpus).max(load.apart);
@@ -68,10 +68,6 @@
     (need / each).ceil().min(f64::from(u32::MAX)) as u32
 }
 
-fn cores(milli: u64) -> f64 {
-    number(milli) / 1_000.0
-}
-
 #[expect(clippy::cast_precision_loss, reason = "resources of a pool")]
 fn number(value: u64) -> f64 {
     value as f64
--- a/crates/masticfield-jobs/tests/schedule.rs
+++ b/crates/masticfield-jobs/tests/schedule.rs
@@ -72,15 +72,25 @@
 }
 
 #[rstest]
-#[case::room_at_once(0.0, 100, Admission::Accept)]
-#[case::late_but_of_use(900.0, 5_000, Admission::Accept)]
-#[case::of_no_use(3_000.0, 5_000, Admission::Refuse { retry_after: Duration::from_secs(5) })]
+#[case::room_at_once(0.0, 300.0, 0.0, 100, Admission::Accept)]
+#[case::late_but_of_use(900.0, 300.0, 0.0, 5_000, Admission::Accept)]
+#[case::of_no_use(3_000.0, 300.0, 0.0, 5_000, Admission::Refuse { retry_after: Duration::from_secs(5) })]
+// Load: the first second of a surge, when three hosts are there and twenty are to come.
+#[case::hosts_are_to_come(1_000.0, 70.0, 640.0, 5_000, Admission::Accept)]
+#[case::hosts_come_too_late(1_050.0, 100.0, 500.0, 2_000, Admission::Refuse { retry_after: Duration::from_secs(1) })]
+#[case::all_are_to_come(640.0, 0.0, 640.0, 5_000, Admission::Accept)]
 fn a_job_is_refused_when_it_would_be_of_no_use(
     #[case] work: f64,
+    #[case] cores: f64,
+    #[case] coming: f64,
     #[case] slack_ms: u64,
     #[case] expected: Admission,
 ) {
-    let backlog = Backlog { work, cores: 300.0 };
+    let backlog = Backlog {
+        work,
+        cores,
+        coming,
+    };
     assert_eq!(admit(backlog, Duration::from_millis(slack_ms)), expected);
 }
 
