feat(jobs): suspend executors on which work makes no headway, and move its runs

Cause: workers that turn slow, or on which tasks stand still, kept what they had until the fault was over; a job waits for its slowest task.

Change: schedule::headway compares the progress that lists show with the estimate. An executor on which runs of two jobs are slow, and fewer others are not, is suspended as one that fails tasks is; its slow runs are stopped and start elsewhere if that is quicker. Waits for an end are as long as the next run should take, so that progress is seen in time. Suspensions double from 2 s to 8 s; with nothing better in a pool all its executors are on trial.

--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -9,8 +9,10 @@
     pub asked: u32,
     /// Jobs completed within their objective.
     pub on_time: u32,
-    /// Jobs completed later, within three times their objective.
+    /// Jobs completed later.
     pub late: u32,
+    /// Those of them completed later than three times their objective: of hardly any use.
+    pub too_late: u32,
     /// Jobs that were not taken.
     pub refused: u32,
     /// Jobs that were cancelled or have failed.
--- a/crates/masticfield-emulator/src/world/mod.rs
+++ b/crates/masticfield-emulator/src/world/mod.rs
@@ -422,6 +422,8 @@
                     self.report.late += 1;
                     if took <= 3 * sent.objective {
                         earned += LATE_CREDIT * credit;
+                    } else {
+                        self.report.too_late += 1;
                     }
                 }
                 Some(_) => {
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -106,6 +106,39 @@
     );
 }
 
+/// Executors that are up and hold up what they run, by a factor.
+fn slow_executors(factor: u32) -> Faults {
+    Faults {
+        slow_executors: 0.2,
+        slow_factor: factor,
+        ..calm()
+    }
+}
+
+/// Work on a slow executor must go on elsewhere: a job waits for its slowest task, so that without
+/// it the jobs that have a task there are late, or of no use.
+#[rstest]
+#[case::tasks_stand_still(1_000)]
+#[case::tasks_take_eight_times_as_long(8)]
+fn slow_executors_make_few_jobs_late(#[case] factor: u32) {
+    let (mut calm_on_time, mut on_time, mut too_late) = (0, 0, 0);
+    for seed in seeds() {
+        let day = Day::calm(Fleet::small()).length_ms(15_000).jobs_per_s(1.5);
+        calm_on_time += World::new(day.clone(), seed).play().on_time;
+        let report = World::new(day.faults(slow_executors(factor)), seed).play();
+        assert!(
+            report.broken.is_empty(),
+            "seed {seed}: {:#?}",
+            report.broken
+        );
+        on_time += report.on_time;
+        too_late += report.too_late;
+    }
+    let figures = format!("calm {calm_on_time}, on time {on_time}, of no use {too_late}");
+    assert!(on_time * 100 >= calm_on_time * 95, "{figures}");
+    assert!(too_late * 100 <= calm_on_time, "{figures}");
+}
+
 #[rstest]
 #[case::calm(calm())]
 #[case::late_orders(late())]
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -4,7 +4,13 @@
 use std::time::Duration;
 
 use crate::job::{Resources, RunId};
-use crate::schedule::{ClockReading, TrackRecord, Trust};
+use crate::schedule::{ClockReading, TrackRecord, Trust, expected_end};
+
+/// Percentage of a lasting task that is at work.
+pub(super) const AT_WORK: u32 = 100;
+
+/// Shortest wait for an end, so that rough estimates do not cause many looks.
+const SHORTEST_LOOK: Duration = Duration::from_millis(300);
 
 /// What the leader knows of an executor beyond the state.
 #[derive(Debug, Clone)]
@@ -59,6 +65,8 @@
     pub(super) phase: RunPhase,
     /// When it was placed.
     pub(super) placed: Duration,
+    /// Estimated time of its work.
+    pub(super) estimate: Duration,
     pub(super) reserved: Resources,
     /// Tries of the order that may yet be carried out.
     pub(super) open_tries: u32,
@@ -135,16 +143,27 @@
         Some(view)
     }
 
-    /// Whether its track record lets a task be started; on trial, one that has attempts to spare,
-    /// and one at a time.
-    pub(super) fn is_trusted(&self, now: Duration, has_failed: bool) -> bool {
+    /// Whether its track record lets a task be started; on trial, one at a time, and none that has
+    /// failed before. With nothing better in the pool, all are on trial.
+    pub(super) fn is_trusted(&self, now: Duration, has_failed: bool, any_better: bool) -> bool {
         match self.track.trust(now) {
             Trust::Full => true,
-            Trust::Trial => !has_failed && self.runs.values().all(|run| run.lasting),
-            Trust::None => false,
+            Trust::None if any_better => false,
+            Trust::Trial | Trust::None => {
+                let spare = !has_failed || !any_better;
+                spare && self.runs.values().all(|run| run.lasting)
+            }
         }
     }
 
+    /// Time until the first of its passing runs should have ended; then its progress tells.
+    pub(super) fn next_look(&self, now: Duration) -> Option<Duration> {
+        let passing = self.runs.values().filter(|run| !run.lasting);
+        let ends = passing.map(|run| expected_end(run.placed, run.estimate));
+        let next = ends.filter(|end| *end > now).min()?;
+        Some(next.saturating_sub(now).max(SHORTEST_LOOK))
+    }
+
     /// Whether every lease there has run out for certain.
     pub(super) fn lapsed(&self, now: Duration) -> bool {
         let clock = self.clock;
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -48,7 +48,11 @@
             (false, _) => Duration::ZERO,
             // What is in doubt shows in the lists, and not as an end.
             (true, true) => DOUBT_WAIT,
-            (true, false) => self.options.max_wait.min(self.options.lease / 3),
+            (true, false) => {
+                let longest = self.options.max_wait.min(self.options.lease / 3);
+                view.next_look(at.now)
+                    .map_or(longest, |next| next.min(longest))
+            }
         };
         let deadline_ms = self.extend_lease(at, key);
         self.call(
@@ -132,6 +136,7 @@
         if let (Some(view), Some(last)) = (self.executors.get_mut(&key), report.finished.last()) {
             view.noted = view.noted.max(last.number);
         }
+        self.check_headway(at, key);
         self.settle_missing(at, key, sent, report);
         self.stop_strays(at, key, report);
         if first && let Some(record) = self.state.executor(key) {
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -13,6 +13,8 @@
     pub announce_every: Duration,
     /// Time for which the state of an ended job is kept.
     pub keep_ended: Duration,
+    /// Longest time that a stop takes.
+    pub stop_time: Duration,
     /// What is known of the platform's hosts, if it lets them be moved.
     pub hosts: Option<HostOptions>,
     /// A guard that is left out.
@@ -57,6 +59,7 @@
             max_wait: Duration::from_secs(2),
             announce_every: Duration::from_millis(1_500),
             keep_ended: Duration::from_secs(150),
+            stop_time: Duration::from_millis(500),
             hosts: None,
             defect: None,
         }
@@ -77,6 +80,13 @@
         self
     }
 
+    /// Sets the time that a stop may take.
+    #[must_use]
+    pub const fn stop_time(mut self, time: Duration) -> Self {
+        self.stop_time = time;
+        self
+    }
+
     /// Lets hosts be moved and taken for upkeep.
     #[must_use]
     pub const fn hosts(mut self, hosts: HostOptions) -> Self {
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -98,9 +98,10 @@
 
     /// At most what is free on any one of the executors.
     fn most_room(&self, at: Moment, usable: &[ExecutorKey]) -> Resources {
+        let any_trusted = self.any_trusted(at, usable);
         let free = usable.iter().filter_map(|key| {
             let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
-            if !view.is_trusted(at.now, false) {
+            if !view.is_trusted(at.now, false, any_trusted) {
                 return None;
             }
             Some(record.life.capacity.minus(view.used))
@@ -256,10 +257,10 @@
         let crowded = self.options.defect == Some(Defect::PlaceWithoutRoom);
         let has_failed = job.task(task).is_some_and(|task| task.failures > 0);
         let shunned = self.shunned(at, task);
-        let any_trusted = has_failed && self.any_trusted(at, usable);
+        let any_trusted = self.any_trusted(at, usable);
         let candidates = usable.iter().filter_map(|key| {
             let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
-            if shunned == Some(*key) || !view.is_trusted(at.now, has_failed && any_trusted) {
+            if shunned == Some(*key) || !view.is_trusted(at.now, has_failed, any_trusted) {
                 return None;
             }
             let here = siblings.iter().filter(|executor| *executor == key).count();
--- a/crates/masticfield-jobs/src/leader/track.rs
+++ b/crates/masticfield-jobs/src/leader/track.rs
@@ -1,10 +1,12 @@
 //! Track records of executors: which ones fail or hold up what they are given.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::executor::RunView;
+use super::executor::{AT_WORK, RunPhase, RunView};
 use super::{Leader, Moment};
 use crate::job::{RunId, TaskId};
+use crate::schedule::{Headway, Trust, headway};
 use crate::state::{EndKind, ExecutorKey};
 
 /// Time for which a task that has failed is kept from the executor on which it did.
@@ -14,6 +16,12 @@
 /// worked for a while may fail at any time.
 const FAILS_AT_ONCE: Duration = Duration::from_millis(1_500);
 
+/// Jobs whose runs must be slow on an executor before it is held to be slow.
+const SLOW_JOBS: usize = 2;
+
+/// Time within which a lasting task is at work where all is well.
+const BEGINS_WITHIN: Duration = Duration::from_secs(3);
+
 impl Leader {
     /// Draws what the end of a run says of its executor.
     pub(super) fn judge(
@@ -57,6 +65,63 @@
         }
     }
 
+    /// Looks whether the runs on an executor get on, and starts those elsewhere that do not.
+    ///
+    /// A run that is slow by itself is its job's fault; an executor is slow if runs of several
+    /// jobs are and few others are not.
+    pub(super) fn check_headway(&mut self, at: Moment, key: ExecutorKey) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let (mut slow, mut good, mut move_on) = (BTreeSet::new(), 0, Vec::new());
+        for (run, view) in &view.runs {
+            let RunPhase::There(_) = view.phase else {
+                continue;
+            };
+            let under_way = at.now.saturating_sub(view.placed);
+            if view.lasting {
+                if view.percent < AT_WORK && under_way > BEGINS_WITHIN {
+                    move_on.push(*run);
+                }
+                continue;
+            }
+            match headway(
+                view.estimate,
+                under_way,
+                view.percent,
+                self.options.stop_time,
+            ) {
+                Headway::Good => good += usize::from(under_way > view.estimate / 2),
+                Headway::Slow { quicker_elsewhere } => {
+                    slow.insert(run.task.job);
+                    if quicker_elsewhere {
+                        move_on.push(*run);
+                    }
+                }
+            }
+        }
+        // On trial the one task decides.
+        let enough = if view.track.trust(at.now) == Trust::Full {
+            SLOW_JOBS
+        } else {
+            1
+        };
+        if slow.len() < enough || good >= slow.len() {
+            return;
+        }
+        let Some(view) = self.executors.get_mut(&key) else {
+            return;
+        };
+        if view.track.stalled(at.now) {
+            let (slow, good) = (slow.len(), good);
+            log::info!(executor = key.0, slow, good; "executor suspended, as work makes no headway");
+        }
+        for run in move_on {
+            log::info!(run:%, executor = key.0; "run moved, as it makes no headway");
+            self.stop(at, key, run);
+        }
+    }
+
     /// The executor on which a task is not to start now, as it has failed there.
     pub(super) fn shunned(&self, at: Moment, task: TaskId) -> Option<ExecutorKey> {
         let (key, failed) = self.failed_on.get(&task)?;
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -3,16 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::RunPhase;
+use super::executor::{AT_WORK, RunPhase};
 use super::host::ErrandPhase;
 use super::{Leader, Moment};
 use crate::job::RunId;
 use crate::schedule::hosts_at_once;
 use crate::state::{ExecutorKey, MachineClaim, Wave};
 
-/// Percentage of a lasting task that is at work.
-const AT_WORK: u32 = 100;
-
 impl Leader {
     /// Begins the upkeep of further hosts where it is their turn.
     pub(super) fn check_waves(&mut self, at: Moment) {
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -3,6 +3,7 @@
 //! Each is a function of what is known; none keeps state.
 
 mod admission;
+mod headway;
 mod lease;
 mod offered;
 mod place;
@@ -12,6 +13,7 @@
 mod upkeep;
 
 pub use admission::{Admission, Backlog, admit};
+pub use headway::{Headway, expected_end, headway};
 pub use lease::{ClockReading, lease_end};
 pub use offered::Offered;
 pub use place::{Candidate, Wish, choose};
--- a/crates/masticfield-jobs/src/schedule/track_record.rs
+++ b/crates/masticfield-jobs/src/schedule/track_record.rs
@@ -11,10 +11,13 @@
 /// Share of failures from which on an executor is suspended.
 const SUSPECT_SHARE: f64 = 0.4;
 
-/// Time for which a suspended executor gets no task; then one is tried. The users' platform wants
-/// a job that has room to be started within 3 s.
+/// Time for which a suspended executor gets no task; then one is tried. Each try costs a task
+/// time, or an attempt, so that the time doubles with each one that goes wrong.
 const SUSPENDED_FOR: Duration = Duration::from_secs(2);
 
+/// Longest time for which an executor is suspended at once.
+const LONGEST_SUSPENSION: Duration = Duration::from_secs(8);
+
 /// What may be started on an executor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Trust {
@@ -52,8 +55,8 @@
     /// Jobs whose failures are counted since a task was done; each counts once, as it may fail
     /// with all its tasks.
     counted: Vec<JobId>,
-    /// When a suspension ends.
-    suspended_until: Option<Duration>,
+    /// When a suspension ends, and how long it lasts.
+    suspended: Option<(Duration, Duration)>,
 }
 
 impl TrackRecord {
@@ -65,7 +68,7 @@
         }
         self.failures *= 1.0 - WEIGHT;
         self.counted.clear();
-        self.suspended_until = None;
+        self.suspended = None;
     }
 
     /// Notes that a task of `job` has failed; says whether the executor is suspended for it.
@@ -90,7 +93,7 @@
         self.counted.swap_remove(index);
         self.failures = ((self.failures - WEIGHT) / (1.0 - WEIGHT)).max(0.0);
         if self.failures < SUSPECT_SHARE {
-            self.suspended_until = None;
+            self.suspended = None;
         }
     }
 
@@ -105,9 +108,9 @@
 
     /// What may be started there.
     pub fn trust(&self, now: Duration) -> Trust {
-        match self.suspended_until {
+        match self.suspended {
             None => Trust::Full,
-            Some(until) if now < until => Trust::None,
+            Some((until, _)) if now < until => Trust::None,
             Some(_) => Trust::Trial,
         }
     }
@@ -120,7 +123,11 @@
     fn judge(&mut self, now: Duration) -> bool {
         let suspect = self.failures >= SUSPECT_SHARE;
         if suspect {
-            self.suspended_until = Some(now + SUSPENDED_FOR);
+            let before = self
+                .suspended
+                .map(|(_, time)| (time * 2).min(LONGEST_SUSPENSION));
+            let time = before.unwrap_or(SUSPENDED_FOR);
+            self.suspended = Some((now + time, time));
         }
         suspect
     }
