feat: metrics of jobs and calls, and a reader of logs that follows one job

Cause: a failed request could be followed only by hand through the files of several processes, and the platform's metrics address had nothing behind it.

Change: `--metrics-port` serves counters and latency histograms of answers, waits, jobs, runs, commits, syncs, calls to executors and the platform, gauges of pools, and lines of the log that were left out. New lines: job refused (with the estimate that decided), job cancelled, job ended; placed has the room and the age of what was known. `masticfield logs ID FILE…` gathers the lines on a job, on the executors on which it ran, and what concerned every job then.

--- a/crates/masticfield-cli/src/args.rs
+++ b/crates/masticfield-cli/src/args.rs
@@ -95,6 +95,17 @@
         /// Name of the host
         host: String,
     },
+    /// Gather what the logs of several processes say of one job, in order
+    Logs {
+        /// Identifier of the job
+        job: String,
+        /// Files with the processes' standard output
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Time before and after the job in which other lines count
+        #[arg(long, env = "MASTICFIELD_LOGS_AROUND", default_value = "2s")]
+        around: String,
+    },
     /// Print a completion script
     Completions {
         /// The shell
@@ -133,6 +144,20 @@
 }
 
 impl Cli {
+    /// Checks the flags of `logs`, which needs no running installation: what is printed, and the
+    /// time around a job.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake.
+    pub fn check_logs(&self, around: &str) -> Result<(OutputFormat, Duration), InvalidSettings> {
+        let mut checker = Checker::new();
+        let output = checker.parse("--output", &self.output);
+        let around = checker.duration("--around", around, Duration::ZERO..=Duration::from_hours(1));
+        let both = output.zip(around);
+        checker.conclude(both)
+    }
+
     /// Checks all flags together.
     ///
     /// # Errors
--- a/crates/masticfield-cli/src/commands.rs
+++ b/crates/masticfield-cli/src/commands.rs
@@ -67,7 +67,7 @@
                 )
             })
         }
-        Command::Completions { .. } => Ok(()),
+        Command::Completions { .. } | Command::Logs { .. } => Ok(()),
     };
     printed.context(OutputSnafu)
 }
--- a/crates/masticfield-cli/src/lib.rs
+++ b/crates/masticfield-cli/src/lib.rs
@@ -23,6 +23,7 @@
 mod commands;
 mod control_client;
 mod error;
+pub mod logs;
 mod output;
 mod tables;
 
@@ -45,15 +46,23 @@
         clap_complete::generate(shell, &mut command, "masticfield", &mut std::io::stdout());
         return ExitCode::SUCCESS;
     }
+    if let Command::Logs { job, files, around } = &cli.command {
+        return match cli.check_logs(around) {
+            Ok((output, around)) => finish(logs::print(output, job, files, around)),
+            Err(error) => refuse(&error),
+        };
+    }
     match cli.check() {
         Ok(settings) => run(&settings, cli.command),
-        Err(error) => {
-            eprint!("masticfield: {error}");
-            ExitCode::from(InvalidSettings::EXIT_CODE)
-        }
+        Err(error) => refuse(&error),
     }
 }
 
+fn refuse(error: &InvalidSettings) -> ExitCode {
+    eprint!("masticfield: {error}");
+    ExitCode::from(InvalidSettings::EXIT_CODE)
+}
+
 fn run(settings: &Settings, command: Command) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -62,6 +71,10 @@
         Ok(runtime) => runtime.block_on(commands::run(settings, command)),
         Err(source) => Err(CliError::Runtime { source }),
     };
+    finish(result)
+}
+
+fn finish(result: Result<(), CliError>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/masticfield-cli/src/tables.rs
+++ b/crates/masticfield-cli/src/tables.rs
@@ -8,6 +8,8 @@
     FleetStatus, HistoryRow, HostRow, JobRow, NoteAccepted, PlanPreview, RolloutStatus, UpstreamRow,
 };
 
+use crate::logs::{Tie, Trail};
+
 /// What became of a note that was sent.
 pub(crate) fn accepted(accepted: &NoteAccepted) -> String {
     let again = if accepted.repeated {
@@ -188,3 +190,32 @@
     table.add_rows(rows.into_iter().map(|row| row.map(Cell::new)));
     table.to_string()
 }
+
+/// What the logs say of a job.
+pub(crate) fn trail(trail: &Trail) -> String {
+    let rows = trail.lines.iter().map(|line| {
+        let tie = match line.tie {
+            Tie::Job => "job",
+            Tie::Executor => "executor",
+            Tie::Common => "all",
+        };
+        let fields = line.fields.iter().map(|(name, value)| match value {
+            serde_json::Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        });
+        let fields: Vec<_> = fields.collect();
+        [
+            line.at.clone(),
+            tie.into(),
+            line.origin.clone(),
+            line.message.clone(),
+            fields.join(" "),
+        ]
+    });
+    let rows = table(["TIME", "TIE", "FROM", "WHAT", "FIELDS"], rows);
+    let counts = trail.summary.iter();
+    let counts: Vec<_> = counts
+        .map(|(what, many)| format!("{many} x {what}"))
+        .collect();
+    format!("{rows}\n{}: {}", trail.job, counts.join(", "))
+}
--- /dev/null
+++ b/crates/masticfield-cli/tests/logs.rs
@@ -0,0 +1,64 @@
+//! The reader of logs: which lines tell what became of a job.
+
+use std::time::Duration;
+
+use masticfield_cli::logs::{LogLine, Tie, Trail};
+use rstest::rstest;
+
+const JOB: &str = "9f9e3699c3d5658a";
+
+const LINES: [&str; 8] = [
+    r#"{"at":"2026-01-01T00:00:09.000Z","program":"entry","message":"not served","path":"/q/9f9e3699c3d5658a","reply":"Unknown"}"#,
+    r#"3.1 core-1 {"at":"2026-01-01T00:00:10.000Z","program":"control","message":"job accepted","job":"9f9e3699c3d5658a"}"#,
+    r#"{"at":"2026-01-01T00:00:10.020Z","program":"control","message":"placed","run":"9f9e3699c3d5658a.0.0.0#1","executor":6,"id":"e6"}"#,
+    r#"{"at":"2026-01-01T00:00:10.030Z","program":"control","message":"placed","run":"00000000000000a1.0.0.0#1","executor":6,"id":"e6"}"#,
+    r#"{"at":"2026-01-01T00:00:11.000Z","program":"control","message":"executor does not answer","executor":6}"#,
+    r#"{"at":"2026-01-01T00:00:11.500Z","program":"control","message":"executor does not answer","executor":7}"#,
+    r#"{"at":"2026-01-01T00:00:14.000Z","program":"control","message":"run ended","run":"9f9e3699c3d5658a.0.0.0#1","executor":6,"how":"lapsed"}"#,
+    r#"{"at":"2026-01-01T00:00:08.500Z","program":"entry","message":"the leading replica is not connected","why":""}"#,
+];
+
+fn trail(around: Duration) -> Trail {
+    let lines = LINES.iter().filter_map(|text| LogLine::parse(text));
+    Trail::gather(lines, JOB, around)
+}
+
+#[test]
+fn a_trail_has_the_lines_on_the_job_its_executors_and_what_concerns_all() {
+    let trail = trail(Duration::from_secs(1));
+    let told: Vec<_> = trail
+        .lines
+        .iter()
+        .map(|line| (line.tie, line.message.as_str()))
+        .collect();
+    assert_eq!(
+        told,
+        [
+            (Tie::Common, "the leading replica is not connected"),
+            (Tie::Job, "not served"),
+            (Tie::Job, "job accepted"),
+            (Tie::Job, "placed"),
+            (Tie::Executor, "executor does not answer"),
+            (Tie::Job, "run ended"),
+        ]
+    );
+    assert_eq!(trail.summary.get("run ended: lapsed"), Some(&1));
+    assert_eq!(trail.lines[2].origin, "3.1 core-1 control");
+}
+
+#[test]
+fn what_was_long_before_is_left_out() {
+    let trail = trail(Duration::from_millis(100));
+    assert!(
+        trail.lines.iter().all(|line| line.tie != Tie::Common),
+        "{trail:?}"
+    );
+}
+
+#[rstest]
+#[case::text("not a log line")]
+#[case::torn(r#"{"at":"2026-01-01T00:00:09.000Z","program""#)]
+#[case::of_another_program(r#"{"level":"info","msg":"hello"}"#)]
+fn other_lines_are_left_out(#[case] text: &str) {
+    assert_eq!(LogLine::parse(text), None);
+}
--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -17,9 +17,11 @@
 use masticfield_replica::{Applied, AppliedKind, ReplicaHandle};
 use tokio::sync::{mpsc, watch};
 
+use super::JobMetrics;
 use super::asker::Asker;
 use super::handle::{ControlView, EntrySession, Input, JobControlHandle, Question, WaveProgress};
 use super::leading::Leading;
+use super::observer::Observer;
 use super::order::{CallOrder, ExecutorOrder, HostOrder};
 
 /// Bytes of the log after which the state is stored as a whole.
@@ -31,6 +33,9 @@
 /// Orders about hosts in one leadership, at most; each has a fence of its own.
 const ORDERS_OF_A_TERM: u64 = 1 << 24;
 
+/// Time between two updates of the gauges.
+const SHOW_EVERY: Duration = Duration::from_secs(1);
+
 /// Longest wait between two looks at the replica's status.
 const IDLE_CHECK: Duration = Duration::from_millis(250);
 
@@ -49,6 +54,8 @@
     applied_index: u64,
     log_bytes: usize,
     leading: Option<Leading>,
+    observer: Observer,
+    shown: Duration,
     view: watch::Sender<ControlView>,
 }
 
@@ -63,12 +70,13 @@
 }
 
 impl JobControl {
-    /// Creates the loop; calls to executors go to `orders`.
+    /// Creates the loop; calls to executors go to `orders`, and what is counted to `metrics`.
     pub fn new(
         replica: ReplicaHandle,
         applied: mpsc::Receiver<Applied>,
         options: LeaderOptions,
         orders: mpsc::UnboundedSender<ExecutorOrder>,
+        metrics: JobMetrics,
     ) -> (Self, JobControlHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let (view_tx, view) = watch::channel(ControlView::default());
@@ -85,6 +93,8 @@
             applied_index: 0,
             log_bytes: 0,
             leading: None,
+            observer: Observer::new(metrics),
+            shown: Duration::ZERO,
             view: view_tx,
         };
         (control, JobControlHandle { tx, view })
@@ -127,6 +137,7 @@
             }
             self.check_lead().await;
             self.turn();
+            self.show_metrics();
         }
     }
 
@@ -150,10 +161,14 @@
             AppliedKind::Payload => {
                 match postcard::from_bytes::<Vec<Command>>(&applied.payload) {
                     Ok(commands) => {
-                        let now = boot_now();
+                        let at = Self::moment();
                         for command in commands {
-                            self.claims.note(now, &command);
-                            self.state.apply(command);
+                            self.claims.note(at.now, &command);
+                            if self.leading.is_some() {
+                                self.observer.apply(&mut self.state, command, at.wall_ms);
+                            } else {
+                                self.state.apply(command);
+                            }
                         }
                     }
                     Err(error) => log::error!(error:%; "a command cannot be read"),
@@ -267,6 +282,7 @@
             } else {
                 Reply::Refused(Refusal::NotReady)
             };
+            self.observer.metrics.answered(&reply);
             return asker.answer(reply);
         }
         let Some(leading) = &mut self.leading else {
@@ -338,16 +354,27 @@
         if let Some(leading) = self.leading.take() {
             log::info!(term = leading.term, why; "leads no more");
             leading.give_up();
+            self.observer.step_down();
             drop(self.orders.send(ExecutorOrder::Reset));
         }
     }
 
+    fn show_metrics(&mut self) {
+        let at = Self::moment();
+        if at.now >= self.shown + SHOW_EVERY {
+            self.shown = at.now;
+            let leader = self.leading.as_ref().map(|leading| &leading.leader);
+            self.observer.metrics.show(at, self.version, leader);
+        }
+    }
+
     fn turn(&mut self) {
         let Some(leading) = &mut self.leading else {
             return;
         };
         let turn: Turn = leading.leader.turn(Self::moment());
-        if let Some(effects) = leading.submit(&self.replica, turn) {
+        let metrics = &self.observer.metrics;
+        if let Some(effects) = leading.submit(&self.replica, turn, metrics) {
             self.carry_out(effects);
         }
     }
@@ -358,7 +385,10 @@
         };
         for effect in effects {
             match effect {
-                Effect::Answer { ask, reply } => answer(leading, ask, reply),
+                Effect::Answer { ask, reply } => {
+                    self.observer.metrics.answered(&reply);
+                    answer(leading, ask, reply);
+                }
                 Effect::Call {
                     executor,
                     id,
--- a/crates/masticfield-control/src/jobs/leading.rs
+++ b/crates/masticfield-control/src/jobs/leading.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 
 use futures_util::stream::FuturesOrdered;
+use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::{AskId, Effect, Leader, Reply};
 use masticfield_replica::{ProposeError, ReplicaHandle};
 
+use super::JobMetrics;
 use super::asker::Asker;
 use super::handle::EntrySession;
 
@@ -52,6 +54,7 @@
         &mut self,
         replica: &ReplicaHandle,
         turn: masticfield_jobs::leader::Turn,
+        metrics: &JobMetrics,
     ) -> Option<Vec<Effect>> {
         if turn.commands.is_empty() && self.in_flight.is_empty() {
             return Some(turn.then);
@@ -65,9 +68,11 @@
             .map(|commands| postcard::to_stdvec(commands).expect("commands are plain data"))
             .collect();
         let (replica, then) = (replica.clone(), turn.then);
+        let (metrics, proposed) = (metrics.clone(), boot_now());
         self.in_flight.push_back(Box::pin(async move {
             for payload in payloads {
                 replica.propose(payload).await?;
+                metrics.committed(boot_now().saturating_sub(proposed));
             }
             Ok(then)
         }));
--- a/crates/masticfield-control/src/jobs/mod.rs
+++ b/crates/masticfield-control/src/jobs/mod.rs
@@ -9,9 +9,12 @@
 mod handle;
 mod job_control;
 mod leading;
+mod metrics;
+mod observer;
 mod order;
 
 pub use entries::serve_entries;
 pub use handle::{ControlView, JobControlHandle, WaveProgress};
 pub use job_control::JobControl;
+pub use metrics::JobMetrics;
 pub use order::{CallOrder, ExecutorOrder, HostOrder};
--- a/crates/masticfield-entry/src/jobs/link.rs
+++ b/crates/masticfield-entry/src/jobs/link.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::link_handle::{JobLinkHandle, LinkView, Question};
+use super::metrics::EntryMetrics;
 use super::pending::Pending;
 
 /// Longest wait for a connection and its first message.
@@ -56,6 +57,7 @@
     options: LinkOptions,
     rx: mpsc::UnboundedReceiver<Question>,
     view: watch::Sender<LinkView>,
+    metrics: EntryMetrics,
     pending: Pending,
     /// Replicas that were heard of.
     known: BTreeSet<SocketAddr>,
@@ -73,7 +75,7 @@
 
 impl JobLink {
     /// Creates the connection's task and its handle.
-    pub fn new(options: LinkOptions) -> (Self, JobLinkHandle) {
+    pub fn new(options: LinkOptions, metrics: EntryMetrics) -> (Self, JobLinkHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let (view_tx, view) = watch::channel(LinkView::default());
         let link = Self {
@@ -81,6 +83,7 @@
             options,
             rx,
             view: view_tx,
+            metrics,
             pending: Pending::default(),
             next: None,
             turn: 0,
@@ -96,10 +99,12 @@
                 Found::Leader(connection) => {
                     misses = 0;
                     log::info!("the leading replica is connected");
+                    self.metrics.connected(true);
                     let (reader, writer) = *connection;
                     let end = self.serve(reader, writer).await;
                     let why = end.err().map(|error| error.to_string()).unwrap_or_default();
                     log::info!(why; "the leading replica is not connected");
+                    self.metrics.connected(false);
                     self.view.send_modify(|view| view.connected = false);
                 }
                 Found::Other => self.wait(TRY_AGAIN_AFTER / 4).await,
--- a/crates/masticfield-jobs/src/leader/effect.rs
+++ b/crates/masticfield-jobs/src/leader/effect.rs
@@ -121,3 +121,20 @@
     /// This replica cannot tell or decide now.
     NotReady,
 }
+
+impl Reply {
+    /// The name in logs and metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Refused(Refusal::Busy { .. }) => "refused-busy",
+            Self::Refused(Refusal::NotReady) => "refused-not-ready",
+            Self::NoQueue => "no-queue",
+            Self::NoJob => "no-job",
+            Self::Malformed => "malformed",
+            Self::Status(_) => "status",
+            Self::Pending(_) => "pending",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- a/crates/masticfield-jobs/src/leader/event.rs
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -135,6 +135,20 @@
     Unsuitable,
 }
 
+impl HostError {
+    /// The name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Busy => "busy",
+            Self::NotUp => "not-up",
+            Self::Fence => "fence",
+            Self::OtherWave => "other-wave",
+            Self::Unsuitable => "unsuitable",
+        }
+    }
+}
+
 /// What an executor tells of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Announcement {
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -1,10 +1,13 @@
 //! What callers ask for.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Effect, Event, Leader, Moment, Refusal, Reply};
 use crate::job::{JobId, JobSpec};
-use crate::schedule::{Admission, USEFUL_FACTOR, admit, on_time_ms};
+use crate::queue::QueueId;
+use crate::schedule::{Admission, Backlog, USEFUL_FACTOR, admit, on_time_ms};
 use crate::state::{Command, JobPhase};
 
 /// Someone who waits for an answer.
@@ -61,13 +64,7 @@
         }
     }
 
-    fn submit(
-        &mut self,
-        at: Moment,
-        job: JobId,
-        queue: crate::queue::QueueId,
-        spec: JobSpec,
-    ) -> Reply {
+    fn submit(&mut self, at: Moment, job: JobId, queue: QueueId, spec: JobSpec) -> Reply {
         if self.state.job(job).is_some() {
             return Reply::Done;
         }
@@ -83,13 +80,25 @@
             return Reply::Refused(Refusal::NotReady);
         }
         self.note_offered(at, queue, &spec);
-        if let Admission::Refuse { retry_after } = self.admission(at, queue, &spec) {
+        let (backlog, slack_ms) = self.prospect(at, queue, &spec);
+        let slack = slack_ms.map_or(Duration::MAX, Duration::from_millis);
+        if let Admission::Refuse { retry_after } = admit(backlog, slack) {
             let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             let retry_after_ms = retry_after_ms.min(MAX_RETRY_AFTER_MS);
+            let Backlog {
+                work,
+                cores,
+                coming,
+            } = backlog;
+            log::info!(
+                job:%, queue = queue.0, work, cores, coming, slack_ms, retry_after_ms;
+                "job refused"
+            );
             return Reply::Refused(Refusal::Busy { retry_after_ms });
         }
         log::info!(
-            job:%, queue = queue.0, steps = spec.steps.len(), chain_ms = spec.chain_ms();
+                        job:%, queue = queue.0, steps = spec.steps.len(), chain_ms = spec.chain_ms(),
+            work = backlog.work, cores = backlog.cores, coming = backlog.coming, slack_ms;
             "job accepted"
         );
         self.commit(Command::Submit {
@@ -102,17 +111,18 @@
         Reply::Done
     }
 
-    fn admission(&self, at: Moment, queue: crate::queue::QueueId, spec: &JobSpec) -> Admission {
+    /// What a job of a queue has to wait for, and how long it can, in milliseconds; none if it
+    /// need not be refused at all.
+    fn prospect(&self, at: Moment, queue: QueueId, spec: &JobSpec) -> (Backlog, Option<u64>) {
         let Some(config) = self.state.queue(queue) else {
-            return Admission::Accept;
+            return (Backlog::default(), None);
         };
+        let backlog = self.backlog(at, &config.pool);
         if spec.lasts() || spec.timetable.is_some() {
-            return Admission::Accept;
+            return (backlog, None);
         }
         let useful = on_time_ms(spec, config) * USEFUL_FACTOR;
-        let slack = useful.saturating_sub(spec.chain_ms());
-        let backlog = self.backlog(at, &config.pool);
-        admit(backlog, std::time::Duration::from_millis(slack))
+        (backlog, Some(useful.saturating_sub(spec.chain_ms())))
     }
 
     fn cancel(&mut self, at: Moment, job: JobId) -> Reply {
@@ -120,6 +130,7 @@
             return Reply::NoJob;
         };
         if record.phase == JobPhase::Open {
+            log::info!(job:%, runs = record.active; "job cancelled");
             self.commit(Command::Cancel {
                 job,
                 at_ms: at.wall_ms,
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -20,6 +20,7 @@
 mod plan;
 mod pools;
 mod reads;
+mod survey;
 mod track;
 mod upkeep;
 
@@ -35,3 +36,4 @@
 pub use options::Defect;
 pub use options::{HostOptions, LeaderOptions};
 pub use reads::read;
+pub use survey::PoolSurvey;
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -6,7 +6,7 @@
 use super::executor::RunPhase;
 use super::{Call, CallError, Defect, Effect, Leader, Moment, Rejection};
 use crate::job::{JobId, RunId};
-use crate::state::{Command, EndKind, ExecutorKey};
+use crate::state::{Command, EndKind, ExecutorKey, JobPhase};
 
 /// Tries of an order to start after which the run is stopped instead.
 const START_TRIES: u32 = 3;
@@ -301,7 +301,19 @@
         if let Some(record) = self.state.executor(executor) {
             self.changed.insert(Arc::clone(&record.life.pool));
         }
+        self.tell_end(run.task.job);
         self.refresh(at, run.task.job);
         self.stop_unwanted(at, run.task.job);
     }
+
+    /// Logs the end of a job, if the end of a run has brought it.
+    fn tell_end(&self, id: JobId) {
+        let job = self.state.job(id);
+        if let Some(job) = job
+            && let Some(ended) = job.ended_ms.filter(|_| job.phase != JobPhase::Cancelled)
+        {
+            let took_ms = ended.saturating_sub(job.accepted_ms);
+            log::info!(job:% = id, end = job.phase.name(), took_ms; "job ended");
+        }
+    }
 }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -6,7 +6,7 @@
 
 use super::executor::RunPhase;
 use super::{Defect, Leader, Moment};
-use crate::job::{JobId, JobSpec, Resources, TaskId};
+use crate::job::{JobId, JobSpec, Resources, RunId, TaskId};
 use crate::schedule::{
     Backlog, Candidate, Standing, Trust, Wish, choose, on_time_ms, rank, standing,
 };
@@ -161,11 +161,23 @@
                 full = Some((task.occurrence, task.step));
                 continue;
             };
-            log::info!(task:%, executor = executor.0; "placed");
-            self.start(at, task.run(last_run + 1), executor);
+            self.place(at, task.run(last_run + 1), executor);
         }
     }
 
+    fn place(&mut self, at: Moment, run: RunId, executor: ExecutorKey) {
+        if let (Some(view), Some(record)) =
+            (self.executors.get(&executor), self.state.executor(executor))
+        {
+            let free_milli = record.life.capacity.minus(view.used).cpu_milli;
+            let heard = view.clock.map(|clock| at.now.saturating_sub(clock.heard));
+            let heard_ms = heard.map(|heard| u64::try_from(heard.as_millis()).unwrap_or(u64::MAX));
+            let host = record.life.id.as_ref();
+            log::info!(run:%, executor = executor.0, id = host, free_milli, heard_ms; "placed");
+        }
+        self.start(at, run, executor);
+    }
+
     /// Starts all tasks of a gang under one run number, or none of them.
     fn start_gang(&mut self, at: Moment, gang: &[(TaskId, u32)], usable: &[ExecutorKey]) {
         let mut taken = BTreeMap::new();
@@ -181,8 +193,7 @@
         }
         let last = gang.iter().map(|(_, last)| *last).max().unwrap_or_default();
         for ((task, _), executor) in gang.iter().zip(places) {
-            log::info!(task:%, executor = executor.0; "placed");
-            self.start(at, task.run(last + 1), executor);
+            self.place(at, task.run(last + 1), executor);
         }
     }
 
--- a/crates/masticfield-jobs/src/schedule/admission.rs
+++ b/crates/masticfield-jobs/src/schedule/admission.rs
@@ -5,7 +5,7 @@
 use super::pool_size::HOST_COMES;
 
 /// What is waiting in a pool and what the pool can do.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Backlog {
     /// Work of accepted jobs that is not done, in core-seconds.
     pub work: f64,
--- a/crates/masticfield-jobs/src/state/job.rs
+++ b/crates/masticfield-jobs/src/state/job.rs
@@ -55,6 +55,18 @@
     Cancelled,
 }
 
+impl JobPhase {
+    /// The name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 impl JobRecord {
     pub(super) fn new(queue: QueueId, spec: JobSpec, accepted_ms: u64) -> Self {
         let rounds = (0..spec.occurrences()).map(|_| Round::new(&spec)).collect();
--- a/crates/masticfield-node/src/log_setup.rs
+++ b/crates/masticfield-node/src/log_setup.rs
@@ -63,8 +63,9 @@
 ///
 /// See [`LogWriter`] for what is left out under load. A second call in the same process changes
 /// nothing.
-pub fn init_bounded(program: &'static str, level: LevelFilter, format: LogFormat) {
+pub fn init_bounded(program: &'static str, level: LevelFilter, format: LogFormat) -> LogWriter {
     let writer = LogWriter::spawn(std::io::stdout());
+    let counted = writer.clone();
     let output = fern::Output::call(move |record| {
         let message = record.args().to_string();
         let LineVerdict::Write { left_out } = writer.judge(&message) else {
@@ -83,6 +84,7 @@
     });
     let dispatch = fern::Dispatch::new().level(level).chain(output);
     drop(dispatch.apply());
+    counted
 }
 
 fn text_line(program: &str, message: &str, record: &Record<'_>) -> String {
@@ -116,9 +118,9 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = value
-            .to_u64()
-            .map_or_else(|| json!(value.to_string()), |value| json!(value));
+        let whole = value.to_u64().map(|value| json!(value));
+        let number = whole.or_else(|| value.to_f64().map(|value| json!(value)));
+        let value = number.unwrap_or_else(|| json!(value.to_string()));
         self.0.insert(key.to_string(), value);
         Ok(())
     }
--- a/crates/masticfield-node/src/log_writer.rs
+++ b/crates/masticfield-node/src/log_writer.rs
@@ -7,11 +7,12 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use prometheus::{IntCounter, Registry};
 
 /// Lines that wait to be written, at most.
 const MAX_LINES: usize = 4_096;
@@ -79,7 +80,8 @@
 pub struct LogWriter {
     tx: SyncSender<String>,
     budget: Arc<Mutex<LineBudget>>,
-    dropped: Arc<AtomicU64>,
+    left_out: IntCounter,
+    dropped: IntCounter,
 }
 
 impl LogWriter {
@@ -96,28 +98,53 @@
         Self {
             tx,
             budget: Arc::default(),
-            dropped: Arc::default(),
+            left_out: counter(
+                "masticfield_log_lines_left_out_total",
+                "Lines beyond the budget of their kind",
+            ),
+            dropped: counter(
+                "masticfield_log_lines_dropped_total",
+                "Lines that found no room, as nobody reads them",
+            ),
         }
     }
 
     /// Decides about a line of a kind.
     pub fn judge(&self, kind: &str) -> LineVerdict {
-        self.budget.lock().judge(Instant::now(), kind)
+        let verdict = self.budget.lock().judge(Instant::now(), kind);
+        if verdict == LineVerdict::LeaveOut {
+            self.left_out.inc();
+        }
+        verdict
+    }
+
+    /// Registers what is counted of lines that are not written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is registered already.
+    pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        registry.register(Box::new(self.left_out.clone()))?;
+        registry.register(Box::new(self.dropped.clone()))
     }
 
     /// Hands a line over, or counts it if the buffer is full.
     pub fn write(&self, line: String) {
         if self.tx.try_send(line).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            self.dropped.inc();
         }
     }
 
     /// Lines that did not fit into the buffer.
     pub fn dropped(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
+        self.dropped.get()
     }
 }
 
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("the name is well-formed")
+}
+
 fn write_all(rx: &Receiver<String>, mut out: impl Write) {
     let mut buf = String::new();
     while let Ok(line) = rx.recv() {
