fix(jobs): a new leader counts upkeep that the former one has begun

Since a new leader no longer waits 3 s with every host, it planned the wave before upkeep of its predecessor was over, which it does not know of.

Change: waves go on only when no upkeep of a former leader can last any more (the longer of its lease and an upkeep); moves still begin at once.

--- a/crates/masticfield-emulator/src/day.rs
+++ b/crates/masticfield-emulator/src/day.rs
@@ -13,8 +13,8 @@
     pub length_ms: u64,
     /// Time after the load within which every job must have ended, in milliseconds.
     pub settle_ms: u64,
-    /// Whether half of the hosts are due for upkeep.
-    pub upkeep: bool,
+    /// Time in which half of the hosts are due for upkeep, in milliseconds; none if 0.
+    pub upkeep_ms: u64,
     /// What goes wrong.
     pub faults: Faults,
     /// A guard of the leader that is left out.
@@ -55,7 +55,7 @@
             fleet,
             length_ms: 10_000,
             settle_ms: 60_000,
-            upkeep: false,
+            upkeep_ms: 0,
             defect: None,
             faults: Faults {
                 late_orders: 0.0,
@@ -97,10 +97,16 @@
         self
     }
 
-    /// Lets half of the hosts be due for upkeep from the start of the load on.
+    /// Lets half of the hosts be due for upkeep from the start of the load on, in 20 s.
     #[must_use]
-    pub const fn upkeep(mut self) -> Self {
-        self.upkeep = true;
+    pub const fn upkeep(self) -> Self {
+        self.upkeep_within(20_000)
+    }
+
+    /// The same within a time in milliseconds.
+    #[must_use]
+    pub const fn upkeep_within(mut self, time: u64) -> Self {
+        self.upkeep_ms = time;
         self
     }
 
--- a/crates/masticfield-emulator/src/host.rs
+++ b/crates/masticfield-emulator/src/host.rs
@@ -14,6 +14,8 @@
     pub(crate) fence: u64,
     /// Leader that last asked about it, and when.
     pub(crate) asked: Option<(u64, u64)>,
+    /// Whether it was last away for upkeep.
+    pub(crate) in_upkeep: bool,
     /// Whether its upkeep has begun.
     pub(crate) tended: bool,
 }
--- a/crates/masticfield-emulator/src/world/hosts.rs
+++ b/crates/masticfield-emulator/src/world/hosts.rs
@@ -9,6 +9,9 @@
 
 use super::{HAND_OVER_MS, Happening, LEAD_MS, MOVE_MS, UPKEEP_MS, World};
 
+/// Hosts of the wave in upkeep at the same time, at most.
+const WAVE_CAP: u32 = 3;
+
 impl World {
     /// Whether a run on a sound executor is still asked for.
     pub(super) fn wants(&self, run: RunId) -> bool {
@@ -28,8 +31,8 @@
         let order = WaveOrder {
             number: 1,
             hosts: hosts.collect(),
-            duration_ms: 20_000,
-            cap: 3,
+            duration_ms: self.day.upkeep_ms,
+            cap: WAVE_CAP,
         };
         let ask = self.next_ask();
         self.tell(self.epoch, Event::Wave { ask, order });
@@ -73,6 +76,19 @@
         self.later(15, Happening::Tell(self.epoch, event));
     }
 
+    /// No more hosts of the wave are in upkeep at once than the operator allows.
+    fn check_cap(&mut self, name: &Arc<str>) {
+        let away = self
+            .hosts
+            .iter()
+            .filter(|host| host.in_upkeep && self.now < host.back);
+        let away = away.count();
+        if away >= WAVE_CAP as usize {
+            let text = format!("{}: upkeep of {name} begins beside {away} others", self.now);
+            self.ledger.broken.push(text);
+        }
+    }
+
     /// Two leaders must not take turns with a host within the lease.
     fn check_turns(&mut self, name: &Arc<str>) {
         let host = self.hosts.iter_mut().find(|host| host.name == *name);
@@ -123,10 +139,13 @@
             }
             MachineClaim::Upkeep { .. } => {
                 host.tended = true;
+                self.check_cap(name);
                 UPKEEP_MS
             }
         };
+        let host = &mut self.hosts[index];
         host.back = self.now + time;
+        host.in_upkeep = matches!(claim, MachineClaim::Upkeep { .. });
         if let Some(executor) = self.hosts[index].executor {
             self.advance(executor);
             let runs: Vec<_> = self.executors[executor].running.keys().copied().collect();
--- a/crates/masticfield-emulator/src/world/mod.rs
+++ b/crates/masticfield-emulator/src/world/mod.rs
@@ -212,6 +212,7 @@
                     executor: None,
                     fence: 0,
                     asked: None,
+                    in_upkeep: false,
                     tended: false,
                 });
                 self.boot(self.hosts.len() - 1);
@@ -228,7 +229,7 @@
         self.later_by_chance(faults.cut_every_ms, Happening::Cut);
         self.later_by_chance(faults.new_leader_every_ms, Happening::NewLeader);
         self.later(1, Happening::Tick);
-        if self.day.upkeep {
+        if self.day.upkeep_ms > 0 {
             self.later(LEAD_MS, Happening::Wave);
         }
         if faults.failing_executors > 0.0 || faults.slow_executors > 0.0 {
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -169,6 +169,20 @@
     }
 }
 
+/// Load: a wave in a hurry, while the leader changes again and again. Each leader has to count the
+/// hosts that former ones have taken.
+#[test]
+fn a_wave_in_a_hurry_keeps_its_cap_over_changes_of_the_leader() {
+    for seed in seeds() {
+        let day = Day::calm(Fleet::small())
+            .length_ms(15_000)
+            .upkeep_within(5_000);
+        let report = World::new(day.faults(leaders()), seed).play();
+        let first: Vec<_> = report.broken.iter().take(5).collect();
+        assert!(report.broken.is_empty(), "seed {seed}: {first:#?}");
+    }
+}
+
 /// Each guard that is left out is noticed on one of the seeds.
 #[rstest]
 #[case::room(Defect::PlaceWithoutRoom, calm())]
--- a/crates/masticfield-jobs/src/leader/host.rs
+++ b/crates/masticfield-jobs/src/leader/host.rs
@@ -20,8 +20,8 @@
     /// Wave of the upkeep that it is away for.
     pub(super) in_upkeep: Option<u64>,
     pub(super) errand: Option<Errand>,
-    /// Whether a former leader had claimed it when the leadership began.
-    pub(super) inherited: bool,
+    /// What a former leader had claimed it for when the leadership began.
+    pub(super) inherited: Option<MachineClaim>,
     /// When a list that names it was last read.
     pub(super) listed: Duration,
     /// Lists in a row in which it was missing.
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -6,6 +6,7 @@
 
 use super::executor::ExecutorView;
 use super::host::{Errand, ErrandPhase, HostView};
+use super::options::AWAY_MARGIN;
 use super::{ClaimWatch, Defect, Effect, HostError, Leader, ListedHost, Moment};
 use crate::state::{Command, ExecutorKey, MachineClaim};
 
@@ -18,9 +19,6 @@
 /// Time after which a reading that got no answer is given up.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time by which a host is taken to be away longer than the platform says.
-const AWAY_MARGIN: Duration = Duration::from_millis(400);
-
 /// Time before the platform is asked again after it refused or did not answer.
 const ORDER_AGAIN: Duration = Duration::from_millis(400);
 
@@ -69,14 +67,17 @@
 impl Leader {
     /// Looks at what is to be done about hosts.
     pub(super) fn check_hosts(&mut self, at: Moment) {
-        if self.options.hosts.is_none() {
+        let Some(options) = self.options.hosts else {
             return;
-        }
+        };
         self.list_if_due(at);
         if !self.hosts.listed {
             return;
         }
-        self.check_waves(at);
+        // Hosts that the former leader has taken for upkeep may be away, and count.
+        if at.now >= self.hosts.since + options.upkeep_over() {
+            self.check_waves(at);
+        }
         self.check_pools(at);
         self.go_errands(at);
     }
@@ -156,7 +157,7 @@
             up: false,
             away_until: None,
             in_upkeep: None,
-            inherited: claim.is_some(),
+            inherited: claim.as_ref().map(|(claim, _)| claim.clone()),
             // What the former leader began is settled first.
             errand: claim.map(|(claim, _)| Errand {
                 claim,
@@ -246,17 +247,13 @@
         if self.options.defect == Some(Defect::HandOverAtOnce) {
             return true;
         }
-        let inherited = self
-            .hosts
-            .views
-            .get(name)
-            .is_some_and(|host| host.inherited);
-        let last = if inherited {
-            self.hosts.since
-        } else {
-            self.hosts.claims.last(name)
+        let host = self.hosts.views.get(name);
+        let (last, time) = match host.and_then(|host| host.inherited.as_ref()) {
+            Some(MachineClaim::Upkeep { .. }) => (self.hosts.since, options.upkeep_over()),
+            Some(MachineClaim::Move { .. }) => (self.hosts.since, options.hand_over),
+            None => (self.hosts.claims.last(name), options.hand_over),
         };
-        at.now >= last + options.hand_over
+        at.now >= last + time
     }
 
     fn go_errands(&mut self, at: Moment) {
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Time by which a host is taken to be away longer than the platform says.
+pub(super) const AWAY_MARGIN: Duration = Duration::from_millis(400);
+
 /// Periods of the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaderOptions {
@@ -51,6 +54,13 @@
     pub hand_over: Duration,
 }
 
+impl HostOptions {
+    /// Time after which no upkeep that a former leader has begun may last.
+    pub(super) fn upkeep_over(&self) -> Duration {
+        self.hand_over.max(self.upkeep + AWAY_MARGIN)
+    }
+}
+
 impl LeaderOptions {
     /// Creates the options with a lease.
     pub const fn new(lease: Duration) -> Self {
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -9,7 +9,7 @@
     LeaderOptions, ListedHost, Moment,
 };
 use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
-use masticfield_jobs::state::{Command, ExecutorKey, ExecutorLife, MachineClaim, State};
+use masticfield_jobs::state::{Command, ExecutorKey, ExecutorLife, MachineClaim, State, WaveOrder};
 use rstest::rstest;
 
 const EXECUTOR: ExecutorKey = ExecutorKey(1);
@@ -188,3 +188,41 @@
     let earliest = claimed_ms_ago.map_or(0, |ago| 3_000 - ago);
     assert!(ordered >= earliest, "ordered after {ordered} ms");
 }
+
+/// A host that the former leader has taken for upkeep may still be away, and counts for the cap.
+#[test]
+fn a_new_leader_begins_no_upkeep_while_that_of_the_former_one_may_last() {
+    let mut state = state();
+    let order = WaveOrder {
+        number: 1,
+        hosts: vec!["h1".into(), "h2".into()],
+        duration_ms: 5_000,
+        cap: 1,
+    };
+    state.apply(Command::Wave {
+        order,
+        at_ms: at(0).wall_ms,
+    });
+    state.apply(Command::Tended {
+        wave: 1,
+        host: "h1".into(),
+    });
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state, options(), watch, at(0));
+    let away = ListedHost {
+        up: false,
+        ..host("h1", "p", None)
+    };
+    let hosts = Some(vec![away, host("h2", "p", Some("e1"))]);
+    leader.step(at(0), Event::Listed { hosts });
+    let upkeep = MachineClaim::Upkeep { wave: 1 };
+    let ordered = (0..60).map(|tick| tick * 100).find(|ms| {
+        let effects = leader.turn(at(*ms)).then;
+        effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::OrderHost { claim, .. } if *claim == upkeep))
+    });
+    let ordered = ordered.expect("the wave goes on");
+    // An upkeep takes 2 s.
+    assert!(ordered >= 2_000, "ordered after {ordered} ms");
+}
