perf(jobs): gather ends and decisions while hundreds of executors are busy

It asked each executor again after each end (15,087 looks for 15,426 starts in the emulator), and each pass of its loop proposed an entry of the log with a sync and messages to four replicas.

Change: with 100 busy executors or more there is a gap between an answer and the next question, so that all together get 2,000 questions a second; a start asks at once only where nothing ran. At most two turns are in flight; what comes meanwhile is decided together.

Test: the emulator's fleet of 350 hosts gets fewer than two looks for three starts (red before).

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -27,6 +27,10 @@
 /// Bytes of the log after which the state is stored as a whole.
 const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
 
+/// Turns that are not committed yet, at most. Under load the next one gathers what comes until one
+/// of them is, so that many decisions share a sync and a round of messages.
+const MAX_IN_FLIGHT: usize = 2;
+
 /// Inputs that one pass of the loop takes, at most.
 const MAX_BATCH: usize = 256;
 
@@ -110,7 +114,11 @@
                 .as_ref()
                 .is_none_or(|leading| leading.in_flight.is_empty());
             let wait = leading.as_ref().map_or(IDLE_CHECK, |leading| {
-                leading.leader.next_check().saturating_sub(boot_now())
+                if leading.in_flight.len() < MAX_IN_FLIGHT {
+                    leading.leader.next_check().saturating_sub(boot_now())
+                } else {
+                    IDLE_CHECK
+                }
             });
             tokio::select! {
                 biased;
@@ -372,6 +380,9 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
+        if leading.in_flight.len() >= MAX_IN_FLIGHT {
+            return;
+        }
         let turn: Turn = leading.leader.turn(Self::moment());
         let metrics = &self.observer.metrics;
         if let Some(effects) = leading.submit(&self.replica, turn, metrics) {
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -169,6 +169,18 @@
     }
 }
 
+/// Load: a surge on a fleet of 350 hosts. A replica with a third of a core cannot look at an
+/// executor after each end; ends are gathered instead, and jobs are as much on time.
+#[test]
+fn hundreds_of_busy_executors_are_asked_for_several_ends_at_once() {
+    let fleet = Fleet::vitoria().times(7);
+    let day = Day::calm(fleet).length_ms(8_000);
+    let report = World::new(day, 1).play();
+    assert!(report.broken.is_empty(), "{:#?}", report.broken);
+    assert!(report.starts > 10_000, "{report:?}");
+    assert!(report.looks * 3 < report.starts * 2, "{report:?}");
+}
+
 /// Load: a wave in a hurry, while the leader changes again and again. Each leader has to count the
 /// hosts that former ones have taken.
 #[test]
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -5,6 +5,7 @@
 
 use super::executor::{ExecutorView, HoldPhase};
 use super::{Announcement, AskId, Defect, Effect, Leader, Moment, Reply};
+use crate::schedule::look_gap;
 use crate::state::{Command, EndKind, ExecutorKey};
 
 /// Time between an executor's word that it ends and its end.
@@ -121,6 +122,8 @@
     /// Looks at what time alone changes on executors.
     pub(super) fn check_executors(&mut self, at: Moment) {
         let keys: Vec<_> = self.executors.keys().copied().collect();
+        let busy = self.executors.values().filter(|view| !view.runs.is_empty());
+        self.look_gap = look_gap(busy.count());
         for key in keys {
             self.check_executor(at, key);
         }
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -79,6 +79,9 @@
         if view.hold == HoldPhase::Asked(sent) {
             view.hold = HoldPhase::Due(at.now);
         }
+        if result.is_ok() && view.hold == HoldPhase::Due(at.now) {
+            view.hold = HoldPhase::Due(at.now + self.look_gap);
+        }
         match result {
             Ok(report) => self.reconcile(at, key, sent, &report),
             Err(CallError::OtherLife) => self.retire(at, key, "another life answers"),
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -38,6 +38,8 @@
     pub(super) changed: BTreeSet<Arc<str>>,
     pub(super) turn: Turn,
     pub(super) hosts: Hosts,
+    /// Time between an answer of an executor and the next question.
+    pub(super) look_gap: Duration,
     /// Where tasks of open jobs have failed last, and when.
     pub(super) failed_on: BTreeMap<TaskId, (ExecutorKey, Duration)>,
     /// Work that jobs have brought of late, by pool.
@@ -61,6 +63,7 @@
             changed: BTreeSet::new(),
             turn: Turn::default(),
             hosts: Hosts::new(claims, at.now),
+            look_gap: Duration::ZERO,
             failed_on: BTreeMap::new(),
             offered: BTreeMap::new(),
             checked: Duration::ZERO,
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -30,11 +30,17 @@
             return;
         }
         let view = self.run_view(at, run, RunPhase::Ordered);
-        if let Some(executor) = self.executors.get_mut(&executor) {
+        let first = if let Some(executor) = self.executors.get_mut(&executor) {
+            let first = executor.runs.is_empty();
             executor.add(run, view);
-        }
+            first
+        } else {
+            false
+        };
         self.order_start(at, executor, run);
-        self.ask_soon(at, executor);
+        if first {
+            self.ask_soon(at, executor);
+        }
     }
 
     fn order_start(&mut self, at: Moment, executor: ExecutorKey, run: RunId) {
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod headway;
 mod lease;
+mod looks;
 mod offered;
 mod place;
 mod pool_size;
@@ -15,6 +16,7 @@
 pub use admission::{Admission, Backlog, admit};
 pub use headway::{Headway, expected_end, headway};
 pub use lease::{ClockReading, lease_end};
+pub use looks::look_gap;
 pub use offered::Offered;
 pub use place::{Candidate, Wish, choose};
 pub use pool_size::{PoolLoad, share_when_host_comes, wanted_hosts};
--- a/crates/masticfield-jobs/tests/schedule.rs
+++ b/crates/masticfield-jobs/tests/schedule.rs
@@ -7,8 +7,8 @@
 use masticfield_jobs::queue::QueueConfig;
 use masticfield_jobs::schedule::{
     Admission, Backlog, Candidate, ClockReading, Headway, Offered, PoolLoad, Standing, TrackRecord,
-    Trust, Wish, admit, choose, headway, hosts_at_once, rank, share_when_host_comes, standing,
-    wanted_hosts,
+    Trust, Wish, admit, choose, headway, hosts_at_once, look_gap, rank, share_when_host_comes,
+    standing, wanted_hosts,
 };
 use masticfield_jobs::state::ExecutorKey;
 use rstest::rstest;
@@ -353,3 +353,11 @@
     }
     assert_eq!(waits, [2, 4, 8, 8]);
 }
+
+/// Load: hundreds of busy executors on which tasks end several times a second.
+#[rstest]
+#[case::few(40, 0)]
+#[case::hundreds(260, 130)]
+fn many_busy_executors_are_asked_less_often(#[case] busy: usize, #[case] gap_ms: u128) {
+    assert_eq!(look_gap(busy).as_millis(), gap_ms);
+}
