fix(replica,control): what one turn decides stays together in the log

The same run number was given out twice, 36 s apart: the new leader's state had never seen the first start, though the former leader had seen the job completed. A turn of more than 512 commands is several entries; each was proposed only when the one before was committed, and the next turn's entry came between them (the test shows the order 1, 4, 2, 3). Commands in the wrong order change nothing, and are lost.

Change: ReplicaHandle::propose_all hands payloads over as one request, and they are appended in one step. The leading replica logs and counts each committed command that changes nothing although its own copy changed (masticfield_state_differences_total): such a difference showed nowhere before.

Test: replica tests/order.rs, red before.

--- a/crates/masticfield-control/src/jobs/leading.rs
+++ b/crates/masticfield-control/src/jobs/leading.rs
@@ -70,8 +70,8 @@
         let (replica, then) = (replica.clone(), turn.then);
         let (metrics, proposed) = (metrics.clone(), boot_now());
         self.in_flight.push_back(Box::pin(async move {
-            for payload in payloads {
-                replica.propose(payload).await?;
+            if !payloads.is_empty() {
+                replica.propose_all(payloads).await?;
                 metrics.committed(boot_now().saturating_sub(proposed));
             }
             Ok(then)
--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -6,8 +6,8 @@
 use masticfield_jobs::state::JobPhase;
 use prometheus::core::Collector;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    exponential_buckets,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, exponential_buckets,
 };
 
 /// Pools that have gauges of their own, at most; a configuration may name any number.
@@ -40,6 +40,7 @@
     sync: Histogram,
     calls: HistogramVec,
     host_calls: IntCounterVec,
+    differences: IntCounter,
     leads: IntGauge,
     version: IntGauge,
     pools: IntGaugeVec,
@@ -101,6 +102,10 @@
                 ),
                 &["call", "outcome"],
             )?,
+            differences: IntCounter::new(
+                "masticfield_state_differences_total",
+                "Decisions that changed nothing when they were committed; each is a fault",
+            )?,
             leads: IntGauge::new("masticfield_leads", "Whether this replica leads")?,
             version: IntGauge::new(
                 "masticfield_queues_version",
@@ -114,7 +119,8 @@
                 &["pool", "what"],
             )?,
         };
-        let all: [Box<dyn Collector>; 11] = [
+        let all: [Box<dyn Collector>; 12] = [
+            Box::new(metrics.differences.clone()),
             Box::new(metrics.answers.clone()),
             Box::new(metrics.wait.clone()),
             Box::new(metrics.jobs.clone()),
@@ -138,6 +144,11 @@
         self.answers.with_label_values(&[reply.name()]).inc();
     }
 
+    /// Notes a decision that changed nothing when it was committed.
+    pub(super) fn differs(&self) {
+        self.differences.inc();
+    }
+
     /// Notes that the first task of a job has started.
     pub(super) fn begun(&self, waited: Duration) {
         self.wait.observe(waited.as_secs_f64());
--- a/crates/masticfield-control/src/jobs/observer.rs
+++ b/crates/masticfield-control/src/jobs/observer.rs
@@ -25,11 +25,16 @@
         }
     }
 
-    /// Applies a command and counts what it changes.
+    /// Applies a command that this leadership has decided, and counts what it changes.
     pub(super) fn apply(&mut self, state: &mut State, command: Command, wall_ms: u64) {
         let open = open_job(state, &command);
         self.note(state, &command, wall_ms);
-        state.apply(command);
+        let kind = command.name();
+        if !state.apply(command) {
+            // The leader only commits what changes its own copy of the state.
+            log::error!(command = kind; "what was decided differs from what is committed");
+            self.metrics.differs();
+        }
         let ended = open.and_then(|job| state.job(job));
         if let Some(job) = ended.filter(|job| job.phase != JobPhase::Open) {
             let time = job.ended_ms.unwrap_or(wall_ms);
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -110,6 +110,27 @@
     },
 }
 
+impl Command {
+    /// The name in logs.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Configure { .. } => "configure",
+            Self::Submit { .. } => "submit",
+            Self::Cancel { .. } => "cancel",
+            Self::Enlist { .. } => "enlist",
+            Self::Leaving { .. } => "leaving",
+            Self::Retire { .. } => "retire",
+            Self::Start { .. } => "start",
+            Self::End { .. } => "end",
+            Self::Wave { .. } => "wave",
+            Self::Tended { .. } => "tended",
+            Self::Claim { .. } => "claim",
+            Self::Unclaim { .. } => "unclaim",
+            Self::Forget { .. } => "forget",
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EndKind {
--- a/crates/masticfield-replica/src/handle.rs
+++ b/crates/masticfield-replica/src/handle.rs
@@ -64,12 +64,29 @@
     /// Fails if this replica does not lead, has stopped, or cannot tell the outcome, or if the
     /// payload is larger than [`MAX_PAYLOAD_BYTES`].
     pub async fn propose(&self, payload: Vec<u8>) -> Result<u64, ProposeError> {
-        if payload.len() > MAX_PAYLOAD_BYTES {
+        self.propose_all([payload]).await
+    }
+
+    /// Proposes payloads that follow each other in the log, and waits until all are committed;
+    /// returns the index of the last one.
+    ///
+    /// # Errors
+    ///
+    /// As [`ReplicaHandle::propose`]; if the outcome is not known, the first of the payloads may be
+    /// committed without the others.
+    pub async fn propose_all(
+        &self,
+        payloads: impl IntoIterator<Item = Vec<u8>>,
+    ) -> Result<u64, ProposeError> {
+        let payloads: Vec<_> = payloads.into_iter().map(Bytes::from).collect();
+        if payloads
+            .iter()
+            .any(|payload| payload.len() > MAX_PAYLOAD_BYTES)
+        {
             return Err(ProposeError::TooLarge);
         }
         let (reply, result) = oneshot::channel();
-        let payload = Bytes::from(payload);
-        let sent = self.tx.send(Request::Propose { payload, reply }).await;
+        let sent = self.tx.send(Request::Propose { payloads, reply }).await;
         sent.map_err(|_closed| ProposeError::Stopped)?;
         result.await.unwrap_or(Err(ProposeError::Undecided))
     }
--- a/crates/masticfield-replica/src/runtime/request.rs
+++ b/crates/masticfield-replica/src/runtime/request.rs
@@ -14,8 +14,9 @@
 /// What the handle asks for.
 #[derive(Debug)]
 pub(crate) enum Request {
+    /// Payloads that follow each other; the reply is for the last one.
     Propose {
-        payload: Bytes,
+        payloads: Vec<Bytes>,
         reply: ProposeReply,
     },
     Compact {
@@ -46,9 +47,12 @@
         let (mut payloads, mut replies) = (Vec::new(), Vec::new());
         for request in requests {
             match request {
-                Request::Propose { payload, reply } => {
-                    payloads.push(payload);
-                    replies.push(reply);
+                Request::Propose {
+                    payloads: more,
+                    reply,
+                } => {
+                    payloads.extend(more);
+                    replies.push((payloads.len(), reply));
                 }
                 Request::Compact { index, data } => {
                     self.step(Event::Compact { index, data });
@@ -62,17 +66,21 @@
         }
     }
 
-    fn propose(&mut self, payloads: Vec<Bytes>, replies: Vec<ProposeReply>) {
+    /// Proposes payloads; each reply is for the last of so many of them.
+    fn propose(&mut self, payloads: Vec<Bytes>, replies: Vec<(usize, ProposeReply)>) {
         let (appended, _) = self.step(Event::Propose(payloads));
         let leader = self.replica.leader().map(Identity::id);
         match appended {
             Some(Appended { first, .. }) => {
-                let waiters = replies.into_iter().map(Waiter::Proposal);
-                self.waiters.extend((first..).zip(waiters));
+                let waiters = replies.into_iter().map(|(many, reply)| {
+                    let last = first + (many as u64).saturating_sub(1);
+                    (last, Waiter::Proposal(reply))
+                });
+                self.waiters.extend(waiters);
             }
             None => replies
                 .into_iter()
-                .for_each(|reply| drop(reply.send(Err(ProposeError::NotLeader { leader })))),
+                .for_each(|(_, reply)| drop(reply.send(Err(ProposeError::NotLeader { leader })))),
         }
     }
 
--- /dev/null
+++ b/crates/masticfield-replica/tests/order.rs
@@ -0,0 +1,36 @@
+//! The order of what is proposed.
+
+use std::time::Duration;
+
+use masticfield_core::ids::ReplicaId;
+use masticfield_replica::{AppliedKind, ReplicaHandle, ReplicaOptions};
+use tempfile::TempDir;
+
+/// Time within which a single replica leads.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Load: a turn of a surge has more commands than one entry takes. What is decided after it must
+/// not come between its entries: a command that ends an executor's life would else undo the ends
+/// of its runs that were decided before.
+#[tokio::test]
+async fn payloads_that_are_proposed_together_stay_together() {
+    let dir = TempDir::new().unwrap();
+    let options = ReplicaOptions::new(ReplicaId::new(1), dir.path()).forms(true);
+    let (replica, mut applied) = ReplicaHandle::open(options).await.unwrap();
+    let mut status = replica.watch_status();
+    let leads = status.wait_for(|status| status.lease_until.is_some());
+    let leads = tokio::time::timeout(PATIENCE, leads).await;
+    assert!(leads.expect("a single replica leads").is_ok());
+    let first = replica.propose_all([1, 2, 3].map(|byte| vec![byte]));
+    let second = replica.propose(vec![4]);
+    let (first, second) = tokio::join!(first, second);
+    assert!(first.is_ok() && second.is_ok());
+    let mut order = Vec::new();
+    while order.len() < 4 {
+        let entry = applied.recv().await.unwrap();
+        if entry.kind == AppliedKind::Payload {
+            order.extend_from_slice(&entry.payload);
+        }
+    }
+    assert_eq!(order, [1, 2, 3, 4]);
+}
