feat(measure): jobs under the scheduler and three baselines; entries bounded by bytes

The emulator can fix what callers send whatever is done with it; it otherwise draws both from one source, so that orders were not comparable.

Entries of the log are also bounded by bytes: a turn with large jobs was refused as too large, and the leader stepped down. Test: a_large_turn_becomes_several_entries_in_order.

--- a/crates/masticfield-control/src/jobs/leading.rs
+++ b/crates/masticfield-control/src/jobs/leading.rs
@@ -5,15 +5,13 @@
 use futures_util::stream::FuturesOrdered;
 use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::{AskId, Effect, Leader, Reply};
-use masticfield_replica::{ProposeError, ReplicaHandle};
+use masticfield_jobs::state::encode_entries;
+use masticfield_replica::{MAX_PAYLOAD_BYTES, ProposeError, ReplicaHandle};
 
 use super::JobMetrics;
 use super::asker::Asker;
 use super::handle::EntrySession;
 
-/// Largest number of commands in one entry of the log.
-const MAX_COMMANDS: usize = 512;
-
 /// The result of a proposal.
 type Proposed = std::pin::Pin<Box<dyn Future<Output = Result<Vec<Effect>, ProposeError>> + Send>>;
 
@@ -62,11 +60,7 @@
         if turn.commands.is_empty() && turn.then.is_empty() {
             return None;
         }
-        let payloads: Vec<_> = turn
-            .commands
-            .chunks(MAX_COMMANDS)
-            .map(|commands| postcard::to_stdvec(commands).expect("commands are plain data"))
-            .collect();
+        let payloads = encode_entries(&turn.commands, MAX_PAYLOAD_BYTES);
         let (replica, then) = (replica.clone(), turn.then);
         let (metrics, proposed) = (metrics.clone(), boot_now());
         self.in_flight.push_back(Box::pin(async move {
--- a/crates/masticfield-emulator/src/day.rs
+++ b/crates/masticfield-emulator/src/day.rs
@@ -1,6 +1,7 @@
 //! What happens on a day.
 
 use masticfield_jobs::leader::Defect;
+use masticfield_jobs::schedule::JobOrder;
 
 use crate::load::Fleet;
 
@@ -17,6 +18,10 @@
     pub upkeep_ms: u64,
     /// What goes wrong.
     pub faults: Faults,
+    /// Whether callers send the same whatever is done with it, so that orders can be compared.
+    pub fixed_load: bool,
+    /// The rule by which waiting jobs get room.
+    pub order: JobOrder,
     /// A guard of the leader that is left out.
     pub defect: Option<Defect>,
 }
@@ -56,6 +61,8 @@
             length_ms: 10_000,
             settle_ms: 60_000,
             upkeep_ms: 0,
+            fixed_load: false,
+            order: JobOrder::OnTimeFirst,
             defect: None,
             faults: Faults {
                 late_orders: 0.0,
@@ -90,6 +97,20 @@
         self
     }
 
+    /// Lets callers send the same whatever is done with it.
+    #[must_use]
+    pub const fn fixed_load(mut self) -> Self {
+        self.fixed_load = true;
+        self
+    }
+
+    /// Sets the rule by which waiting jobs get room.
+    #[must_use]
+    pub const fn order(mut self, order: JobOrder) -> Self {
+        self.order = order;
+        self
+    }
+
     /// Leaves out a guard of the leader, to show that the checks notice it.
     #[must_use]
     pub const fn defect(mut self, defect: Defect) -> Self {
--- a/crates/masticfield-emulator/src/world/callers.rs
+++ b/crates/masticfield-emulator/src/world/callers.rs
@@ -3,12 +3,22 @@
 use masticfield_jobs::job::JobId;
 use masticfield_jobs::leader::{AskId, Event, Intake, IntakeKind, Refusal, Reply};
 use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
 
 use super::{Happening, LEAD_MS, World, surge};
 use crate::ledger::Sent;
 use crate::load::{QueueLoad, whole};
 
 impl World {
+    /// What decides what callers send.
+    const fn caller_rng(&mut self) -> &mut ChaCha8Rng {
+        if self.day.fixed_load {
+            &mut self.load
+        } else {
+            &mut self.rng
+        }
+    }
+
     pub(super) fn next_ask(&mut self) -> AskId {
         self.last_ask += 1;
         AskId(self.last_ask)
@@ -22,9 +32,10 @@
         }
         let queue = &self.day.fleet.queues[index];
         let rate = queue.per_s * surge(self.day.fleet.queues.len(), index, now, self.day.length_ms);
-        let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate.max(0.01) * 1_000.0;
+        let gap = -(1.0 - self.caller_rng().random::<f64>()).ln() / rate.max(0.01) * 1_000.0;
         let gap = whole(gap).clamp(1, 500);
-        let looks_only = gap == 500 && rate < 2.0 && !self.rng.random_bool((rate / 2.0).min(1.0));
+        let looks_only =
+            gap == 500 && rate < 2.0 && !self.caller_rng().random_bool((rate / 2.0).min(1.0));
         let next = if looks_only {
             Happening::LookAtRate(index)
         } else {
@@ -39,11 +50,11 @@
             return;
         }
         let queue: QueueLoad = self.day.fleet.queues[index].clone();
-        let job = JobId::new(self.rng.random());
+        let job = JobId::new(self.caller_rng().random());
         let spec = if lasting {
             QueueLoad::lasting_job()
         } else {
-            queue.job(&mut self.rng)
+            queue.job(self.caller_rng())
         };
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a job")]
         let objective = whole(spec.chain_ms() as f64 * 1.6) + 600;
@@ -61,8 +72,9 @@
             },
         );
         self.ask_of(job, index);
-        if !lasting && self.rng.random_bool(self.day.faults.cancelled_jobs) {
-            let after = self.rng.random_range(10..2_000);
+        let cancelled = self.day.faults.cancelled_jobs;
+        if !lasting && self.caller_rng().random_bool(cancelled) {
+            let after = self.caller_rng().random_range(10..2_000);
             self.later(after, Happening::Cancel(job));
         }
     }
--- a/crates/masticfield-emulator/src/world/mod.rs
+++ b/crates/masticfield-emulator/src/world/mod.rs
@@ -6,12 +6,12 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use masticfield_jobs::job::JobId;
 use masticfield_jobs::leader::{
-    AskId, Call, CallError, ClaimWatch, Defect, Effect, Event, HostOptions, Leader, LeaderOptions,
-    Moment, Turn,
+    AskId, Call, CallError, ClaimWatch, Effect, Event, HostOptions, Leader, LeaderOptions, Moment,
+    Turn,
 };
 use masticfield_jobs::state::{Command, ExecutorKey, State};
 use rand::{RngExt, SeedableRng};
@@ -114,6 +114,8 @@
 pub struct World {
     day: Day,
     rng: ChaCha8Rng,
+    /// Decides what callers send on a day with a fixed load.
+    load: ChaCha8Rng,
     now: u64,
     agenda: BTreeMap<(u64, u64), Happening>,
     last: u64,
@@ -132,6 +134,8 @@
     ledger: Ledger,
     report: Report,
     counted: u64,
+    /// Time that the leader's decisions took.
+    decided: Duration,
 }
 
 impl World {
@@ -142,15 +146,11 @@
         let content: Arc<[u8]> = Arc::from(&b"config"[..]);
         state.apply(Command::Configure { config, content });
         let claims = ClaimWatch::default();
-        let leader = Leader::new(
-            state.clone(),
-            options(day.defect),
-            claims.clone(),
-            moment(0),
-        );
+        let leader = Leader::new(state.clone(), options(&day), claims.clone(), moment(0));
         let mut world = Self {
             day,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            load: ChaCha8Rng::seed_from_u64(!seed),
             now: 0,
             agenda: BTreeMap::new(),
             last: 0,
@@ -167,13 +167,19 @@
             ledger: Ledger::default(),
             report: Report::default(),
             counted: 0,
+            decided: Duration::ZERO,
         };
         world.set_up();
         world
     }
 
     /// Plays the day.
-    pub fn play(mut self) -> Report {
+    pub fn play(self) -> Report {
+        self.play_timed().0
+    }
+
+    /// Plays the day, and tells how long the leader's decisions took on the real clock.
+    pub fn play_timed(mut self) -> (Report, Duration) {
         let end = LEAD_MS + self.day.length_ms + self.day.settle_ms;
         while let Some(((at, _), happening)) = self.agenda.pop_first() {
             if at > end {
@@ -190,7 +196,8 @@
                 self.turn();
             }
         }
-        self.finish()
+        let decided = self.decided;
+        (self.finish(), decided)
     }
 
     fn set_up(&mut self) {
@@ -307,12 +314,16 @@
     fn tell(&mut self, epoch: u64, event: Event) {
         if epoch == self.epoch {
             self.report.steps += 1;
+            let begun = Instant::now();
             self.leader.step(moment(self.now), event);
+            self.decided += begun.elapsed();
         }
     }
 
     fn turn(&mut self) {
+        let begun = Instant::now();
         let turn = self.leader.turn(moment(self.now));
+        self.decided += begun.elapsed();
         if turn == Turn::default() {
             return;
         }
@@ -389,7 +400,7 @@
         self.epoch += 1;
         self.leader = Leader::new(
             self.state.clone(),
-            options(self.day.defect),
+            options(&self.day),
             self.claims.clone(),
             moment(self.now),
         );
@@ -455,8 +466,10 @@
     }
 }
 
-fn options(defect: Option<Defect>) -> LeaderOptions {
-    let options = LeaderOptions::new(Duration::from_secs(5)).with_defect(defect);
+fn options(day: &Day) -> LeaderOptions {
+    let options = LeaderOptions::new(Duration::from_secs(5))
+        .with_defect(day.defect)
+        .order(day.order);
     options.hosts(HostOptions {
         moving: Duration::from_millis(MOVE_MS),
         upkeep: Duration::from_secs(2),
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::schedule::JobOrder;
+
 /// Time by which a host is taken to be away longer than the platform says.
 pub(super) const AWAY_MARGIN: Duration = Duration::from_millis(400);
 
@@ -18,6 +20,8 @@
     pub keep_ended: Duration,
     /// Longest time that a stop takes.
     pub stop_time: Duration,
+    /// The rule by which waiting jobs get room.
+    pub order: JobOrder,
     /// What is known of the platform's hosts, if it lets them be moved.
     pub hosts: Option<HostOptions>,
     /// A guard that is left out.
@@ -70,6 +74,7 @@
             announce_every: Duration::from_millis(1_500),
             keep_ended: Duration::from_secs(150),
             stop_time: Duration::from_millis(500),
+            order: JobOrder::OnTimeFirst,
             hosts: None,
             defect: None,
         }
@@ -90,6 +95,13 @@
         self
     }
 
+    /// Sets the rule by which waiting jobs get room.
+    #[must_use]
+    pub const fn order(mut self, order: JobOrder) -> Self {
+        self.order = order;
+        self
+    }
+
     /// Sets the time that a stop may take.
     #[must_use]
     pub const fn stop_time(mut self, time: Duration) -> Self {
--- a/crates/masticfield-jobs/src/leader/placing.rs
+++ b/crates/masticfield-jobs/src/leader/placing.rs
@@ -25,8 +25,9 @@
         };
         let any_trusted = self.any_trusted(at, usable);
         let mut candidates = self.candidates(at, first, usable, any_trusted);
-        let placed = &job.rounds[first.occurrence as usize].steps[usize::from(first.step)];
-        let mut siblings = placed.tasks.iter().flat_map(|task| &task.runs);
+        let round = &job.rounds[first.occurrence as usize];
+        let tasks_there = &round.steps[usize::from(first.step)].tasks;
+        let mut siblings = tasks_there.iter().flat_map(|task| &task.runs);
         let near = step.same_rack.then(|| siblings.next()).flatten();
         let mut near = near.and_then(|(_, key)| self.state.executor(*key)?.life.rack.as_ref());
         for (task, last_run) in tasks {
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -6,7 +6,7 @@
 use super::executor::RunPhase;
 use super::{Defect, Leader, Moment};
 use crate::job::{JobId, JobSpec, Resources, RunId, TaskId};
-use crate::schedule::{Backlog, Standing, on_time_ms, rank, standing};
+use crate::schedule::{Backlog, JobOrder, Standing, on_time_ms, rank, standing};
 use crate::state::{ExecutorKey, JobPhase, Round};
 
 impl Leader {
@@ -71,7 +71,7 @@
             Some(pending) if !pending.is_empty() => pending.iter().map(|(_, job)| *job).collect(),
             _ => return,
         };
-        let jobs = self.by_standing(at, jobs);
+        let jobs = self.in_order(at, jobs);
         let executors = self.state.executors();
         let of_pool = executors.filter(|(_, record)| record.life.pool == *pool);
         let usable: Vec<_> = of_pool.map(|(key, _)| key).collect();
@@ -119,16 +119,33 @@
         steps.any(|step| room.fit(step.reserved()))
     }
 
-    /// Puts jobs that can be on time first; the order is kept otherwise.
-    fn by_standing(&self, at: Moment, jobs: Vec<JobId>) -> Vec<JobId> {
-        let mut jobs: Vec<_> = jobs
-            .into_iter()
-            .map(|id| (self.standing(at, id), id))
-            .collect();
-        jobs.sort_by_key(|(standing, _)| *standing);
+    /// Puts jobs in the order in which they get room; ranks decide between equal ones.
+    fn in_order(&self, at: Moment, jobs: Vec<JobId>) -> Vec<JobId> {
+        let jobs = jobs.into_iter();
+        let mut jobs: Vec<_> = jobs.map(|id| (self.order_key(at, id), id)).collect();
+        jobs.sort_by_key(|(key, _)| *key);
         jobs.into_iter().map(|(_, id)| id).collect()
     }
 
+    fn order_key(&self, at: Moment, id: JobId) -> (bool, u64) {
+        let job = self.state.job(id);
+        let parts =
+            job.and_then(|job| Some((job, job.spec.as_ref()?, self.state.queue(job.queue)?)));
+        let Some((job, spec, queue)) = parts else {
+            return (true, u64::MAX);
+        };
+        let key = match self.options.order {
+            JobOrder::OnTimeFirst => return (false, self.standing(at, id) as u64),
+            JobOrder::FirstComeFirstServed => job.accepted_ms,
+            JobOrder::EarliestDeadline => job.accepted_ms + on_time_ms(spec, queue),
+            JobOrder::ShortestFirst => {
+                let left = job.rounds.iter().map(|round| chain_left_ms(spec, round));
+                left.max().unwrap_or_default()
+            }
+        };
+        (!spec.lasts(), key)
+    }
+
     pub(super) fn standing(&self, at: Moment, id: JobId) -> Standing {
         let Some(job) = self.state.job(id) else {
             return Standing::TooLate;
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod headway;
+mod job_order;
 mod lease;
 mod looks;
 mod offered;
@@ -15,6 +16,7 @@
 
 pub use admission::{Admission, Backlog, admit};
 pub use headway::{Headway, expected_end, headway};
+pub use job_order::JobOrder;
 pub use lease::{ClockReading, lease_end};
 pub use looks::look_gap;
 pub use offered::Offered;
--- a/crates/masticfield-jobs/src/state/mod.rs
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! more changes nothing.
 
 mod command;
+mod entries;
 mod executor;
 mod job;
 mod machine;
@@ -13,6 +14,7 @@
 mod wave;
 
 pub use command::{Command, EndKind};
+pub use entries::encode_entries;
 pub use executor::{ExecutorKey, ExecutorLife, ExecutorRecord};
 pub use job::{JobPhase, JobRecord, JobStatus};
 pub use machine::MachineClaim;
--- a/crates/masticfield-jobs/tests/state.rs
+++ b/crates/masticfield-jobs/tests/state.rs
@@ -3,7 +3,7 @@
 use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec, TaskId};
 use masticfield_jobs::queue::{InvalidConfig, PoolConfig, QueueConfig, QueueId, QueuesConfig};
 use masticfield_jobs::state::{
-    Command, EndKind, ExecutorKey, ExecutorLife, JobStatus, MachineClaim, State,
+    Command, EndKind, ExecutorKey, ExecutorLife, JobStatus, MachineClaim, State, encode_entries,
 };
 use rstest::rstest;
 
@@ -273,3 +273,25 @@
     assert!(state.apply(Command::Forget { before_ms: 6 }));
     assert_eq!(status(&state), None);
 }
+
+/// Load: a turn of a surge in which callers send large jobs.
+#[test]
+fn a_large_turn_becomes_several_entries_in_order() {
+    let submit = |number| Command::Submit {
+        job: JobId::new(number),
+        queue: QueueId(0),
+        spec: JobSpec {
+            payload: "x".repeat(4_000).into(),
+            steps: vec![step(1)],
+            timetable: None,
+        },
+        at_ms: 0,
+    };
+    let commands: Vec<_> = (0..600).map(submit).collect();
+    let entries = encode_entries(&commands, 1_000_000);
+    assert!(entries.iter().all(|entry| entry.len() <= 1_000_000));
+    let decoded = entries
+        .iter()
+        .flat_map(|entry| postcard::from_bytes::<Vec<Command>>(entry).unwrap());
+    assert_eq!(decoded.collect::<Vec<_>>(), commands);
+}
--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod experiment;
 pub mod fleet;
 pub mod fleet_name;
+pub mod jobs;
 pub mod path;
 pub mod routing;
 pub mod state;
