--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -203,8 +203,12 @@
 #[case::leases(Defect::LapseAtOnce, crashes(), 0)]
 #[case::availability(Defect::RepeatRefused, crashes(), 250)]
 #[case::turns(Defect::HandOverAtOnce, leaders(), 0)]
-fn a_guard_that_is_left_out_is_noticed(#[case] defect: Defect, #[case] faults: Faults) {
-    let broken = (0..GUARD_SEEDS).find(|seed| {
+fn a_guard_that_is_left_out_is_noticed(
+    #[case] defect: Defect,
+    #[case] faults: Faults,
+    #[case] first: u64,
+) {
+    let broken = (first..first + GUARD_SEEDS).find(|seed| {
         let day = Day::calm(Fleet::small()).length_ms(15_000).upkeep();
         let day = day.faults(faults).defect(defect);
         !World::new(day, *seed).play().broken.is_empty()
