fix(replica): repeat a change at a leader that is the replica to add

Cause: add and replace look the new replica up among the peers that sent a hello. A leader that is that replica itself has no hello of its own, and answered UnknownReplica for ever. Ruled out: a lost hello; the replica was a voter and led. Change: a replica finds itself as well.

--- a/crates/masticfield-replica/src/runtime/request.rs
+++ b/crates/masticfield-replica/src/runtime/request.rs
@@ -26,7 +26,7 @@
         change: MembershipChange,
         reply: ChangeReply,
     },
-    /// Looks up the identity and address of a peer that has made contact.
+    /// Looks up the identity and address of a peer that has made contact, or of this replica.
     FindPeer {
         id: ReplicaId,
         reply: oneshot::Sender<Option<(Identity, SocketAddr)>>,
@@ -59,7 +59,7 @@
                     self.step(Event::Compact { index, data });
                 }
                 Request::Change { change, reply } => self.change_members(change, reply),
-                Request::FindPeer { id, reply } => drop(reply.send(self.known_peers.find(id))),
+                Request::FindPeer { id, reply } => drop(reply.send(self.find_peer(id))),
             }
         }
         if !payloads.is_empty() {
@@ -67,6 +67,17 @@
         }
     }
 
+    /// Identity and address of a peer that has made contact, or of this replica.
+    ///
+    /// A replica is asked for itself if it leads once it has been added, and the change is repeated.
+    fn find_peer(&self, id: ReplicaId) -> Option<(Identity, SocketAddr)> {
+        let own = self.hello.borrow();
+        if own.identity.id() == id {
+            return Some((own.identity, own.address));
+        }
+        self.known_peers.find(id)
+    }
+
     /// Proposes payloads. Each reply comes with the number of payloads up to its last one.
     fn propose(&mut self, payloads: Vec<Bytes>, replies: Vec<(usize, ProposeReply)>) {
         let (appended, _) = self.step(Event::Propose(payloads));
--- a/crates/masticfield-replica/tests/group/main.rs
+++ b/crates/masticfield-replica/tests/group/main.rs
@@ -206,6 +206,28 @@
     assert_eq!(unknown, Err(MembershipChangeError::UnknownReplica));
 }
 
+/// A change whose outcome was not known may have been made, and may have made the added replica the
+/// leader that is asked to repeat it.
+#[rstest]
+#[case::addition(None)]
+#[case::replacement(Some(1))]
+#[tokio::test]
+async fn change_is_repeated_at_a_leader_that_is_the_added_replica(#[case] replaced: Option<usize>) {
+    let group = TestGroup::new(3).start_all().await;
+    let leader = group.leader().await;
+    let (handle, added) = (group.handle(leader), TestGroup::id(leader));
+    let result = match replaced {
+        None => handle.add(added).await,
+        Some(offset) => {
+            let old = TestGroup::id((leader + offset) % 3);
+            handle.replace(old, added).await
+        }
+    };
+    assert_eq!(result, Ok(()));
+    let voters = handle.members().voters().count();
+    assert_eq!(voters, 3 - usize::from(replaced.is_some()));
+}
+
 #[tokio::test]
 async fn replica_with_a_failed_disk_stops_and_reports_it() {
     let failing = Arc::new(AtomicBool::new(false));
