fix(jobs): count an upkeep that ends a later incarnation towards the cap

Cause: a request for upkeep was refused while the host was down, the host came back with a new executor, and the repeated request ended that one. Change: a refusal ends the claim; every accepted upkeep counts for its duration; a list that was requested before the upkeep began does not end it.

--- a/crates/masticfield-jobs/src/leader/host.rs
+++ b/crates/masticfield-jobs/src/leader/host.rs
@@ -17,6 +17,8 @@
     pub(super) up: bool,
     /// Time until which a move or an upkeep keeps the host away.
     pub(super) away_until: Option<Duration>,
+    /// Time at which the platform confirmed the latest move or upkeep.
+    pub(super) taken_at: Duration,
     /// Wave of the latest upkeep, until a new executor is listed.
     pub(super) upkeep_wave: Option<u64>,
     pub(super) operation: Option<HostOperation>,
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -155,6 +155,7 @@
     /// Updates the view of a host from the platform's list.
     fn update_host(&mut self, now: Moment, listed: ListedHost) {
         let claim = self.state.claims().get(&listed.name).cloned();
+        let requested = self.hosts.list_requested.unwrap_or_default();
         let view = self.hosts.views.entry(Arc::clone(&listed.name));
         let view = view.or_insert_with(|| HostView {
             pool: Arc::clone(&listed.pool),
@@ -163,6 +164,7 @@
             executor: None,
             up: false,
             away_until: None,
+            taken_at: Duration::ZERO,
             upkeep_wave: None,
             inherited: claim.as_ref().map(|(claim, _)| claim.clone()),
             // An operation that a former leader began is completed first.
@@ -175,7 +177,8 @@
             missing_lists: 0,
         });
         view.last_listed = now.monotonic;
-        if view.is_away(now.monotonic) && listed.executor == view.executor {
+        let made_before = requested <= view.taken_at || listed.executor == view.executor;
+        if view.is_away(now.monotonic) && made_before {
             // The list was made before the host went away.
             return;
         }
@@ -404,6 +407,10 @@
                     } else {
                         OperationPhase::Refused(retry_at)
                     };
+                    // The next request may end another incarnation than this one would have.
+                    self.propose(Command::Unclaim {
+                        host: Arc::clone(name),
+                    });
                 }
                 HostClaim::Move { .. } => self.abandon_operation(name),
             },
@@ -457,7 +464,12 @@
         let has_returned = current.is_some() && current != ended;
         if has_returned {
             self.set_cordoned(name, false);
-        } else if let Some(host) = self.hosts.views.get_mut(name) {
+        }
+        // An upkeep may have begun just now, also if the executor has changed since the first
+        // request, and counts towards the cap of its wave.
+        let may_be_away = !has_returned || matches!(claim, HostClaim::Upkeep { .. });
+        if let Some(host) = self.hosts.views.get_mut(name).filter(|_| may_be_away) {
+            host.taken_at = now.monotonic;
             host.away_until = Some(now.monotonic + time + AWAY_MARGIN);
         }
         if let Some(key) = ended {
