perf(jobs): plan a pool from one view of its executors

Each waiting job built its own list of candidates by tree look-ups, each decision looked at every executor of the fleet, and every job was looked up to be sorted. Change: executors are indexed by pool; one view of the usable ones serves all jobs of a pass and takes its reservations; what planning asks of a waiting job is derived once for each change of it. Also here: the decisions about relays (not used yet), and the emulator's large fleet.

--- a/crates/masticfield-emulator/src/fleet.rs
+++ b/crates/masticfield-emulator/src/fleet.rs
@@ -46,6 +46,12 @@
     pub priority: u32,
     /// Number of jobs with long-running tasks, which are submitted at the start.
     pub long_running_jobs: u32,
+    /// Number of tasks of each of these jobs.
+    pub long_running_tasks: u32,
+    /// Processor demand of each of these tasks, in thousandths of a core.
+    pub long_running_cpu_milli: u64,
+    /// Memory demand of each of these tasks, in megabytes.
+    pub long_running_memory_mb: u64,
 }
 
 impl Fleet {
@@ -62,6 +68,9 @@
             task_memory_mb: 3_000.0,
             priority: 0,
             long_running_jobs: 1,
+            long_running_tasks: 5,
+            long_running_cpu_milli: 2_600,
+            long_running_memory_mb: 9_000,
         };
         Self {
             queues: vec![queue("short", 400.0), queue("long", 900.0)],
@@ -91,6 +100,32 @@
         )
     }
 
+    /// Returns the shape of the users' large fleet: 456 hosts in four pools and 86 on standby, and
+    /// hundreds of jobs with long-running tasks.
+    pub fn large() -> Self {
+        let mut fleet = Self::with_surges(
+            [96, 108, 120, 132],
+            [37.3, 7.59, 46.5, 9.26],
+            (640.0, 1_300.0),
+            (4.5, 9.8),
+        );
+        fleet.standby_hosts = 86;
+        fleet.host_memory_mb = 65_536;
+        for queue in &mut fleet.queues {
+            queue.tasks_per_step = 8.0;
+            queue.task_memory_mb = if queue.task_ms < 1_000.0 {
+                6_000.0
+            } else {
+                13_000.0
+            };
+            queue.long_running_jobs = 50;
+            queue.long_running_tasks = 24;
+            queue.long_running_cpu_milli = 400;
+            queue.long_running_memory_mb = 800;
+        }
+        fleet
+    }
+
     fn with_surges(
         hosts: [u32; 4],
         jobs_per_s: [f64; 4],
@@ -110,6 +145,9 @@
                 task_memory_mb: if quick { 3_600.0 } else { 14_000.0 },
                 priority: u32::from(!quick),
                 long_running_jobs: 2,
+                long_running_tasks: 5,
+                long_running_cpu_milli: 2_600,
+                long_running_memory_mb: 9_000,
             }
         });
         Self {
@@ -192,15 +230,15 @@
         }
     }
 
-    /// Returns a job with five long-running tasks, of which one may be missing.
-    pub(crate) fn long_running_job() -> JobSpec {
+    /// Returns a job with long-running tasks, of which one may be missing.
+    pub(crate) fn long_running_job(&self) -> JobSpec {
         JobSpec {
             payload: "payload".into(),
             steps: vec![StepSpec {
-                count: 5,
+                count: self.long_running_tasks,
                 need: Resources {
-                    cpu_milli: 2_600,
-                    memory_mb: 9_000,
+                    cpu_milli: self.long_running_cpu_milli,
+                    memory_mb: self.long_running_memory_mb,
                     gpus: 0,
                 },
                 long_running: true,
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -64,7 +64,7 @@
         let queue: QueueLoad = self.scenario.fleet.queues[index].clone();
         let job = JobId::new(self.caller_rng().random());
         let spec = if long_running {
-            QueueLoad::long_running_job()
+            queue.long_running_job()
         } else {
             queue.job(self.caller_rng())
         };
--- a/crates/masticfield-jobs/src/job/resources.rs
+++ b/crates/masticfield-jobs/src/job/resources.rs
@@ -39,6 +39,26 @@
         }
     }
 
+    /// Returns the lower of both values of each amount.
+    #[must_use]
+    pub fn least(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
+    /// Returns the higher of both values of each amount.
+    #[must_use]
+    pub fn most(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// Multiplies each amount by `factor`, rounding up.
     #[must_use]
     #[expect(
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::executor::{ExecutorView, HoldPhase};
-use super::{Announcement, Defect, Effect, Leader, Moment, Reply, ReplyId};
+use super::{Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Reply, ReplyId};
 use crate::schedule::poll_interval;
 use crate::state::{Command, EndKind, ExecutorKey};
 
@@ -69,6 +69,10 @@
             incarnation: incarnation.clone(),
         });
         self.key_by_id.insert(Arc::clone(&incarnation.id), key);
+        self.pool_executors
+            .entry(Arc::clone(&incarnation.pool))
+            .or_default()
+            .insert(key);
         let mut view = ExecutorView::new(Duration::ZERO);
         view.cordoned = self.has_operation(&incarnation.id);
         self.executors.insert(key, view);
@@ -104,6 +108,29 @@
         }
     }
 
+    /// Records a sign of life of an executor that is known; others announce themselves in full soon.
+    pub(super) fn on_repeated_announcement(
+        &mut self,
+        now: Moment,
+        announcement: &BriefAnnouncement,
+    ) {
+        let Some(key) = self.key_by_id.get(&announcement.id).copied() else {
+            return;
+        };
+        let record = self.state.executor(key);
+        if record.is_none_or(|record| record.incarnation.started_ms != announcement.started_ms) {
+            return;
+        }
+        if let Some(view) = self.executors.get_mut(&key)
+            && view.last_announced.is_some()
+            && announcement.sequence > view.sequence
+        {
+            view.last_announced = Some(now.monotonic);
+            view.sequence = announcement.sequence;
+            view.record_clock(now.monotonic, announcement.clock_ms);
+        }
+    }
+
     pub(super) fn on_left(&mut self, now: Moment, reply_to: ReplyId, id: &Arc<str>) {
         if let Some(key) = self.key_by_id.get(id).copied()
             && let Some(view) = self.executors.get_mut(&key)
@@ -133,6 +160,9 @@
             at_ms: now.wall_ms,
         });
         self.executors.remove(&key);
+        if let Some(executors) = self.pool_executors.get_mut(&pool) {
+            executors.remove(&key);
+        }
         if self.key_by_id.get(&id) == Some(&key) {
             self.key_by_id.remove(&id);
         }
--- a/crates/masticfield-jobs/src/leader/decision.rs
+++ b/crates/masticfield-jobs/src/leader/decision.rs
@@ -58,7 +58,7 @@
 }
 
 /// A call to an executor.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Call {
     /// Starts a run.
     Start {
--- a/crates/masticfield-jobs/src/leader/event.rs
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::job::{Resources, RunId};
 use crate::queue::QueuesConfig;
 use crate::state::{EndKind, ExecutorIncarnation, ExecutorKey, HostClaim, WaveOrder};
@@ -45,6 +47,8 @@
         /// What the executor announces.
         announcement: Announcement,
     },
+    /// An executor has announced itself again without a change.
+    AnnouncedAgain(BriefAnnouncement),
     /// An executor reports that it is about to end.
     Left {
         /// Identifier of the pending reply.
@@ -151,7 +155,7 @@
 }
 
 /// Periodic announcement of an executor.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Incarnation that sends the announcement.
     pub incarnation: ExecutorIncarnation,
@@ -163,8 +167,21 @@
     pub leaving: bool,
 }
 
+/// What differs between an announcement of an executor and an unchanged earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BriefAnnouncement {
+    /// Identifier of the executor.
+    pub id: Arc<str>,
+    /// Start time of the incarnation; see [`ExecutorIncarnation::started_ms`].
+    pub started_ms: u64,
+    /// Number of the announcement; rises within an incarnation.
+    pub sequence: u64,
+    /// The executor's clock, in milliseconds.
+    pub clock_ms: u64,
+}
+
 /// Runs and ends on an executor, as it reports them in answer to a hold.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HoldReport {
     /// The executor's clock, in milliseconds.
     pub clock_ms: u64,
@@ -178,7 +195,7 @@
 }
 
 /// A run in an executor's report.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListedRun {
     /// Identifier of the run.
     pub run: RunId,
@@ -192,7 +209,7 @@
 }
 
 /// The end of a run in an executor's report.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListedEnd {
     /// Number of the end; rises within an incarnation.
     pub number: u64,
@@ -205,7 +222,7 @@
 }
 
 /// Why a call to an executor was not carried out, as far as is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallError {
     /// The outcome is unknown; the call may still be carried out later.
     Unknown,
@@ -216,7 +233,7 @@
 }
 
 /// Why an executor rejects a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Rejection {
     /// The executor has seen a call with a higher fence.
     Fence,
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -36,6 +36,8 @@
     pub(super) runs: BTreeMap<RunId, RunView>,
     /// Resources that these runs reserve.
     pub(super) used: Resources,
+    /// Resources that the long-running ones of these runs reserve.
+    pub(super) long_running_used: Resources,
     /// Number of these runs that are long-running and not best-effort.
     pub(super) serving: u32,
     /// Number of these runs that are best-effort.
@@ -110,6 +112,7 @@
             acknowledged: 0,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            long_running_used: Resources::default(),
             serving: 0,
             best_effort: 0,
             unknown_runs: BTreeMap::new(),
@@ -132,6 +135,9 @@
     /// Adds a run and the resources that it reserves.
     pub(super) fn add_run(&mut self, run: RunId, view: RunView) {
         self.used = self.used.saturating_add(view.reserved);
+        if view.long_running {
+            self.long_running_used = self.long_running_used.saturating_add(view.reserved);
+        }
         self.serving += u32::from(view.long_running && !view.best_effort);
         self.best_effort += u32::from(view.best_effort);
         self.runs.insert(run, view);
@@ -141,6 +147,9 @@
     pub(super) fn remove_run(&mut self, run: RunId) -> Option<RunView> {
         let view = self.runs.remove(&run)?;
         self.used = self.used.saturating_sub(view.reserved);
+        if view.long_running {
+            self.long_running_used = self.long_running_used.saturating_sub(view.reserved);
+        }
         self.serving -= u32::from(view.long_running && !view.best_effort);
         self.best_effort -= u32::from(view.best_effort);
         Some(view)
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -1,11 +1,12 @@
 //! The leader: state, event dispatch and periodic checks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::executor::{ExecutorView, RunPhase, RunView};
 use super::hosts::Hosts;
+use super::pending_job::PendingJob;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::RouteTable;
@@ -31,8 +32,10 @@
     pub(super) key_by_id: BTreeMap<Arc<str>, ExecutorKey>,
     /// Jobs with tasks that are ready to start, by pool.
     pub(super) pending: BTreeMap<Arc<str>, BTreeSet<(Rank, JobId)>>,
-    /// Pool and rank of each job in `pending`.
-    pub(super) ranks: BTreeMap<JobId, (Arc<str>, Rank)>,
+    /// Each job in `pending`.
+    pub(super) pending_jobs: HashMap<JobId, PendingJob>,
+    /// Executors of each pool.
+    pub(super) pool_executors: BTreeMap<Arc<str>, BTreeSet<ExecutorKey>>,
     /// Due times of future occurrences, in milliseconds since the Unix epoch, with their jobs.
     pub(super) upcoming: BTreeSet<(u64, JobId)>,
     /// Pools to plan again with the next decision.
@@ -61,7 +64,8 @@
             executors: BTreeMap::new(),
             key_by_id: BTreeMap::new(),
             pending: BTreeMap::new(),
-            ranks: BTreeMap::new(),
+            pending_jobs: HashMap::new(),
+            pool_executors: BTreeMap::new(),
             upcoming: BTreeSet::new(),
             changed_pools: BTreeSet::new(),
             decision: Decision::default(),
@@ -82,6 +86,11 @@
         &self.state
     }
 
+    /// Returns the number of executors that the leader knows.
+    pub fn executor_count(&self) -> usize {
+        self.executors.len()
+    }
+
     /// Processes an event; its consequences are part of the next decision.
     pub fn handle(&mut self, now: Moment, event: Event) {
         match event {
@@ -91,6 +100,9 @@
                 reply_to,
                 announcement,
             } => self.on_announcement(now, reply_to, &announcement),
+            Event::AnnouncedAgain(announcement) => {
+                self.on_repeated_announcement(now, &announcement)
+            }
             Event::Left { reply_to, id } => self.on_left(now, reply_to, &id),
             Event::Wave { reply_to, order } => self.on_wave(now, reply_to, order),
             Event::HostList { hosts } => self.on_host_list(now, hosts),
@@ -157,7 +169,8 @@
 
     pub(super) fn on_config_change(&mut self, now: Moment) {
         self.load_routes();
-        let jobs: Vec<_> = self.ranks.keys().copied().collect();
+        let mut jobs: Vec<_> = self.pending_jobs.keys().copied().collect();
+        jobs.sort_unstable();
         for job in jobs {
             self.update_pending(now, job);
         }
@@ -183,6 +196,10 @@
             let runs: Vec<_> = record.runs.iter().copied().collect();
             self.key_by_id
                 .insert(Arc::clone(&record.incarnation.id), key);
+            self.pool_executors
+                .entry(Arc::clone(&record.incarnation.pool))
+                .or_default()
+                .insert(key);
             let mut view = ExecutorView::new(former_leases_end);
             for run in runs {
                 view.add_run(run, self.new_run_view(now, run, RunPhase::Inherited));
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -18,9 +18,11 @@
 mod leader;
 mod options;
 mod orders;
+mod pending_job;
 mod placement;
 mod plan;
 mod pool_stats;
+mod pool_view;
 mod pools;
 mod reads;
 mod track;
@@ -29,8 +31,8 @@
 pub use claim_watch::ClaimWatch;
 pub use decision::{Call, Decision, Effect, Refusal, Reply};
 pub use event::{
-    Announcement, CallError, Event, HoldReport, HostError, ListedEnd, ListedHost, ListedRun,
-    Moment, Rejection,
+    Announcement, BriefAnnouncement, CallError, Event, HoldReport, HostError, ListedEnd,
+    ListedHost, ListedRun, Moment, Rejection,
 };
 pub use intake::{JobRequest, JobRequestKind, ReplyId};
 pub use leader::Leader;
--- a/crates/masticfield-jobs/src/leader/placement.rs
+++ b/crates/masticfield-jobs/src/leader/placement.rs
@@ -1,7 +1,9 @@
 //! Placement of a step's tasks on executors.
 
-use super::{Defect, Leader, Moment};
-use crate::job::{Resources, StepSpec, TaskId};
+use super::Leader;
+use super::Moment;
+use super::pool_view::{PoolView, Slot};
+use crate::job::{StepSpec, TaskId};
 use crate::schedule::{Candidate, PlacementRequest, ReliabilityStatus, choose};
 use crate::state::{ExecutorKey, JobRecord};
 
@@ -9,50 +11,54 @@
 pub(super) type Placement = (TaskId, u32, ExecutorKey);
 
 impl Leader {
-    /// Chooses executors for tasks of one step, as far as there is free capacity.
-    ///
-    /// The tasks are identical, so the candidates are collected once and updated with each task. In
-    /// a surge there are thousands of tasks a second and hundreds of candidates.
+    /// Chooses executors for tasks of one step, as far as there is free capacity, and reserves the
+    /// tasks' resources in the view.
     pub(super) fn place_tasks(
         &self,
         now: Moment,
         tasks: &[(TaskId, u32)],
-        usable: &[ExecutorKey],
+        pool: &mut PoolView,
     ) -> Vec<Placement> {
         let mut placements = Vec::with_capacity(tasks.len());
         let Some((first, job, step)) = self.step_of(tasks) else {
             return placements;
         };
-        let any_reliable = self.any_reliable(now, usable);
-        let mut candidates = self.candidates(now, first, usable, any_reliable);
         let occurrence = &job.occurrences[first.occurrence as usize];
         let step_tasks = &occurrence.steps[usize::from(first.step)].tasks;
-        let mut siblings = step_tasks.iter().flat_map(|task| &task.runs);
-        let near_rack = step.same_rack.then(|| siblings.next()).flatten();
+        let mut siblings: Vec<_> = step_tasks
+            .iter()
+            .flat_map(|task| &task.runs)
+            .map(|(_, executor)| *executor)
+            .collect();
+        let near = siblings.first().filter(|_| step.same_rack);
         let mut near_rack =
-            near_rack.and_then(|(_, key)| self.state.executor(*key)?.incarnation.rack.as_ref());
+            near.and_then(|key| self.state.executor(*key)?.incarnation.rack.clone());
         for (task, last_run) in tasks {
             let has_failed = job.task(*task).is_some_and(|task| task.failures > 0);
             let avoided_executor = self.avoided_executor(now, *task);
-            let fitting = candidates.iter().filter(|(candidate, status)| {
-                let excluded = has_failed && any_reliable && *status != ReliabilityStatus::Good;
-                avoided_executor != Some(candidate.key) && !excluded
+            let fitting = pool.slots.iter().filter(|slot| {
+                let excluded =
+                    has_failed && pool.any_reliable && slot.status != ReliabilityStatus::Good;
+                avoided_executor != Some(slot.key) && !excluded
             });
-            let fitting = fitting.map(|(candidate, _)| *candidate);
-            let Some(key) = choose(PlacementRequest { step, near_rack }, fitting) else {
+            let fitting = fitting.map(|slot| self.candidate(slot, step, &siblings));
+            let request = PlacementRequest {
+                step,
+                near_rack: near_rack.as_ref(),
+            };
+            let Some(key) = choose(request, fitting) else {
                 if has_failed {
                     // Tasks that have not failed may still use executors that this one avoids.
                     continue;
                 }
                 break;
             };
-            let index = candidates.iter().position(|(other, _)| other.key == key);
-            if let Some(index) = index {
-                if step.same_rack && near_rack.is_none() {
-                    near_rack = candidates[index].0.rack;
-                }
-                reserve(&mut candidates, index, step, self.options.defect);
+            if step.same_rack && near_rack.is_none() {
+                let slot = pool.slots.iter().find(|slot| slot.key == key);
+                near_rack = slot.and_then(|slot| slot.rack.clone());
             }
+            siblings.push(key);
+            pool.reserve(key, step, self.options.defect);
             placements.push((*task, *last_run, key));
         }
         placements
@@ -66,70 +72,29 @@
         Some((first, job, step))
     }
 
-    /// Returns the usable executors that may run tasks of the same step as `task`, with their
-    /// reliability.
-    fn candidates(
-        &self,
-        now: Moment,
-        task: TaskId,
-        usable: &[ExecutorKey],
-        any_reliable: bool,
-    ) -> Vec<(Candidate<'_>, ReliabilityStatus)> {
-        let job = self.state.job(task.job);
-        let occurrence = job.and_then(|job| job.occurrences.get(task.occurrence as usize));
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(task.step)));
-        let siblings = step.into_iter().flat_map(|step| &step.tasks);
-        let siblings: Vec<_> = siblings.flat_map(|task| &task.runs).collect();
-        let ignore_used = self.options.defect == Some(Defect::PlaceWithoutCapacity);
-        let candidates = usable.iter().filter_map(|key| {
-            let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
-            if !view.allows_start(now.monotonic, false, any_reliable) {
-                return None;
-            }
-            let used = if ignore_used {
-                Resources::default()
-            } else {
-                view.used
-            };
-            let present = siblings.iter().filter(|(_, executor)| executor == key);
-            let candidate = Candidate {
-                key: *key,
-                free: record.incarnation.capacity.saturating_sub(used),
-                labels: &record.incarnation.labels,
-                rack: record.incarnation.rack.as_ref(),
-                siblings: u32::try_from(present.count()).unwrap_or(u32::MAX),
-                serving: view.serving,
-                best_effort: view.best_effort,
-            };
-            Some((candidate, view.reliability.status(now.monotonic)))
+    /// Returns an executor as a candidate for a task; `siblings` are the executors of the other
+    /// tasks of its step.
+    fn candidate<'a>(
+        &'a self,
+        slot: &'a Slot,
+        step: &StepSpec,
+        siblings: &[ExecutorKey],
+    ) -> Candidate<'a> {
+        // Looked up only where the choice depends on them.
+        let labels = step.label.as_ref().and_then(|_| {
+            let record = self.state.executor(slot.key)?;
+            Some(record.incarnation.labels.as_slice())
         });
-        candidates.collect()
-    }
-
-    /// Returns whether any of the executors is in good standing.
-    pub(super) fn any_reliable(&self, now: Moment, usable: &[ExecutorKey]) -> bool {
-        let views = usable.iter().filter_map(|key| self.executors.get(key));
-        let mut statuses = views.map(|view| view.reliability.status(now.monotonic));
-        statuses.any(|status| status == ReliabilityStatus::Good)
-    }
-}
-
-/// Reserves a task's resources on a candidate. A candidate on probation is removed, as it gets no
-/// second task.
-fn reserve(
-    candidates: &mut Vec<(Candidate<'_>, ReliabilityStatus)>,
-    index: usize,
-    step: &StepSpec,
-    defect: Option<Defect>,
-) {
-    let (candidate, status) = &mut candidates[index];
-    if defect != Some(Defect::PlaceWithoutCapacity) {
-        candidate.free = candidate.free.saturating_sub(step.reserved());
-    }
-    candidate.siblings += 1;
-    candidate.serving += u32::from(step.long_running && !step.best_effort);
-    candidate.best_effort += u32::from(step.best_effort);
-    if *status != ReliabilityStatus::Good && !step.long_running {
-        candidates.remove(index);
+        let spreads = step.long_running || step.best_effort || step.max_per_executor.is_some();
+        let present = siblings.iter().filter(|key| spreads && **key == slot.key);
+        Candidate {
+            key: slot.key,
+            free: slot.free,
+            labels: labels.unwrap_or_default(),
+            rack: slot.rack.as_ref(),
+            siblings: u32::try_from(present.count()).unwrap_or(u32::MAX),
+            serving: slot.serving,
+            best_effort: slot.best_effort,
+        }
     }
 }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -1,59 +1,57 @@
 //! Planning: which tasks start next, and the backlog that they form.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::executor::RunPhase;
+use super::pending_job::{PendingJob, remaining_path_ms};
+use super::pool_view::PoolView;
 use super::{Defect, Leader, Moment};
-use crate::job::{JobId, JobSpec, Resources, RunId, TaskId};
-use crate::schedule::{Backlog, JobOrder, Timeliness, on_time_ms, rank, timeliness};
-use crate::state::{ExecutorKey, JobPhase, OccurrenceRecord};
+use crate::job::{JobId, Resources, RunId, TaskId};
+use crate::schedule::{Backlog, JobOrder, Timeliness, on_time_ms};
+use crate::state::{ExecutorKey, JobPhase};
 
 impl Leader {
     /// Updates whether and where a job is in the pending jobs of its pool.
     pub(super) fn update_pending(&mut self, now: Moment, id: JobId) {
-        let entry = self.pending_rank(now, id);
-        let current = self.ranks.get(&id);
-        if current == entry.as_ref() {
-            return;
-        }
-        if let Some((pool, rank)) = self.ranks.remove(&id)
-            && let Some(pending) = self.pending.get_mut(&pool)
-        {
-            pending.remove(&(rank, id));
+        let entry = self.pending_job(now, id);
+        let previous = self.pending_jobs.remove(&id);
+        let key = |job: &PendingJob| (Arc::clone(&job.pool), job.rank);
+        if previous.as_ref().map(key) != entry.as_ref().map(key) {
+            if let Some(job) = previous
+                && let Some(pending) = self.pending.get_mut(&job.pool)
+            {
+                pending.remove(&(job.rank, id));
+            }
+            if let Some(job) = &entry {
+                let pending = self.pending.entry(Arc::clone(&job.pool)).or_default();
+                pending.insert((job.rank, id));
+                self.changed_pools.insert(Arc::clone(&job.pool));
+            }
         }
-        if let Some((pool, rank)) = entry {
-            let pending = self.pending.entry(Arc::clone(&pool)).or_default();
-            pending.insert((rank, id));
-            self.changed_pools.insert(Arc::clone(&pool));
-            self.ranks.insert(id, (pool, rank));
+        if let Some(job) = entry {
+            self.pending_jobs.insert(id, job);
         }
     }
 
-    /// Returns the pool and rank of a job, or `None` if no task of it is ready to start.
-    fn pending_rank(
-        &mut self,
-        now: Moment,
-        id: JobId,
-    ) -> Option<(Arc<str>, crate::schedule::Rank)> {
+    /// Returns what planning needs to know of a job, or `None` if no task of it is ready to start.
+    fn pending_job(&mut self, now: Moment, id: JobId) -> Option<PendingJob> {
         let job = self.state.job(id)?;
         let spec = job.spec.as_ref().filter(|_| job.phase == JobPhase::Open)?;
         let queue = self.state.queue(job.queue)?;
-        let mut startable = false;
-        for (occurrence_index, occurrence) in (0..).zip(&job.occurrences) {
-            let due = spec.due_ms(occurrence_index);
-            if let Some(due) = due.filter(|due| *due > now.wall_ms) {
-                self.upcoming.insert((due, id));
-                break;
-            }
-            let mut steps = spec.steps.iter().zip(&occurrence.steps);
-            startable |= steps.any(|(step, record)| {
-                record.remaining > 0
-                    && occurrence.is_ready(step)
-                    && record.waiting().next().is_some()
-            });
+        let due = (0..).zip(&job.occurrences).map_while(|(occurrence, _)| {
+            let due = spec.due_ms(occurrence);
+            due.is_none_or(|due| due <= now.wall_ms).then_some(())
+        });
+        let due_count = due.count();
+        if due_count < job.occurrences.len()
+            && let Some(due) = u32::try_from(due_count)
+                .ok()
+                .and_then(|next| spec.due_ms(next))
+        {
+            self.upcoming.insert((due, id));
         }
-        startable.then(|| (Arc::clone(&queue.pool), rank(spec, queue, job.accepted_ms)))
+        PendingJob::new(job, spec, queue, due_count)
     }
 
     /// Updates the jobs whose next occurrence has become due.
@@ -74,26 +72,19 @@
     }
 
     fn plan_pool(&mut self, now: Moment, pool: &Arc<str>) {
-        let jobs: Vec<_> = match self.pending.get(pool) {
-            Some(pending) if !pending.is_empty() => pending.iter().map(|(_, job)| *job).collect(),
-            _ => return,
-        };
-        let jobs = self.sort_jobs(now, jobs);
-        let executors = self.state.executors();
-        let of_pool = executors.filter(|(_, record)| record.incarnation.pool == *pool);
-        let usable: Vec<_> = of_pool.map(|(key, _)| key).collect();
-        let usable: Vec<_> = usable
-            .into_iter()
-            .filter(|key| self.is_usable(now, *key))
-            .collect();
-        let mut max_free = self.max_free(now, &usable);
-        for job in jobs {
-            if !self.may_fit(job, max_free) {
-                continue;
-            }
-            if self.plan_job(now, job, &usable) {
+        if self.pending.get(pool).is_none_or(BTreeSet::is_empty) {
+            return;
+        }
+        let usable = self.usable_executors(now, pool);
+        let mut view = self.pool_view(now, &usable);
+        let mut max_free = view.max_free();
+        let pending = self.pending.get(pool).into_iter().flatten();
+        let jobs = pending.map(|(_, job)| *job);
+        let jobs: Vec<_> = jobs.filter(|job| self.may_fit(*job, max_free)).collect();
+        for job in self.sort_jobs(now, jobs) {
+            if self.may_fit(job, max_free) && self.plan_job(now, job, &mut view) {
                 self.update_pending(now, job);
-                max_free = self.max_free(now, &usable);
+                max_free = view.max_free();
             }
         }
         for key in usable {
@@ -101,30 +92,12 @@
         }
     }
 
-    /// Returns, for each resource, the largest free amount on any one executor.
-    fn max_free(&self, now: Moment, usable: &[ExecutorKey]) -> Resources {
-        let any_reliable = self.any_reliable(now, usable);
-        let free = usable.iter().filter_map(|key| {
-            let (record, view) = (self.state.executor(*key)?, self.executors.get(key)?);
-            if !view.allows_start(now.monotonic, false, any_reliable) {
-                return None;
-            }
-            Some(record.incarnation.capacity.saturating_sub(view.used))
-        });
-        free.fold(Resources::default(), |most, free| Resources {
-            cpu_milli: most.cpu_milli.max(free.cpu_milli),
-            memory_mb: most.memory_mb.max(free.memory_mb),
-            gpus: most.gpus.max(free.gpus),
-        })
-    }
-
-    /// Returns whether a task of the job may fit on any executor.
+    /// Returns whether a task of a pending job may fit on any executor.
     ///
     /// A cheap check that spares planning most jobs in a surge.
     fn may_fit(&self, id: JobId, max_free: Resources) -> bool {
-        let spec = self.state.job(id).and_then(|job| job.spec.as_ref());
-        let mut steps = spec.into_iter().flat_map(|spec| &spec.steps);
-        steps.any(|step| max_free.covers(step.reserved()))
+        let job = self.pending_jobs.get(&id);
+        job.is_some_and(|job| max_free.covers(job.least_need))
     }
 
     /// Sorts jobs, given by rank, in the configured order; the sort keeps the rank between equal
@@ -137,6 +110,9 @@
     }
 
     fn sort_key(&self, now: Moment, id: JobId) -> (bool, u64) {
+        if self.options.order == JobOrder::OnTimeFirst {
+            return (false, self.timeliness_of(now, id) as u64);
+        }
         let job = self.state.job(id);
         let parts =
             job.and_then(|job| Some((job, job.spec.as_ref()?, self.state.queue(job.queue)?)));
@@ -144,8 +120,6 @@
             return (true, u64::MAX);
         };
         let key = match self.options.order {
-            JobOrder::OnTimeFirst => return (false, self.timeliness_of(now, id) as u64),
-            JobOrder::FirstComeFirstServed => job.accepted_ms,
             JobOrder::EarliestDeadline => job.accepted_ms + on_time_ms(spec, queue),
             JobOrder::ShortestFirst => {
                 let left = job
@@ -154,42 +128,29 @@
                     .map(|occurrence| remaining_path_ms(spec, occurrence));
                 left.max().unwrap_or_default()
             }
+            JobOrder::OnTimeFirst | JobOrder::FirstComeFirstServed => job.accepted_ms,
         };
         (!spec.is_long_running(), key)
     }
 
-    /// Returns whether a job can still be on time if its remaining tasks start now.
+    /// Returns whether a pending job can still be on time if its remaining tasks start now.
     pub(super) fn timeliness_of(&self, now: Moment, id: JobId) -> Timeliness {
-        let Some(job) = self.state.job(id) else {
-            return Timeliness::TooLate;
-        };
-        let (Some(spec), Some(queue)) = (&job.spec, self.state.queue(job.queue)) else {
-            return Timeliness::TooLate;
-        };
-        if spec.is_long_running() || spec.timetable.is_some() {
-            return Timeliness::OnTime;
-        }
-        let waited = now.wall_ms.saturating_sub(job.accepted_ms);
-        let left = job
-            .occurrences
-            .iter()
-            .map(|occurrence| remaining_path_ms(spec, occurrence));
-        let left = left.max().unwrap_or_default();
-        timeliness(on_time_ms(spec, queue), waited, left)
+        let job = self.pending_jobs.get(&id);
+        job.map_or(Timeliness::TooLate, |job| job.timeliness(now.wall_ms))
     }
 
     /// Starts the tasks of a job that can start; returns whether any did.
-    fn plan_job(&mut self, now: Moment, id: JobId, usable: &[ExecutorKey]) -> bool {
+    fn plan_job(&mut self, now: Moment, id: JobId, pool: &mut PoolView) -> bool {
         let mut any = false;
         for gang in self.startable_gangs(now, id) {
-            any |= self.start_gang(now, &gang, usable);
+            any |= self.start_gang(now, &gang, pool);
         }
         let startable = self.startable_tasks(now, id);
         let same_step = |(a, _): &(TaskId, u32), (b, _): &(TaskId, u32)| {
             (a.occurrence, a.step) == (b.occurrence, b.step)
         };
         for tasks in startable.chunk_by(same_step) {
-            for (task, last_run, executor) in self.place_tasks(now, tasks, usable) {
+            for (task, last_run, executor) in self.place_tasks(now, tasks, pool) {
                 self.place(now, task.run(last_run + 1), executor);
                 any = true;
             }
@@ -222,9 +183,11 @@
     }
 
     /// Starts all tasks of a gang with the same run number, or none of them.
-    fn start_gang(&mut self, now: Moment, gang: &[(TaskId, u32)], usable: &[ExecutorKey]) -> bool {
-        let placements = self.place_tasks(now, gang, usable);
+    fn start_gang(&mut self, now: Moment, gang: &[(TaskId, u32)], pool: &mut PoolView) -> bool {
+        let before = pool.clone();
+        let placements = self.place_tasks(now, gang, pool);
         if placements.len() < gang.len() {
+            *pool = before;
             return false;
         }
         let last = gang.iter().map(|(_, last)| *last).max().unwrap_or_default();
@@ -324,22 +287,18 @@
     /// Returns the work that waits in a pool ahead of a new job, and the cores to process it.
     pub(super) fn backlog(&self, now: Moment, pool: &Arc<str>) -> Backlog {
         let mut cores = 0.0;
-        for (key, record) in self.state.executors() {
-            if record.incarnation.pool != *pool || record.leaving {
+        for key in self.pool_executors.get(pool).into_iter().flatten() {
+            let record = self.state.executor(*key).filter(|record| !record.leaving);
+            let Some(record) = record else {
                 continue;
-            }
-            let view = self.executors.get(&key);
-            let long_running = view.into_iter().flat_map(|view| view.runs.values());
-            let long_running = long_running.filter(|run| run.long_running);
-            let reserved = long_running.map(|run| run.reserved);
-            let reserved = reserved.fold(Resources::default(), Resources::saturating_add);
+            };
+            let view = self.executors.get(key);
+            let reserved = view.map_or(Resources::default(), |view| view.long_running_used);
             cores += record.incarnation.capacity.saturating_sub(reserved).cores();
         }
-        let mut work = 0.0;
         let pending = self.pending.get(pool).into_iter().flatten();
-        for (_, id) in pending {
-            work += self.remaining_work(*id);
-        }
+        let jobs = pending.filter_map(|(_, id)| self.pending_jobs.get(id));
+        let work = jobs.map(|job| job.work).sum();
         let incoming = self.incoming_cores(now, pool);
         Backlog {
             work,
@@ -347,44 +306,4 @@
             incoming,
         }
     }
-
-    /// Returns the estimated work of a job's waiting tasks, in core-seconds; 0 for long-running
-    /// jobs.
-    fn remaining_work(&self, id: JobId) -> f64 {
-        let Some(job) = self.state.job(id) else {
-            return 0.0;
-        };
-        let Some(spec) = job.spec.as_ref().filter(|spec| !spec.is_long_running()) else {
-            return 0.0;
-        };
-        let steps = job
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| spec.steps.iter().zip(&occurrence.steps));
-        steps
-            .map(|(step, record)| {
-                let waiting = u32::try_from(record.waiting().count()).unwrap_or(u32::MAX);
-                let time = Duration::from_millis(step.estimate_ms).as_secs_f64();
-                f64::from(waiting) * time * step.need.cores()
-            })
-            .sum()
-    }
-}
-
-/// Returns the estimated time of the longest chain of steps that are not done, in milliseconds.
-///
-/// A step counts half once none of its tasks waits to start.
-fn remaining_path_ms(spec: &JobSpec, occurrence: &OccurrenceRecord) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for (step, record) in spec.steps.iter().zip(&occurrence.steps) {
-        let dependencies = step.depends_on.iter();
-        let starts = dependencies.filter_map(|dependency| ends.get(usize::from(*dependency)));
-        let time = match (record.remaining, record.waiting().next()) {
-            (0, _) => 0,
-            (_, Some(_)) => step.estimate_ms,
-            (_, None) => step.estimate_ms / 2,
-        };
-        ends.push(starts.max().copied().unwrap_or_default() + time);
-    }
-    ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -9,7 +9,7 @@
 use super::{Leader, Moment};
 use crate::job::{JobSpec, Resources};
 use crate::queue::QueueId;
-use crate::schedule::{PoolLoad, ReliabilityStatus, Timeliness, required_hosts, residual_demand};
+use crate::schedule::{PoolLoad, ReliabilityStatus, Timeliness, required_hosts};
 use crate::state::HostClaim;
 
 /// Time for which a pool keeps surplus hosts before it releases them to standby. Releasing a host
@@ -133,44 +133,17 @@
     /// Returns the demand of a pool's jobs.
     fn pool_load(&self, now: Moment, pool: &Arc<str>) -> PoolLoad {
         let mut load = PoolLoad::default();
-        for (key, record) in self.state.executors() {
-            if record.incarnation.pool == *pool
-                && let Some(view) = self.executors.get(&key)
-            {
+        for key in self.pool_executors.get(pool).into_iter().flatten() {
+            if let Some(view) = self.executors.get(key) {
                 load.running = load.running.saturating_add(view.used);
             }
         }
         let pending = self.pending.get(pool).into_iter().flatten();
-        for (_, id) in pending {
-            let Some(job) = self.state.job(*id) else {
-                continue;
-            };
-            // Additional hosts do not help a job that is late anyway.
-            if self.timeliness_of(now, *id) != Timeliness::OnTime {
-                continue;
-            }
-            let Some(spec) = &job.spec else {
-                continue;
-            };
-            for occurrence in &job.occurrences {
-                for (step, record) in spec.steps.iter().zip(&occurrence.steps) {
-                    if record.remaining == 0 || !occurrence.is_ready(step) {
-                        continue;
-                    }
-                    let waiting = record.waiting().count();
-                    let share = if step.long_running {
-                        1.0
-                    } else {
-                        residual_demand(step.estimate_ms)
-                    };
-                    #[expect(clippy::cast_precision_loss, reason = "tasks of a step")]
-                    let need = step.reserved().scaled(waiting as f64 * share);
-                    load.waiting = load.waiting.saturating_add(need);
-                    if let Some(most) = step.max_per_executor {
-                        load.spread_hosts = load.spread_hosts.max(step.count.div_ceil(most.max(1)));
-                    }
-                }
-            }
+        let jobs = pending.filter_map(|(_, id)| self.pending_jobs.get(id));
+        // Additional hosts do not help a job that is late anyway.
+        for job in jobs.filter(|job| job.timeliness(now.wall_ms) == Timeliness::OnTime) {
+            load.waiting = load.waiting.saturating_add(job.demand);
+            load.spread_hosts = load.spread_hosts.max(job.spread_hosts);
         }
         let offered = self.offered_load.get(pool);
         load.offered_cores = offered.map_or(0.0, |offered| offered.forecast(now.monotonic));
--- a/crates/masticfield-jobs/src/lib.rs
+++ b/crates/masticfield-jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`state::State`] is the replicated state. It changes only by [`state::Command`]s.
 //! - [`leader::Leader`] runs on the leading replica. It turns events into commands to commit and
 //!   effects to carry out after the commit.
+//! - [`relay`] lets entries carry the leader's calls to executors.
 //! - [`schedule`] holds the scheduling rules: job order, placement, pool sizes, admission and
 //!   executor health.
 //!
@@ -21,5 +22,6 @@
 pub mod leader;
 pub mod protocol;
 pub mod queue;
+pub mod relay;
 pub mod schedule;
 pub mod state;
