feat(control,entry): call executors through entries

Cause: with 542 executors the leading replica made every HTTP exchange itself, about 240 us a task, while the processors of 97 entries stood idle. Ruled out: cheaper calls from the leader alone (a share of the cost is the exchange itself). A lost or silent relay makes results unknown. Announcements go to the relay, which passes on what changed. A leader sends nothing once its lease has run out. The entry's link also lost the limits of requests if they came in one frame with the group; it reads them now.

--- a/crates/masticfield-control/src/jobs/entries.rs
+++ b/crates/masticfield-control/src/jobs/entries.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use masticfield_core::clock::boot_now;
+use masticfield_jobs::leader::Event;
 use masticfield_jobs::protocol::{FromEntry, ToEntry};
 use masticfield_wire::{Connection, FrameReader, FrameWriter, WireError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 
 use super::JobControlHandle;
-use super::handle::{EntrySession, Input, Request};
+use super::handle::{EntrySession, Input};
 use super::reply_handle::ReplyHandle;
 
 /// Time without a message from an entry after which its connection is closed.
@@ -53,7 +55,12 @@
     let Ok(hello) = hello else {
         return Ok(());
     };
-    let Some(FromEntry::Hello { process }) = hello?.into_iter().next() else {
+    let Some(FromEntry::Hello {
+        process,
+        sent,
+        relay,
+    }) = hello?.into_iter().next()
+    else {
         return Ok(());
     };
     let (tx, rx) = mpsc::unbounded_channel();
@@ -61,14 +68,25 @@
     let session = EntrySession {
         number,
         tx: tx.clone(),
+        relay,
         _open: open,
     };
-    drop(control.tx.send(Input::EntryConnected { process, session }));
+    drop(control.tx.send(Input::EntryConnected {
+        process,
+        sent,
+        session,
+    }));
     let source = (process, number);
-    tokio::select! {
+    let result = tokio::select! {
         result = send(writer, rx, closed) => result,
         result = receive(reader, &control, source, &tx) => result,
-    }
+    };
+    drop(
+        control
+            .tx
+            .send(Input::EntryDisconnected { session: number }),
+    );
+    result
 }
 
 async fn receive(
@@ -82,17 +100,34 @@
         let Ok(received) = received else {
             return Ok(());
         };
+        drop(control.tx.send(Input::EntryContact { session }));
         for message in received? {
-            let FromEntry::Request { number, request } = message else {
-                continue;
+            let input = match message {
+                FromEntry::Hello { .. } => continue,
+                FromEntry::Request { number, request } => Input::EntryRequest {
+                    session,
+                    process,
+                    reply_handle: ReplyHandle::Entry {
+                        tx: tx.clone(),
+                        number,
+                    },
+                    request: request.into(),
+                },
+                FromEntry::AnnouncedAgain(announcement) => {
+                    Input::Event(Event::AnnouncedAgain(announcement))
+                }
+                FromEntry::CallResult { number, result } => Input::CallResult {
+                    session,
+                    number,
+                    result,
+                },
+                FromEntry::Heartbeat { sent } => {
+                    let stamp = boot_now();
+                    drop(tx.send(ToEntry::Clock { sent, stamp }));
+                    continue;
+                }
             };
-            let tx = tx.clone();
-            drop(control.tx.send(Input::EntryRequest {
-                session,
-                process,
-                reply_handle: ReplyHandle::Entry { tx, number },
-                request: Request::Job(request),
-            }));
+            drop(control.tx.send(input));
         }
     }
 }
--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use masticfield_jobs::leader::{Announcement, Event, JobRequest, Refusal, Reply, ReplyId};
-use masticfield_jobs::protocol::ToEntry;
+use masticfield_jobs::protocol::{EntryRequest, ToEntry};
 use masticfield_jobs::queue::{QueuesConfig, RequestLimits};
+use masticfield_jobs::relay::{CallResult, RelayOffer};
 use masticfield_jobs::state::WaveOrder;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -35,7 +37,36 @@
     /// Reads the progress of a wave, given by its number.
     ReadWave(u64, oneshot::Sender<WaveProgress>),
     /// An entry has connected.
-    EntryConnected { process: u64, session: EntrySession },
+    EntryConnected {
+        process: u64,
+        /// Clock of the entry when it opened the connection.
+        sent: Duration,
+        session: EntrySession,
+    },
+    /// The connection of an entry has ended.
+    EntryDisconnected {
+        /// Number of the connection.
+        session: u64,
+    },
+    /// A message of any kind has arrived over the connection of an entry.
+    EntryContact {
+        /// Number of the connection.
+        session: u64,
+    },
+    /// An entry returns the result of a relayed call.
+    CallResult {
+        /// Number of the connection.
+        session: u64,
+        /// Number of the call.
+        number: u64,
+        result: CallResult,
+    },
+    /// Asks where an executor, given by its identifier and zone, should announce itself.
+    FindRelay {
+        id: Arc<str>,
+        zone: Arc<str>,
+        reply: oneshot::Sender<Option<Arc<str>>>,
+    },
 }
 
 /// The connection of an entry, which closes when this value is dropped.
@@ -45,6 +76,8 @@
     pub(super) number: u64,
     /// Messages to the entry.
     pub(super) tx: mpsc::UnboundedSender<ToEntry>,
+    /// How the entry relays calls to executors; `None` if it does not.
+    pub(super) relay: Option<RelayOffer>,
     /// Closes the connection when it is dropped.
     pub(super) _open: oneshot::Sender<()>,
 }
@@ -86,6 +119,8 @@
     pub leader: Option<SocketAddr>,
     /// Addresses at which the members of the group reach each other.
     pub members: Vec<SocketAddr>,
+    /// Whether calls to executors go through relays, which take their announcements as well.
+    pub uses_relays: bool,
     /// Limits on the requests of callers; none until a configuration that sets them is in force.
     pub limits: Option<RequestLimits>,
 }
@@ -127,6 +162,21 @@
         self.request(Request::Announce(announcement)).await
     }
 
+    /// Returns the host and port at which an executor should announce itself, if it has a relay.
+    pub async fn find_relay(
+        &self,
+        id: impl Into<Arc<str>>,
+        zone: impl Into<Arc<str>>,
+    ) -> Option<Arc<str>> {
+        if !self.view.borrow().uses_relays {
+            return None;
+        }
+        let (reply, found) = oneshot::channel();
+        let (id, zone) = (id.into(), zone.into());
+        drop(self.tx.send(Input::FindRelay { id, zone, reply }));
+        found.await.ok().flatten()
+    }
+
     /// Records that the executor with identifier `id` is ending.
     pub async fn leave(&self, id: impl Into<Arc<str>>) -> Reply {
         self.request(Request::Leave(id.into())).await
@@ -185,3 +235,13 @@
         }
     }
 }
+
+impl From<EntryRequest> for Request {
+    fn from(request: EntryRequest) -> Self {
+        match request {
+            EntryRequest::Job(request) => Self::Job(request),
+            EntryRequest::Announce(announcement) => Self::Announce(announcement),
+            EntryRequest::Leave(id) => Self::Leave(id),
+        }
+    }
+}
--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -2,16 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
 use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::{
-    self, ClaimWatch, Decision, Effect, JobRequestKind, Leader, LeaderOptions, Moment, Refusal,
-    Reply, ReplyId,
+    self, ClaimWatch, Decision, Effect, Event, HostError, JobRequestKind, Leader, LeaderOptions,
+    Moment, Refusal, Reply, ReplyId,
 };
 use masticfield_jobs::protocol::ToEntry;
 use masticfield_jobs::queue::RouteTable;
+use masticfield_jobs::relay::{CallResult, ExecutorCall, RelayKey, Route};
 use masticfield_jobs::state::{Command, State};
 use masticfield_node::clock::epoch_ms;
 use masticfield_replica::{Applied, AppliedKind, ReplicaHandle};
@@ -21,8 +22,9 @@
 use super::handle::{ControlView, EntrySession, Input, JobControlHandle, Request, WaveProgress};
 use super::leadership::Leadership;
 use super::observer::Observer;
-use super::order::{ExecutorCall, HostOrder, OutboundOrder};
+use super::order::{HostOrder, OutboundOrder};
 use super::reply_handle::ReplyHandle;
+use super::work_times::{WorkPart, WorkTimes};
 
 /// Bytes of log entries after which a snapshot of the state is stored.
 const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
@@ -62,6 +64,7 @@
     leadership: Option<Leadership>,
     observer: Observer,
     gauges_updated_at: Duration,
+    work: WorkTimes,
     view: watch::Sender<ControlView>,
 }
 
@@ -102,6 +105,7 @@
             applied_index: 0,
             log_bytes: 0,
             leadership: None,
+            work: WorkTimes::new(metrics.work.clone()),
             observer: Observer::new(metrics),
             gauges_updated_at: Duration::ZERO,
             view: view_tx,
@@ -144,9 +148,11 @@
                     if count == 0 {
                         return;
                     }
+                    let started = Instant::now();
                     for input in inputs.drain(..) {
                         self.handle(input).await;
                     }
+                    self.work.add(WorkPart::Handle, started);
                 }
                 () = tokio::time::sleep(wait) => {}
             }
@@ -164,6 +170,12 @@
     }
 
     fn apply(&mut self, applied: &Applied) {
+        let started = Instant::now();
+        self.apply_entry(applied);
+        self.work.add(WorkPart::Apply, started);
+    }
+
+    fn apply_entry(&mut self, applied: &Applied) {
         self.applied_index = applied.index;
         match applied.kind {
             AppliedKind::Snapshot => match postcard::from_bytes(&applied.payload) {
@@ -271,7 +283,33 @@
                     self.handle_request(reply_handle, request).await;
                 }
             }
-            Input::EntryConnected { process, session } => self.connect_entry(process, session),
+            Input::EntryConnected {
+                process,
+                sent,
+                session,
+            } => self.connect_entry(process, sent, session),
+            Input::EntryDisconnected { session } => self.disconnect_relay(RelayKey(session)),
+            Input::EntryContact { session } => {
+                if let Some(leadership) = &mut self.leadership {
+                    leadership
+                        .relays
+                        .record_contact(boot_now(), RelayKey(session));
+                }
+            }
+            Input::CallResult {
+                session,
+                number,
+                result,
+            } => self.handle_call_result(RelayKey(session), number, result),
+            Input::FindRelay { id, zone, reply } => {
+                let leadership = self.leadership.as_ref();
+                let address = leadership.and_then(|leadership| {
+                    let executors = leadership.leader.executor_count();
+                    leadership.relays.announce_address(&id, &zone, executors)
+                });
+                // The requester may have gone away.
+                _ = reply.send(address);
+            }
         }
     }
 
@@ -315,7 +353,37 @@
             .handle(Self::now(), request.into_event(id));
     }
 
-    fn connect_entry(&mut self, process: u64, session: EntrySession) {
+    /// Passes the result of a relayed call to the leader.
+    fn handle_call_result(&mut self, relay: RelayKey, number: u64, result: CallResult) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        // The relay may return results of an earlier leadership, in which it had another key.
+        if !leadership.relay_links.contains_key(&relay) {
+            return;
+        }
+        let outcome = result.outcome();
+        if let Some((tag, event)) = leadership.relays.resolve(number, result) {
+            self.observer
+                .metrics
+                .count_relayed_call(tag.name(), outcome);
+            leadership.leader.handle(Self::now(), event);
+        }
+    }
+
+    fn disconnect_relay(&mut self, relay: RelayKey) {
+        if let Some(leadership) = &mut self.leadership
+            && leadership.relay_links.remove(&relay).is_some()
+        {
+            let unknown = leadership.relays.disconnect(relay);
+            log::info!(relay = relay.0, calls = unknown.len(); "relay disconnected");
+            for event in unknown {
+                leadership.leader.handle(Self::now(), event);
+            }
+        }
+    }
+
+    fn connect_entry(&mut self, process: u64, sent: Duration, session: EntrySession) {
         let view = self.view.borrow().clone();
         let leads = self.leadership.is_some();
         drop(session.tx.send(ToEntry::Group {
@@ -324,7 +392,14 @@
             members: view.members,
         }));
         drop(session.tx.send(ToEntry::Limits(view.limits)));
+        let stamp = boot_now();
+        drop(session.tx.send(ToEntry::Clock { sent, stamp }));
         if let Some(leadership) = &mut self.leadership {
+            if let Some(offer) = session.relay.clone() {
+                let key = RelayKey(session.number);
+                leadership.relay_links.insert(key, session.tx.clone());
+                leadership.relays.connect(stamp, key, offer);
+            }
             // Replaces and thereby closes an earlier connection of the same process.
             leadership.entries.insert(process, session);
         }
@@ -359,12 +434,18 @@
 
     fn publish_view(&self, leader: Option<SocketAddr>, members: Vec<SocketAddr>) {
         let is_leader = self.leadership.is_some();
+        let uses_relays = self.leadership.as_ref().is_some_and(|leadership| {
+            leadership
+                .relays
+                .are_used(leadership.leader.executor_count())
+        });
         self.view.send_if_modified(|view| {
             let limits = view.limits;
             let current = ControlView {
                 is_leader,
                 leader,
                 members,
+                uses_relays,
                 limits,
             };
             let changed = *view != current;
@@ -386,6 +467,7 @@
         let now = Self::now();
         if now.monotonic >= self.gauges_updated_at + GAUGE_INTERVAL {
             self.gauges_updated_at = now.monotonic;
+            self.work.report(now.monotonic);
             let leader = self
                 .leadership
                 .as_ref()
@@ -404,17 +486,36 @@
         if leadership.in_flight.len() >= MAX_IN_FLIGHT {
             return;
         }
-        let decision: Decision = leadership.leader.decide(Self::now());
+        let now = Self::now();
+        for event in leadership.relays.expire(now.monotonic) {
+            leadership.leader.handle(now, event);
+        }
+        let started = Instant::now();
+        let decision: Decision = leadership.leader.decide(now);
+        self.work.add(WorkPart::Decide, started);
+        let started = Instant::now();
         let metrics = &self.observer.metrics;
-        if let Some(effects) = leadership.submit(&self.replica, decision, metrics) {
+        let effects = leadership.submit(&self.replica, decision, metrics);
+        self.work.add(WorkPart::Propose, started);
+        if let Some(effects) = effects {
             self.execute(effects);
         }
     }
 
     fn execute(&mut self, effects: Vec<Effect>) {
+        let started = Instant::now();
+        self.execute_effects(effects);
+        self.work.add(WorkPart::Execute, started);
+    }
+
+    fn execute_effects(&mut self, effects: Vec<Effect>) {
         let Some(leadership) = &mut self.leadership else {
             return;
         };
+        let now = Self::now();
+        // The process may have been paused since the effects were decided. Another replica may lead
+        // then, and nothing is sent under an expired lease.
+        let may_act = self.replica.status().holds_lease();
         for effect in effects {
             match effect {
                 Effect::Reply { reply_to, reply } => {
@@ -427,16 +528,30 @@
                     address,
                     call,
                 } => {
-                    let order = ExecutorCall {
+                    let call = ExecutorCall {
                         executor,
                         id,
                         address,
                         fence: leadership.term,
+                        decided: now.monotonic,
                         call,
                     };
-                    drop(self.orders.send(OutboundOrder::Call(order)));
+                    if may_act {
+                        send_call(leadership, &self.orders, call);
+                    } else {
+                        leadership.leader.handle(now, call.tag().unanswered());
+                    }
                 }
                 Effect::ListHosts => drop(self.orders.send(OutboundOrder::ListHosts)),
+                Effect::OrderHost { host, claim, .. } if !may_act => {
+                    let result = Err(HostError::Unknown);
+                    let unanswered = Event::HostOrderResult {
+                        host,
+                        claim,
+                        result,
+                    };
+                    leadership.leader.handle(now, unanswered);
+                }
                 Effect::OrderHost {
                     host,
                     claim,
@@ -446,9 +561,31 @@
                     let order = HostOrder { host, claim, fence };
                     drop(self.orders.send(OutboundOrder::Host(order)));
                 }
-                Effect::Disconnect { executor } => {
-                    drop(self.orders.send(OutboundOrder::Disconnect(executor)));
-                }
+                Effect::Disconnect { executor } => leadership.relays.forget(executor),
+            }
+        }
+    }
+}
+
+/// Sends a call to its executor, through a relay if there are many executors.
+fn send_call(
+    leadership: &mut Leadership,
+    orders: &mpsc::UnboundedSender<OutboundOrder>,
+    call: ExecutorCall,
+) {
+    let executors = leadership.leader.executor_count();
+    let record = leadership.leader.state().executor(call.executor);
+    let zone = record.map(|record| Arc::clone(&record.incarnation.zone));
+    let zone = zone.unwrap_or_default();
+    match leadership
+        .relays
+        .route(call.decided, call, &zone, executors)
+    {
+        Route::Direct(call) => drop(orders.send(OutboundOrder::Call(call))),
+        Route::Relay(relay, call) => {
+            if let Some(link) = leadership.relay_links.get(&relay) {
+                // A link that has closed is reported, and its calls then count as unanswered.
+                drop(link.send(ToEntry::Call(call)));
             }
         }
     }
--- a/crates/masticfield-control/src/jobs/leadership.rs
+++ b/crates/masticfield-control/src/jobs/leadership.rs
@@ -5,8 +5,11 @@
 use futures_util::stream::FuturesOrdered;
 use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::{Effect, Leader, Reply, ReplyId};
+use masticfield_jobs::protocol::ToEntry;
+use masticfield_jobs::relay::{RelayKey, RelayOptions, Relays};
 use masticfield_jobs::state::encode_entries;
 use masticfield_replica::{MAX_PAYLOAD_BYTES, ProposeError, ReplicaHandle};
+use tokio::sync::mpsc;
 
 use super::JobMetrics;
 use super::handle::EntrySession;
@@ -26,6 +29,10 @@
     pub(super) in_flight: FuturesOrdered<PendingProposal>,
     /// Connections of entries, keyed by the number of the entry's process.
     pub(super) entries: BTreeMap<u64, EntrySession>,
+    /// Relays of calls to executors.
+    pub(super) relays: Relays,
+    /// Messages to each relay.
+    pub(super) relay_links: BTreeMap<RelayKey, mpsc::UnboundedSender<ToEntry>>,
 }
 
 impl Leadership {
@@ -37,6 +44,8 @@
             last_request_id: 0,
             in_flight: FuturesOrdered::new(),
             entries: BTreeMap::new(),
+            relays: Relays::new(RelayOptions::new()),
+            relay_links: BTreeMap::new(),
         }
     }
 
--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -6,10 +6,12 @@
 use masticfield_jobs::state::JobPhase;
 use prometheus::core::Collector;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, exponential_buckets,
+    CounterVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, exponential_buckets,
 };
 
+use super::work_times::WorkTimes;
+
 /// Maximum number of pools with gauges of their own, as a configuration may have any number.
 const MAX_POOLS: usize = 64;
 
@@ -39,8 +41,10 @@
     commits: Histogram,
     syncs: Histogram,
     executor_calls: HistogramVec,
+    relayed_calls: IntCounterVec,
     host_calls: IntCounterVec,
     state_differences: IntCounter,
+    pub(super) work: CounterVec,
     is_leader: IntGauge,
     config_version: IntGauge,
     pools: IntGaugeVec,
@@ -95,6 +99,13 @@
                 seconds("masticfield_executor_call_seconds", "Calls to executors")?,
                 &["call", "outcome"],
             )?,
+            relayed_calls: IntCounterVec::new(
+                Opts::new(
+                    "masticfield_relayed_calls_total",
+                    "Calls to executors whose results entries have returned",
+                ),
+                &["call", "outcome"],
+            )?,
             host_calls: IntCounterVec::new(
                 Opts::new(
                     "masticfield_host_calls_total",
@@ -106,6 +117,7 @@
                 "masticfield_state_differences_total",
                 "Decisions that changed nothing when they were committed; each is a fault",
             )?,
+            work: WorkTimes::register(registry)?,
             is_leader: IntGauge::new("masticfield_leads", "Whether this replica leads")?,
             config_version: IntGauge::new(
                 "masticfield_queues_version",
@@ -119,7 +131,8 @@
                 &["pool", "what"],
             )?,
         };
-        let all: [Box<dyn Collector>; 12] = [
+        let all: [Box<dyn Collector>; 13] = [
+            Box::new(metrics.relayed_calls.clone()),
             Box::new(metrics.state_differences.clone()),
             Box::new(metrics.replies.clone()),
             Box::new(metrics.job_wait.clone()),
@@ -185,16 +198,17 @@
         duration: Duration,
         outcome: Result<(), CallError>,
     ) {
-        let outcome = match outcome {
-            Ok(()) => "done",
-            Err(CallError::Unknown) => "unknown",
-            Err(CallError::OtherIncarnation) => "other-life",
-            Err(CallError::Rejected(rejection)) => rejection.name(),
-        };
-        let histogram = self.executor_calls.with_label_values(&[call, outcome]);
+        let labels = [call, outcome_name(outcome)];
+        let histogram = self.executor_calls.with_label_values(&labels);
         histogram.observe(duration.as_secs_f64());
     }
 
+    /// Counts a call to an executor whose result a relay has returned.
+    pub(super) fn count_relayed_call(&self, call: &'static str, outcome: Result<(), CallError>) {
+        let labels = [call, outcome_name(outcome)];
+        self.relayed_calls.with_label_values(&labels).inc();
+    }
+
     /// Counts a call to the platform about hosts by its outcome.
     ///
     /// `call` is the kind of call: `list`, `move` or `upkeep`.
@@ -229,6 +243,16 @@
     }
 }
 
+/// Returns the name of the outcome of a call to an executor.
+const fn outcome_name(outcome: Result<(), CallError>) -> &'static str {
+    match outcome {
+        Ok(()) => "done",
+        Err(CallError::Unknown) => "unknown",
+        Err(CallError::OtherIncarnation) => "other-life",
+        Err(CallError::Rejected(rejection)) => rejection.name(),
+    }
+}
+
 /// Converts a value to a gauge's type, which it saturates.
 fn gauge_value(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
--- a/crates/masticfield-control/src/jobs/mod.rs
+++ b/crates/masticfield-control/src/jobs/mod.rs
@@ -12,9 +12,10 @@
 mod observer;
 mod order;
 mod reply_handle;
+mod work_times;
 
 pub use entries::serve_entries;
 pub use handle::{ControlView, JobControlHandle, WaveProgress};
 pub use job_control::JobControl;
 pub use metrics::JobMetrics;
-pub use order::{ExecutorCall, HostOrder, OutboundOrder};
+pub use order::{HostOrder, OutboundOrder};
--- a/crates/masticfield-control/src/jobs/order.rs
+++ b/crates/masticfield-control/src/jobs/order.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use masticfield_jobs::leader::Call;
-use masticfield_jobs::state::{ExecutorKey, HostClaim};
+use masticfield_jobs::relay::ExecutorCall;
+use masticfield_jobs::state::HostClaim;
 
 /// An order for the component that talks to executors and to the platform.
 #[derive(Debug, Clone, PartialEq)]
@@ -14,9 +14,6 @@
     ListHosts,
     /// Sends an order about a host to the platform; the result is reported as an event.
     Host(HostOrder),
-    /// Drops what is kept for calls to an executor whose incarnation has ended, such as its limit of
-    /// orders in flight.
-    Disconnect(ExecutorKey),
     /// Drops what is kept for calls to all executors, as this replica no longer leads.
     Reset,
 }
@@ -31,18 +28,3 @@
     /// Fencing number of the order, higher than that of every earlier order.
     pub fence: u64,
 }
-
-/// A call to an executor.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ExecutorCall {
-    /// The executor.
-    pub executor: ExecutorKey,
-    /// Identifier of the executor; one with another identifier at the address rejects the call.
-    pub id: Arc<str>,
-    /// Host and port of the executor.
-    pub address: Arc<str>,
-    /// Fencing number: the term of the leader. Executors reject a lower one than they have seen.
-    pub fence: u64,
-    /// What the executor is asked to do.
-    pub call: Call,
-}
--- a/crates/masticfield-entry/src/jobs/link.rs
+++ b/crates/masticfield-entry/src/jobs/link.rs
@@ -7,12 +7,14 @@
 use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::Reply;
 use masticfield_jobs::protocol::{FromEntry, ToEntry};
+use masticfield_jobs::relay::RelayOffer;
 use masticfield_wire::{Connection, FrameReader, FrameWriter, WireError};
 use tokio::sync::{mpsc, watch};
 
-use super::link_handle::{LeaderLinkHandle, LeaderLinkStatus, QueuedRequest};
+use super::link_handle::{LeaderLinkHandle, LeaderLinkStatus, LinkInput, SharedAnnouncements};
 use super::metrics::JobRequestMetrics;
 use super::pending_requests::PendingRequests;
+use super::relay::{Relay, RelayTask};
 
 /// Time limit for connecting to a replica and receiving its first message.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -24,7 +26,12 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_100);
 
 /// Interval between heartbeats of an entry that sends nothing else.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
+///
+/// Less than half of the silence after which the leader takes a relay out of use.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(550);
+
+/// Interval at which the leader's clock is asked for, whatever else is sent.
+const CLOCK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Interval between checks for requests whose time limit has passed.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -55,10 +62,15 @@
 #[derive(Debug)]
 pub struct LeaderLink {
     options: LeaderLinkOptions,
-    rx: mpsc::UnboundedReceiver<QueuedRequest>,
+    rx: mpsc::UnboundedReceiver<LinkInput>,
+    /// For the results of relayed calls.
+    tx: mpsc::WeakUnboundedSender<LinkInput>,
     status: watch::Sender<LeaderLinkStatus>,
     metrics: JobRequestMetrics,
     pending: PendingRequests,
+    announcements: SharedAnnouncements,
+    /// Relays the leader's calls to executors; `None` if this entry does not.
+    relay: Option<Relay>,
     /// Replicas to try: the seeds and the members that replicas reported.
     known: BTreeSet<SocketAddr>,
     /// Replica that was reported as the leader and is tried next.
@@ -81,17 +93,35 @@
     pub fn new(options: LeaderLinkOptions, metrics: JobRequestMetrics) -> (Self, LeaderLinkHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let (status_tx, status) = watch::channel(LeaderLinkStatus::default());
+        let announcements = SharedAnnouncements::default();
         let link = Self {
             known: options.seeds.iter().copied().collect(),
             options,
             rx,
+            tx: tx.downgrade(),
             status: status_tx,
             metrics,
             pending: PendingRequests::default(),
+            announcements: announcements.clone(),
+            relay: None,
             reported_leader: None,
             rotation: 0,
         };
-        (link, LeaderLinkHandle { tx, status })
+        let handle = LeaderLinkHandle {
+            tx,
+            status,
+            announcements,
+        };
+        (link, handle)
+    }
+
+    /// Offers to relay the leader's calls to executors; returns the receiver of these calls.
+    ///
+    /// The calls of a connection are sent to executors only as long as it is open.
+    pub fn offer_relay(&mut self, offer: RelayOffer) -> mpsc::UnboundedReceiver<RelayTask> {
+        let (relay, tasks) = Relay::new(offer, self.tx.clone());
+        self.relay = Some(relay);
+        tasks
     }
 
     /// Keeps the connection until every handle is dropped and no request is pending.
@@ -105,6 +135,8 @@
                     self.metrics.record_connection(true);
                     let (reader, writer) = *connection;
                     let end = self.serve(reader, writer).await;
+                    self.relay.iter().for_each(Relay::disconnect);
+                    self.announcements.with(|confirmed| confirmed.clear());
                     let why = end.err().map(|error| error.to_string()).unwrap_or_default();
                     log::info!(why; "the leading replica is not connected");
                     self.metrics.record_connection(false);
@@ -132,8 +164,10 @@
     /// Moves queued requests to the pending ones while there is no connection.
     fn collect_requests(&mut self) {
         let now = boot_now();
-        while let Ok(queued) = self.rx.try_recv() {
-            self.pending.add(now, queued, false);
+        while let Ok(input) = self.rx.try_recv() {
+            if let LinkInput::Request(queued) = input {
+                self.pending.add(now, queued, false);
+            }
         }
         self.pending.expire(now);
     }
@@ -148,29 +182,29 @@
         let Some(address) = address else {
             return ConnectOutcome::NoLeader;
         };
-        let process = self.options.process;
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address, process));
+        let (process, sent) = (self.options.process, boot_now());
+        let hello = FromEntry::Hello {
+            process,
+            sent,
+            relay: self.relay.as_ref().map(|relay| relay.offer.clone()),
+        };
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address, hello));
         tokio::pin!(connecting);
         let connected = loop {
             tokio::select! {
                 connected = &mut connecting => break connected,
-                () = tokio::time::sleep(EXPIRY_CHECK_INTERVAL) => {
-                    let now = boot_now();
-                    while let Ok(queued) = self.rx.try_recv() {
-                        self.pending.add(now, queued, false);
-                    }
-                    self.pending.expire(now);
-                }
+                () = tokio::time::sleep(EXPIRY_CHECK_INTERVAL) => self.collect_requests(),
             }
         };
-        let Ok(Ok((reader, writer, group))) = connected else {
+        let Ok(Ok((reader, writer, first))) = connected else {
             return ConnectOutcome::NoLeader;
         };
-        let ToEntry::Group {
+        let mut first = first.into_iter();
+        let Some(ToEntry::Group {
             leads,
             leader,
             members,
-        } = group
+        }) = first.next()
         else {
             return ConnectOutcome::NoLeader;
         };
@@ -181,6 +215,10 @@
             self.known.extend(&self.options.seeds);
         }
         if leads {
+            if let Some(relay) = &mut self.relay {
+                relay.connect();
+            }
+            first.for_each(|message| self.handle_message(message));
             return ConnectOutcome::Leader(Box::new((reader, writer)));
         }
         self.reported_leader = leader.map(with_port).filter(|leader| *leader != address);
@@ -203,6 +241,7 @@
         }
         self.status.send_modify(|status| status.connected = true);
         let (mut last_received, mut last_sent) = (boot_now(), boot_now());
+        let mut last_clock = last_sent;
         let mut batch = Vec::new();
         let mut checks = tokio::time::interval(EXPIRY_CHECK_INTERVAL);
         checks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -218,12 +257,15 @@
                     if count == 0 {
                         return Ok(());
                     }
-                    last_sent = boot_now();
-                    let messages = batch.drain(..);
-                    let messages: Vec<_> = messages
-                        .map(|queued| self.pending.add(last_sent, queued, true))
+                    let now = boot_now();
+                    let inputs = batch.drain(..);
+                    let messages: Vec<_> = inputs
+                        .filter_map(|input| self.message(now, input))
                         .collect();
-                    send(&mut writer, &messages).await?;
+                    if !messages.is_empty() {
+                        last_sent = now;
+                        send(&mut writer, &messages).await?;
+                    }
                 }
                 _ = checks.tick() => {
                     let now = boot_now();
@@ -231,15 +273,34 @@
                     if now > last_received + LEADER_TIMEOUT {
                         return Ok(());
                     }
-                    if now > last_sent + HEARTBEAT_INTERVAL {
-                        last_sent = now;
-                        send(&mut writer, &vec![FromEntry::Heartbeat]).await?;
+                    let clock_due = self.relay.is_some() && now > last_clock + CLOCK_INTERVAL;
+                    if clock_due || now > last_sent + HEARTBEAT_INTERVAL {
+                        (last_sent, last_clock) = (now, now);
+                        send(&mut writer, &vec![FromEntry::Heartbeat { sent: now }]).await?;
                     }
                 }
             }
         }
     }
 
+    /// Returns the message that carries an input over the current connection, if any.
+    fn message(&mut self, now: Duration, input: LinkInput) -> Option<FromEntry> {
+        match input {
+            LinkInput::Request(queued) => Some(self.pending.add(now, queued, true)),
+            LinkInput::AnnouncedAgain(announcement) => {
+                Some(FromEntry::AnnouncedAgain(announcement))
+            }
+            LinkInput::CallResult {
+                connection,
+                number,
+                result,
+            } => {
+                let current = self.relay.as_ref().map(Relay::connection);
+                (current == Some(connection)).then_some(FromEntry::CallResult { number, result })
+            }
+        }
+    }
+
     fn handle_message(&mut self, message: ToEntry) {
         match message {
             // A request of unknown outcome stays pending and is sent again to the next leader.
@@ -249,6 +310,16 @@
             }
             | ToEntry::Heartbeat => {}
             ToEntry::Reply { number, reply } => self.pending.resolve(number, reply),
+            ToEntry::Call(call) => {
+                if let Some(relay) = &self.relay {
+                    relay.relay(call);
+                }
+            }
+            ToEntry::Clock { sent, stamp } => {
+                if let Some(relay) = &self.relay {
+                    relay.record_leader_clock(sent, stamp);
+                }
+            }
             ToEntry::Limits(limits) => self.status.send_modify(|status| status.limits = limits),
             ToEntry::Group { members, .. } => {
                 let port = self.options.port;
@@ -268,18 +339,17 @@
     sent.unwrap_or(Err(WireError::Closed))
 }
 
-/// A new connection and the first message of the replica.
+/// A new connection and the first messages of the replica.
 type Connected = (
     FrameReader<Vec<ToEntry>>,
     FrameWriter<Vec<FromEntry>>,
-    ToEntry,
+    Vec<ToEntry>,
 );
 
-async fn connect(address: SocketAddr, process: u64) -> Result<Connected, WireError> {
+async fn connect(address: SocketAddr, hello: FromEntry) -> Result<Connected, WireError> {
     let mut connection = ReplicaConnection::connect(address).await?;
-    connection.send(&vec![FromEntry::Hello { process }]).await?;
+    connection.send(&vec![hello]).await?;
     let first = connection.receive().await?;
-    let group = first.into_iter().next().ok_or(WireError::Closed)?;
     let (reader, writer) = connection.split();
-    Ok((reader, writer, group))
+    Ok((reader, writer, first))
 }
--- a/crates/masticfield-entry/src/jobs/metrics.rs
+++ b/crates/masticfield-entry/src/jobs/metrics.rs
@@ -25,6 +25,7 @@
     latency: Histogram,
     connected: IntGauge,
     connection_changes: IntCounterVec,
+    relayed_calls: IntCounterVec,
 }
 
 impl JobRequestMetrics {
@@ -43,6 +44,10 @@
             "masticfield_leader_connections_total",
             "Connections to the leading replica that were made and lost",
         );
+        let relayed_calls = Opts::new(
+            "masticfield_relay_calls_total",
+            "Calls of the leader that this entry has made to executors",
+        );
         let metrics = Self {
             responses: IntCounterVec::new(responses, &["method", "status"])?,
             latency: Histogram::with_opts(latency.buckets(exponential_buckets(0.001, 2.0, 14)?))?,
@@ -51,11 +56,13 @@
                 "Whether the leading replica is connected",
             )?,
             connection_changes: IntCounterVec::new(connection_changes, &["what"])?,
+            relayed_calls: IntCounterVec::new(relayed_calls, &["call", "outcome"])?,
         };
         registry.register(Box::new(metrics.responses.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.connected.clone()))?;
         registry.register(Box::new(metrics.connection_changes.clone()))?;
+        registry.register(Box::new(metrics.relayed_calls.clone()))?;
         Ok(metrics)
     }
 
@@ -72,6 +79,12 @@
         self.latency.observe(latency.as_secs_f64());
     }
 
+    /// Counts a call to an executor that was relayed for the leader, and whether it succeeded.
+    pub fn count_relayed_call(&self, call: &str, succeeded: bool) {
+        let outcome = if succeeded { "done" } else { "failed" };
+        self.relayed_calls.with_label_values(&[call, outcome]).inc();
+    }
+
     /// Records that a connection to the leading replica was made or lost.
     pub(super) fn record_connection(&self, connected: bool) {
         self.connected.set(i64::from(connected));
--- a/crates/masticfield-jobs/src/protocol.rs
+++ b/crates/masticfield-jobs/src/protocol.rs
@@ -5,11 +5,14 @@
 //! one leadership is carried out under a later one.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::leader::{JobRequest, Reply};
+use crate::leader::{Announcement, BriefAnnouncement, JobRequest, Reply};
 use crate::queue::RequestLimits;
+use crate::relay::{CallResult, RelayOffer, RelayedCall};
 
 /// A message from an entry to the leading replica.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -19,16 +22,43 @@
         /// Random number that identifies the process of the entry. A new connection replaces the
         /// earlier one of the same process.
         process: u64,
+        /// Monotonic clock of the entry, for [`ToEntry::Clock`].
+        sent: Duration,
+        /// How the entry relays calls to executors; `None` if it does not.
+        relay: Option<RelayOffer>,
     },
-    /// Passes on a request of a caller.
+    /// Passes on a request that the leader replies to.
     Request {
         /// Sequence number of the request; rises on a connection.
         number: u64,
-        /// The caller's request.
-        request: JobRequest,
+        /// The request.
+        request: EntryRequest,
+    },
+    /// Passes on an announcement that repeats a confirmed one; needs no reply.
+    AnnouncedAgain(BriefAnnouncement),
+    /// Returns the result of a relayed call.
+    CallResult {
+        /// Number of the call.
+        number: u64,
+        /// What the executor answered.
+        result: CallResult,
+    },
+    /// Keeps an idle connection alive, and asks for the leader's clock.
+    Heartbeat {
+        /// Monotonic clock of the entry, for [`ToEntry::Clock`].
+        sent: Duration,
     },
-    /// Keeps an idle connection alive.
-    Heartbeat,
+}
+
+/// A request that an entry passes on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum EntryRequest {
+    /// A request of a caller.
+    Job(JobRequest),
+    /// An executor announces itself.
+    Announce(Announcement),
+    /// The executor with this identifier reports that it is about to end.
+    Leave(Arc<str>),
 }
 
 /// A message from a replica to an entry.
@@ -49,9 +79,18 @@
     Reply {
         /// Sequence number of the request.
         number: u64,
-        /// The reply to the caller.
+        /// The reply.
         reply: Reply,
     },
+    /// A call to an executor, to be relayed.
+    Call(RelayedCall),
+    /// Answers a message that contains the entry's clock.
+    Clock {
+        /// The entry's clock in that message.
+        sent: Duration,
+        /// Monotonic clock of the replica.
+        stamp: Duration,
+    },
     /// Keeps an idle connection alive.
     Heartbeat,
 }
