fix(jobs): complete waves of upkeep on hundreds of hosts in time

Four things: stopped tasks started again on hosts that were still due, and had to be stopped once more; the least loaded hosts went first, so that those whose tasks stop one after the other were left; hosts in upkeep used up the pace that the remaining ones were counted for; a task that was stopped counted as away until a poll that waited up to 1.7 s for an end showed it serving again. Ruled out: the cap, of which a third was used at the end. Change: long-running tasks avoid hosts that are due; hosts with several turns begin early enough; the pace counts unfinished hosts; a starting task is polled at once, then each 0.35 s; hosts that are due are not moved in the last 8 s; hosts of a wave that are listed as down are listed again after 2 s.

--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -36,6 +36,8 @@
     pub starts: u32,
     /// Polls of executors for their runs and ends.
     pub polls: u32,
+    /// Hosts of the wave of upkeep that were left when its time was over.
+    pub late_upkeeps: u32,
     /// Moves of hosts between pools.
     pub moves: u32,
     /// Host time in pools other than standby until the end of the load, in seconds.
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -16,6 +16,8 @@
     pub settle_ms: u64,
     /// Time within which half of the hosts are due for upkeep, in milliseconds; 0 for no upkeep.
     pub upkeep_window_ms: u64,
+    /// Maximum number of hosts in upkeep at the same time.
+    pub upkeep_cap: u32,
     /// Faults to inject.
     pub faults: Faults,
     /// Whether the callers' jobs depend only on the seed and not on the leader's decisions, so that
@@ -68,6 +70,7 @@
             load_ms: 10_000,
             settle_ms: 60_000,
             upkeep_window_ms: 0,
+            upkeep_cap: 3,
             fixed_load: false,
             order: JobOrder::OnTimeFirst,
             defect: None,
@@ -141,6 +144,13 @@
         self
     }
 
+    /// Sets the maximum number of hosts in upkeep at the same time.
+    #[must_use]
+    pub const fn upkeep_cap(mut self, cap: u32) -> Self {
+        self.upkeep_cap = cap;
+        self
+    }
+
     /// Sets the faults to inject.
     #[must_use]
     pub const fn faults(mut self, faults: Faults) -> Self {
--- a/crates/masticfield-emulator/src/simulation/hosts.rs
+++ b/crates/masticfield-emulator/src/simulation/hosts.rs
@@ -9,9 +9,6 @@
 
 use super::{HANDOVER_MS, MOVE_MS, ScheduledEvent, Simulation, UPKEEP_MS, WARMUP_MS};
 
-/// Maximum number of hosts of the wave in upkeep at the same time.
-const WAVE_CAP: u32 = 3;
-
 impl Simulation {
     /// Returns whether the committed state has the run and its job still needs it.
     pub(super) fn is_needed(&self, run: RunId) -> bool {
@@ -33,7 +30,7 @@
             number: 1,
             hosts: hosts.collect(),
             duration_ms: self.scenario.upkeep_window_ms,
-            cap: WAVE_CAP,
+            cap: self.scenario.upkeep_cap,
         };
         let reply_id = self.next_reply_id();
         self.notify_leader(
@@ -45,6 +42,13 @@
         );
     }
 
+    /// Counts the hosts of the wave whose upkeep has not begun by the wave's end.
+    pub(super) fn count_late_upkeeps(&mut self) {
+        let hosts = self.hosts.iter().step_by(2);
+        let late = hosts.filter(|host| !host.upkeep_begun).count();
+        self.report.late_upkeeps = u32::try_from(late).unwrap_or(u32::MAX);
+    }
+
     /// Returns the platform's list of hosts.
     pub(super) fn list_hosts(&self) -> Vec<ListedHost> {
         let hosts = self.hosts.iter();
@@ -92,9 +96,10 @@
             .iter()
             .filter(|host| host.in_upkeep && self.now < host.available_at);
         let away = away.count();
-        if away >= WAVE_CAP as usize {
+        let cap = self.scenario.upkeep_cap;
+        if away >= cap as usize {
             let text = format!(
-                "{}: upkeep of {name} begins beside {away} others; the limit is {WAVE_CAP}",
+                "{}: upkeep of {name} begins beside {away} others; the limit is {cap}",
                 self.now
             );
             self.checker.violations.push(text);
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -112,6 +112,8 @@
     Tick,
     /// The operator starts a wave of upkeep.
     StartWave,
+    /// The time of the wave is over.
+    EndWave,
     /// Some executors become slow or start to fail runs.
     DegradeExecutors,
     /// All executors work as they should again.
@@ -280,6 +282,8 @@
         self.schedule(1, ScheduledEvent::Tick);
         if self.scenario.upkeep_window_ms > 0 {
             self.schedule(WARMUP_MS, ScheduledEvent::StartWave);
+            let window = self.scenario.upkeep_window_ms;
+            self.schedule(WARMUP_MS + window, ScheduledEvent::EndWave);
         }
         if faults.failing_executors > 0.0 || faults.slow_executors > 0.0 {
             self.schedule(WARMUP_MS + HEALTHY_MS, ScheduledEvent::DegradeExecutors);
@@ -310,6 +314,7 @@
         match event {
             ScheduledEvent::Tick => self.schedule(20, ScheduledEvent::Tick),
             ScheduledEvent::StartWave => self.start_wave(),
+            ScheduledEvent::EndWave => self.count_late_upkeeps(),
             ScheduledEvent::DegradeExecutors => self.degrade_executors(),
             ScheduledEvent::RestoreExecutors => self.restore_executors(),
             ScheduledEvent::Announce(executor) => self.announce(executor),
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -185,6 +185,22 @@
     assert!(report.polls * 3 < report.starts * 2, "{report:?}");
 }
 
+/// Half of 542 hosts in 25 s. Hosts with several tasks of one step take longer to drain than others,
+/// and have to begin early.
+#[test]
+fn a_wave_on_hundreds_of_hosts_is_complete_in_time() {
+    for seed in 1..3 {
+        let scenario = Scenario::new(Fleet::large())
+            .load_ms(25_000)
+            .upkeep_within(25_000)
+            .upkeep_cap(105);
+        let report = Simulation::new(scenario, seed).run();
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+        assert_eq!(report.late_upkeeps, 0, "seed {seed}: {report:?}");
+    }
+}
+
 /// A wave with little time while the leader changes repeatedly. Each leader must count the hosts on
 /// which former leaders have begun upkeep.
 #[test]
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -240,6 +240,14 @@
             && now.monotonic >= view.backoff_until
     }
 
+    /// Makes the next poll of an executor due now, also if one is in flight that waits for an end.
+    pub(super) fn poll_beside(&mut self, now: Moment, key: ExecutorKey) {
+        if let Some(view) = self.executors.get_mut(&key) {
+            view.hold = HoldPhase::Due(now.monotonic);
+        }
+        self.hold_if_due(now, key);
+    }
+
     /// Makes the next poll of an executor due now, unless one is in flight.
     pub(super) fn poll_now(&mut self, now: Moment, key: ExecutorKey) {
         if let Some(view) = self.executors.get_mut(&key)
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -180,6 +180,12 @@
         Some(next.saturating_sub(now).max(MIN_POLL_WAIT))
     }
 
+    /// Returns whether a long-running task is not known to serve yet.
+    pub(super) fn is_starting_long_running(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.long_running && run.percent < SERVING_PERCENT)
+    }
+
     /// Returns whether every lease on the executor has certainly expired.
     pub(super) fn leases_expired(&self, now: Duration) -> bool {
         let clock = self.clock;
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -18,6 +18,10 @@
 /// Maximum time for which a poll waits for an end while it is uncertain what the executor runs.
 const UNCERTAIN_WAIT: Duration = Duration::from_millis(150);
 
+/// Maximum time for which a poll waits while a wave of upkeep goes on and a long-running task is
+/// starting. Until it is known to serve, no other task of its step may be stopped.
+const STARTING_WAIT: Duration = Duration::from_millis(350);
+
 /// Time before an order to stop an unknown run is repeated.
 const UNKNOWN_RUN_STOP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -44,10 +48,12 @@
             .values()
             .any(|run| !matches!(run.phase, RunPhase::Confirmed(_) | RunPhase::Ordered));
         let up_to_date = view.responsive && view.failed_holds == 0;
+        let starting = !self.hosts.upkeep_due.is_empty() && view.is_starting_long_running();
         let wait = match (up_to_date, uncertain) {
             (false, _) => Duration::ZERO,
             // The report's lists settle uncertain runs, and no end may occur to trigger the answer.
             (true, true) => UNCERTAIN_WAIT,
+            (true, false) if starting => STARTING_WAIT,
             (true, false) => {
                 let longest = self.options.max_wait.min(self.options.lease / 3);
                 view.next_poll_wait(now.monotonic)
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -14,6 +14,9 @@
 /// host was refused.
 const PENDING_LIST_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Interval of requests for the list while hosts of a wave are not up by the last list.
+const WAVE_LIST_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Interval of requests for the list otherwise.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -47,6 +50,10 @@
     last_order: u64,
     /// Pairs of a kind of hosts and a pool that this kind does not suit.
     pub(super) unsuitable: HashSet<(Option<Arc<str>>, Arc<str>)>,
+    /// Executors whose hosts are due for upkeep in a wave that is under way.
+    pub(super) upkeep_due: HashSet<ExecutorKey>,
+    /// Hosts that are not moved any more, as their upkeep would otherwise be late.
+    pub(super) kept_for_upkeep: HashSet<Arc<str>>,
     /// Time since which a pool has had more hosts than it needs.
     pub(super) surplus_since: BTreeMap<Arc<str>, Duration>,
 }
@@ -62,6 +69,8 @@
             leading_since,
             last_order: 0,
             unsuitable: HashSet::new(),
+            upkeep_due: HashSet::new(),
+            kept_for_upkeep: HashSet::new(),
             surplus_since: BTreeMap::new(),
         }
     }
@@ -107,8 +116,15 @@
             let operation = host.operation.as_ref();
             operation.is_some_and(|operation| matches!(operation.phase, OperationPhase::Refused(_)))
         });
+        let down = |name: &Arc<str>| {
+            let host = self.hosts.views.get(name);
+            host.is_some_and(|host| !host.up && !host.is_away(now.monotonic))
+        };
+        let mut waves = self.state.waves().values();
         let interval = if unknown || refused {
             PENDING_LIST_INTERVAL
+        } else if waves.any(|wave| wave.remaining.iter().any(down)) {
+            WAVE_LIST_INTERVAL
         } else {
             LIST_INTERVAL
         };
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -126,6 +126,10 @@
                 if !stopping {
                     view.phase = RunPhase::Confirmed(now.monotonic);
                 }
+                let long_running = view.long_running;
+                if long_running && !self.hosts.upkeep_due.is_empty() {
+                    self.poll_beside(now, executor);
+                }
             }
             Err(CallError::Unknown) => self.on_start_unanswered(now, executor, run, stopping),
             Err(CallError::OtherIncarnation) => self.retire(now, executor, "another life answers"),
--- a/crates/masticfield-jobs/src/leader/placement.rs
+++ b/crates/masticfield-jobs/src/leader/placement.rs
@@ -95,6 +95,7 @@
             siblings: u32::try_from(present.count()).unwrap_or(u32::MAX),
             serving: slot.serving,
             best_effort: slot.best_effort,
+            upkeep_due: slot.upkeep_due,
         }
     }
 }
--- a/crates/masticfield-jobs/src/leader/pool_view.rs
+++ b/crates/masticfield-jobs/src/leader/pool_view.rs
@@ -30,6 +30,8 @@
     /// Number of best-effort tasks.
     pub(super) best_effort: u32,
     pub(super) status: ReliabilityStatus,
+    /// Whether the host is still due for upkeep in a wave that is under way.
+    pub(super) upkeep_due: bool,
 }
 
 impl PoolView {
@@ -91,6 +93,7 @@
             serving: view.serving,
             best_effort: view.best_effort,
             status,
+            upkeep_due: self.hosts.upkeep_due.contains(&key),
         });
         PoolView {
             slots: slots.collect(),
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -167,6 +167,7 @@
             .iter()
             .filter(|(_, host)| host.pool != *pool && host.is_available(now.monotonic))
             .filter(|(name, _)| self.is_handed_over(now, name))
+            .filter(|(name, _)| !self.hosts.kept_for_upkeep.contains(*name))
             .filter(|(_, host)| {
                 let pair = (host.kind.clone(), Arc::clone(pool));
                 !self.hosts.unsuitable.contains(&pair)
@@ -225,6 +226,7 @@
         let hosts = self.hosts.views.iter();
         let mut hosts: Vec<_> = hosts
             .filter(|(_, host)| host.pool == *pool && host.is_available(now.monotonic))
+            .filter(|(name, _)| !self.hosts.kept_for_upkeep.contains(*name))
             .filter_map(|(name, host)| {
                 let view = self.executor_view(host)?;
                 let long_running = view.runs.values().any(|run| run.long_running);
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -7,9 +7,13 @@
 use super::host::OperationPhase;
 use super::{Leader, Moment};
 use crate::job::RunId;
-use crate::schedule::hosts_at_once;
+use crate::schedule::{hosts_at_once, is_urgent};
 use crate::state::{ExecutorKey, HostClaim, Wave};
 
+/// Time before the end of a wave from which on its remaining hosts are not moved to other pools. A
+/// move takes as long as an upkeep, and the host may get tasks again.
+const LAST_MOVES: Duration = Duration::from_secs(8);
+
 impl Leader {
     /// Starts draining further hosts of each wave that is not complete.
     pub(super) fn check_waves(&mut self, now: Moment) {
@@ -19,30 +23,42 @@
             .values()
             .filter(|wave| !wave.remaining.is_empty());
         let waves: Vec<Wave> = waves.cloned().collect();
+        let due = waves.iter().flat_map(|wave| &wave.remaining);
+        let due = due.filter_map(|name| self.executor_of(self.hosts.views.get(name)?));
+        self.hosts.upkeep_due = due.collect();
+        let ending = waves
+            .iter()
+            .filter(|wave| time_left(now, wave) < LAST_MOVES);
+        let kept = ending.flat_map(|wave| wave.remaining.iter().cloned());
+        self.hosts.kept_for_upkeep = kept.collect();
         for wave in waves {
             self.check_wave(now, &wave);
         }
     }
 
-    /// Starts draining as many hosts of a wave as its pace and its cap allow, least loaded first.
+    /// Starts draining as many hosts of a wave as its pace and its cap allow: first those that would
+    /// otherwise be late, then the least loaded.
     fn check_wave(&mut self, now: Moment, wave: &Wave) {
         let Some(options) = self.options.hosts else {
             return;
         };
-        let elapsed = now.wall_ms.saturating_sub(wave.started_ms);
-        let time_left = Duration::from_millis(wave.order.duration_ms.saturating_sub(elapsed));
+        let time_left = time_left(now, wave);
         let cap = wave.order.cap;
-        let at_once = hosts_at_once(wave.remaining.len(), time_left, options.upkeep_time, cap);
         let claim = HostClaim::Upkeep {
             wave: wave.order.number,
         };
-        let hosts = self.hosts.views.values();
-        let busy = hosts.filter(|host| {
+        let (mut draining, mut away) = (0, 0);
+        for host in self.hosts.views.values() {
             let operation = host.operation.as_ref();
-            operation.is_some_and(|operation| operation.claim == claim)
-                || (host.upkeep_wave == Some(wave.order.number) && host.is_away(now.monotonic))
-        });
-        let free = at_once.saturating_sub(busy.count());
+            if operation.is_some_and(|operation| operation.claim == claim) {
+                draining += 1;
+            } else if host.upkeep_wave == Some(wave.order.number) && host.is_away(now.monotonic) {
+                away += 1;
+            }
+        }
+        let unfinished = wave.remaining.len() + away;
+        let at_once = hosts_at_once(unfinished, time_left, options.upkeep_time, cap);
+        let free = at_once.saturating_sub(draining + away);
         let mut waiting: Vec<_> = wave
             .remaining
             .iter()
@@ -50,14 +66,45 @@
                 let host = self.hosts.views.get(*name);
                 host.is_some_and(|host| host.is_available(now.monotonic))
             })
-            .map(|name| (self.host_load(name), Arc::clone(name)))
+            .map(|name| {
+                let urgent = is_urgent(self.drain_turns(name), time_left, options.upkeep_time);
+                (!urgent, self.host_load(name), Arc::clone(name))
+            })
             .collect();
         waiting.sort_unstable();
-        for (_, name) in waiting.into_iter().take(free) {
+        for (.., name) in waiting.into_iter().take(free) {
             self.begin_operation(now, &name, claim.clone());
         }
     }
 
+    /// Returns how many long-running tasks of a host have to be stopped one after the other, as only
+    /// `may_miss` tasks of a step may be away at the same time.
+    fn drain_turns(&self, name: &Arc<str>) -> u32 {
+        let host = self.hosts.views.get(name);
+        let Some(view) = host.and_then(|host| self.executor_view(host)) else {
+            return 0;
+        };
+        // Runs are sorted by their tasks, so that those of a step are neighbours.
+        let runs: Vec<_> = view
+            .runs
+            .iter()
+            .filter(|(_, run)| run.long_running)
+            .collect();
+        let step = |run: &RunId| (run.task.job, run.task.occurrence, run.task.step);
+        let steps = runs.chunk_by(|(a, _), (b, _)| step(a) == step(b));
+        let turns = steps.map(|runs| {
+            let (run, _) = runs[0];
+            let job = self.state.job(run.task.job);
+            let spec = job.and_then(|job| job.spec.as_ref());
+            let step = spec.and_then(|spec| spec.steps.get(usize::from(run.task.step)));
+            let at_once = step.map_or(1, |step| step.may_miss.max(1));
+            u32::try_from(runs.len())
+                .unwrap_or(u32::MAX)
+                .div_ceil(at_once)
+        });
+        turns.max().unwrap_or_default()
+    }
+
     /// Returns the number of long-running tasks on a host, and the reserved processor time in
     /// thousandths of a core.
     pub(super) fn host_load(&self, name: &Arc<str>) -> (usize, u64) {
@@ -159,3 +206,9 @@
         })
     }
 }
+
+/// Returns the time until the end of a wave; zero once it is over.
+fn time_left(now: Moment, wave: &Wave) -> Duration {
+    let elapsed = now.wall_ms.saturating_sub(wave.started_ms);
+    Duration::from_millis(wave.order.duration_ms.saturating_sub(elapsed))
+}
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -25,4 +25,4 @@
 pub use progress::{Progress, assess_progress, expected_end};
 pub use rank::{Rank, Timeliness, USEFUL_FACTOR, on_time_ms, rank, timeliness};
 pub use reliability::{Reliability, ReliabilityStatus};
-pub use upkeep::hosts_at_once;
+pub use upkeep::{hosts_at_once, is_urgent};
--- a/crates/masticfield-jobs/src/schedule/placement.rs
+++ b/crates/masticfield-jobs/src/schedule/placement.rs
@@ -31,6 +31,8 @@
     pub serving: u32,
     /// Number of best-effort tasks on the executor.
     pub best_effort: u32,
+    /// Whether the executor's host is still due for upkeep in a wave that is under way.
+    pub upkeep_due: bool,
 }
 
 /// Returns the best executor for a task, or `None` if no candidate is suitable.
@@ -38,7 +40,8 @@
 /// - Tasks go to the rack of their data, or else to the requested rack of their step's other tasks.
 /// - Best-effort and serving tasks are kept apart, since they disturb each other.
 /// - Long-running tasks are packed onto few executors, so that the others can be released or
-///   drained; tasks of one step are spread over these executors.
+///   drained; tasks of one step are spread over these executors. Hosts that are due for upkeep are
+///   avoided, as the tasks would soon be stopped again.
 /// - Other tasks go to the fullest executor that can hold them, so that the remaining ones become
 ///   empty and can be moved to a pool with a surge.
 pub fn choose<'a>(
@@ -65,10 +68,10 @@
 
 /// Cost of a candidate; lower is better.
 ///
-/// In this order: on another rack than wanted, number of disturbing tasks, without other
-/// long-running tasks, number of siblings, and the free processor time (or, where spreading is
+/// In this order: on another rack than wanted, number of disturbing tasks, due for upkeep (2) or
+/// without other long-running tasks (1), number of siblings, and the free processor time (or, where spreading is
 /// wanted, its complement).
-type Cost = (bool, u32, bool, u32, u64);
+type Cost = (bool, u32, u32, u32, u64);
 
 fn cost(request: PlacementRequest<'_>, candidate: &Candidate<'_>) -> Cost {
     let wanted = request.step.data_rack.as_ref().or(request.near_rack);
@@ -76,23 +79,17 @@
     let free_milli = candidate.free.cpu_milli;
     if request.step.best_effort {
         let disturbed = candidate.serving + candidate.best_effort;
-        return (
-            far,
-            disturbed,
-            false,
-            candidate.siblings,
-            u64::MAX - free_milli,
-        );
+        return (far, disturbed, 0, candidate.siblings, u64::MAX - free_milli);
     }
     if request.step.long_running {
-        let apart = candidate.serving == 0;
+        let avoided = 2 * u32::from(candidate.upkeep_due) + u32::from(candidate.serving == 0);
         return (
             far,
             candidate.best_effort,
-            apart,
+            avoided,
             candidate.siblings,
             u64::MAX - free_milli,
         );
     }
-    (far, 0, false, 0, free_milli)
+    (far, 0, 0, 0, free_milli)
 }
--- a/crates/masticfield-jobs/src/schedule/upkeep.rs
+++ b/crates/masticfield-jobs/src/schedule/upkeep.rs
@@ -2,17 +2,22 @@
 
 use std::time::Duration;
 
-/// Time to drain a host before its upkeep.
+/// Time to drain a host before its upkeep if nothing holds it up.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for a long-running task that was stopped to serve again on another host. Until then, the
+/// next task of its step may not be stopped.
+const RESTART_TIME: Duration = Duration::from_millis(1_500);
+
 /// Margin for delays: a wave should be complete this long before its end.
 const RESERVE: Duration = Duration::from_secs(4);
 
 /// Returns how many hosts of a wave may be draining or in upkeep at the same time.
 ///
+/// `unfinished` is the number of hosts whose upkeep is not over, including those in upkeep.
 /// This is the lowest number that completes the wave in time, so that as much capacity as possible
 /// stays in use, and at most the operator's `cap`.
-pub fn hosts_at_once(remaining: usize, time_left: Duration, upkeep: Duration, cap: u32) -> usize {
+pub fn hosts_at_once(unfinished: usize, time_left: Duration, upkeep: Duration, cap: u32) -> usize {
     let each = (DRAIN_TIME + upkeep).as_secs_f64();
     let time = time_left.saturating_sub(RESERVE).as_secs_f64().max(each);
     let batches = (time / each).floor().max(1.0);
@@ -22,6 +27,15 @@
         clippy::cast_precision_loss,
         reason = "a number of hosts"
     )]
-    let at_once = (remaining as f64 / batches).ceil() as usize;
+    let at_once = (unfinished as f64 / batches).ceil() as usize;
     at_once.clamp(1, (cap as usize).max(1))
 }
+
+/// Returns whether the drain of a host should begin before that of hosts with less load.
+///
+/// `turns` is the number of its long-running tasks that have to be stopped one after the other, as
+/// their steps allow. Draining more hosts at once does not make such a host faster: it begins early
+/// enough for each turn to wait for one of another host, or it is left at the end of the wave.
+pub fn is_urgent(turns: u32, time_left: Duration, upkeep: Duration) -> bool {
+    time_left < RESTART_TIME * turns * 2 + upkeep + RESERVE
+}
--- a/crates/masticfield-jobs/tests/schedule.rs
+++ b/crates/masticfield-jobs/tests/schedule.rs
@@ -8,7 +8,7 @@
 use masticfield_jobs::schedule::{
     Admission, Backlog, Candidate, ClockReading, OfferedLoad, PlacementRequest, PoolLoad, Progress,
     Reliability, ReliabilityStatus, Timeliness, admit, assess_progress, choose, hosts_at_once,
-    poll_interval, rank, required_hosts, residual_demand, timeliness,
+    is_urgent, poll_interval, rank, required_hosts, residual_demand, timeliness,
 };
 use masticfield_jobs::state::ExecutorKey;
 use rstest::rstest;
@@ -64,6 +64,7 @@
         siblings: 0,
         serving: 0,
         best_effort: 0,
+        upkeep_due: false,
     }
 }
 
@@ -256,6 +257,22 @@
     );
 }
 
+/// A drain of one turn takes about 1.5 s, and may wait for as long for another host.
+#[rstest]
+#[case::nothing_to_stop(0, 6_500, false)]
+#[case::one_turn_early(1, 10_000, false)]
+#[case::one_turn_late(1, 8_000, true)]
+#[case::four_turns_early(4, 20_000, false)]
+#[case::four_turns_late(4, 17_000, true)]
+fn hosts_that_drain_slowly_begin_before_others(
+    #[case] turns: u32,
+    #[case] left_ms: u64,
+    #[case] expected: bool,
+) {
+    let left = Duration::from_millis(left_ms);
+    assert_eq!(is_urgent(turns, left, Duration::from_secs(2)), expected);
+}
+
 #[test]
 fn a_lease_expires_only_when_the_slowest_clock_has_passed_it() {
     let clock = ClockReading {
