test(emulator): play relays that pause, restart, fall silent and get calls late

Change: the emulator's leader sends its calls through simulated relays with clocks of their own, which use the gate that entries use. New invariants: no call is sent later than its validity after its decision by simulated time, and none of an older term than one that the relay has seen.

--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -25,10 +25,25 @@
     pub fixed_load: bool,
     /// Order in which waiting jobs get free capacity.
     pub order: JobOrder,
+    /// Number of relays; with 0 the leader calls executors itself.
+    pub relays: usize,
+    /// Guard of the relays to leave out.
+    pub relay_defect: Option<RelayDefect>,
     /// Guard of the leader to leave out; `None` for the leader as it is.
     pub defect: Option<Defect>,
 }
 
+/// A guard of the relays to leave out, so that a test can show that the checks detect it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayDefect {
+    /// Calls are sent however old they are.
+    SendExpired,
+    /// Calls of ended connections and of deposed leaders are sent.
+    SendDeposed,
+    /// Orders to start whose relay is lost are treated as never carried out.
+    LostNeverRan,
+}
+
 /// Faults to inject.
 ///
 /// Shares are between 0 and 1. Crashes, leader changes and network partitions cease with the load;
@@ -48,6 +63,10 @@
     ///
     /// A partition separates one executor from the leader for 0.5 to 9 s.
     pub partition_interval_ms: u64,
+    /// Mean time until a relay is paused, muted or restarted, in milliseconds; 0 for never.
+    pub relay_fault_interval_ms: u64,
+    /// Share of calls that take 0.3 to 3 s to their relay.
+    pub late_relay_messages: f64,
     /// Share of runs of finite tasks that fail at their end, on any executor.
     pub failing_runs: f64,
     /// Share of jobs that their callers cancel, up to 2 s after the submission.
@@ -71,6 +90,8 @@
             settle_ms: 60_000,
             upkeep_window_ms: 0,
             upkeep_cap: 3,
+            relays: 0,
+            relay_defect: None,
             fixed_load: false,
             order: JobOrder::OnTimeFirst,
             defect: None,
@@ -80,6 +101,8 @@
                 crash_interval_ms: 0,
                 leader_change_interval_ms: 0,
                 partition_interval_ms: 0,
+                relay_fault_interval_ms: 0,
+                late_relay_messages: 0.0,
                 failing_runs: 0.0,
                 cancelled_jobs: 0.0,
                 max_clock_drift: 0.0,
@@ -144,6 +167,20 @@
         self
     }
 
+    /// Lets relays carry the leader's calls to executors.
+    #[must_use]
+    pub const fn relays(mut self, count: usize) -> Self {
+        self.relays = count;
+        self
+    }
+
+    /// Leaves out a guard of the relays, to show that the checks detect its absence.
+    #[must_use]
+    pub const fn relay_defect(mut self, defect: RelayDefect) -> Self {
+        self.relay_defect = Some(defect);
+        self
+    }
+
     /// Sets the maximum number of hosts in upkeep at the same time.
     #[must_use]
     pub const fn upkeep_cap(mut self, cap: u32) -> Self {
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -4,12 +4,14 @@
 
 use masticfield_jobs::job::{Resources, RunId};
 use masticfield_jobs::leader::{Announcement, Call, CallError, Event};
+use masticfield_jobs::relay::{CallResult, CallTag, ExecutorCall};
 use masticfield_jobs::state::{ExecutorIncarnation, ExecutorKey};
 use rand::RngExt;
 
+use super::relays::CallAtRelay;
 use super::{
     ANNOUNCE_INTERVAL_MS, CALL_TIMEOUT_MS, NETWORK_DELAY_MS, PendingHold, START_WALL_MS,
-    ScheduledEvent, Simulation, timeout_event,
+    ScheduledEvent, Simulation,
 };
 use crate::executor::{ActiveRun, Executor, Health};
 use crate::fleet::round_to_u64;
@@ -46,11 +48,15 @@
     }
 
     /// Sends a call to an executor over a network that may delay the call or lose its answer.
-    pub(super) fn send_call(&mut self, key: ExecutorKey, id: &Arc<str>, call: Call) {
+    ///
+    /// `relayed` is the relay that makes the call; `None` for the leader itself.
+    pub(super) fn call_executor(&mut self, call: &ExecutorCall, relayed: Option<CallAtRelay>) {
+        let (key, relayed) = (call.executor, relayed.map(Box::new));
         let executor = self
             .executors
             .iter()
-            .position(|executor| executor.incarnation.id == *id);
+            .position(|executor| executor.incarnation.id == call.id);
+        let (fence, call) = (call.fence, call.call.clone());
         let Some(executor) = executor else {
             return;
         };
@@ -63,10 +69,9 @@
         } else {
             NETWORK_DELAY_MS
         };
-        let epoch = self.epoch;
+        let epoch = fence;
         if delayed || lost {
-            let event = timeout_event(key, &call);
-            self.schedule(CALL_TIMEOUT_MS, ScheduledEvent::DeliverEvent(epoch, event));
+            self.schedule_timeout(epoch, CallTag::new(key, &call), relayed.as_deref());
         }
         self.schedule(
             after,
@@ -77,33 +82,62 @@
                 call,
                 delayed,
                 answered: !delayed && !lost,
+                relayed,
             },
         );
     }
 
+    /// Schedules that a call has got no answer in time.
+    fn schedule_timeout(&mut self, epoch: u64, tag: CallTag, relayed: Option<&CallAtRelay>) {
+        let event = match relayed {
+            Some(arrival) => ScheduledEvent::RelayedResult {
+                epoch,
+                number: arrival.call.number,
+                result: tag.failed(CallError::Unknown),
+            },
+            None => ScheduledEvent::DeliverEvent(epoch, tag.unanswered()),
+        };
+        self.schedule(CALL_TIMEOUT_MS, event);
+    }
+
+    /// Sends the result of a call to the one that made it.
+    fn answer(
+        &mut self,
+        epoch: u64,
+        tag: CallTag,
+        result: CallResult,
+        relayed: Option<&CallAtRelay>,
+    ) {
+        match relayed {
+            Some(arrival) => self.return_result(arrival, result),
+            None => {
+                let event = ScheduledEvent::DeliverEvent(epoch, tag.event(result));
+                self.schedule(NETWORK_DELAY_MS, event);
+            }
+        }
+    }
+
     /// Carries out a call on an executor and sends the answer. A call times out if the executor is
     /// down or partitioned.
     pub(super) fn deliver_call(
         &mut self,
         epoch: u64,
         index: usize,
-        key: ExecutorKey,
-        call: &Call,
-        delayed: bool,
-        answered: bool,
+        (key, call): (ExecutorKey, &Call),
+        (delayed, answered): (bool, bool),
+        relayed: Option<Box<CallAtRelay>>,
     ) {
-        let now = self.now;
+        let (now, tag) = (self.now, CallTag::new(key, call));
         let executor = &self.executors[index];
         if !executor.up || executor.partitioned_until > now {
             if answered {
-                let event = timeout_event(key, call);
-                self.schedule(CALL_TIMEOUT_MS, ScheduledEvent::DeliverEvent(epoch, event));
+                self.schedule_timeout(epoch, tag, relayed.as_deref());
             }
             return;
         }
         self.advance(index);
         let fence = epoch;
-        let event = match call {
+        let result = match call {
             Call::Start {
                 run, deadline_ms, ..
             } => {
@@ -114,11 +148,7 @@
                     self.record_start(index, *run, delayed, active);
                 }
                 let clock = self.executors[index].clock(now);
-                Event::StartResult {
-                    executor: key,
-                    run: *run,
-                    result: started.map(|_| clock).map_err(CallError::Rejected),
-                }
+                CallResult::Order(started.map(|_| clock).map_err(CallError::Rejected))
             }
             Call::Stop { run } => {
                 let was_running = self.executors[index].running.contains_key(run);
@@ -132,17 +162,13 @@
                 }
                 let clock = self.executors[index].clock(now);
                 self.answer_hold_if_ended(index);
-                Event::StopResult {
-                    executor: key,
-                    run: *run,
-                    result: stopped.map(|()| clock).map_err(CallError::Rejected),
-                }
+                CallResult::Order(stopped.map(|()| clock).map_err(CallError::Rejected))
             }
             Call::Hold {
                 deadline_ms,
                 acknowledged: last_acknowledged,
                 wait,
-                sent,
+                ..
             } => {
                 self.report.polls += 1;
                 let report =
@@ -154,24 +180,20 @@
                     let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
                     let pending = PendingHold {
                         epoch,
-                        key,
-                        sent: *sent,
+                        tag,
                         last_acknowledged: *last_acknowledged,
                         until: now + wait,
                         fence,
+                        relayed,
                     };
                     self.pending_holds.insert(index, pending);
                     return self.schedule(wait, ScheduledEvent::HoldTimeout(index));
                 }
-                Event::HoldResult {
-                    executor: key,
-                    sent: *sent,
-                    result: report.map_err(CallError::Rejected),
-                }
+                CallResult::Hold(report.map_err(CallError::Rejected))
             }
         };
         if answered {
-            self.schedule(NETWORK_DELAY_MS, ScheduledEvent::DeliverEvent(epoch, event));
+            self.answer(epoch, tag, result, relayed.as_deref());
         }
     }
 
@@ -278,15 +300,8 @@
         } else {
             Err(CallError::Unknown)
         };
-        let event = Event::HoldResult {
-            executor: hold.key,
-            sent: hold.sent,
-            result,
-        };
-        self.schedule(
-            NETWORK_DELAY_MS,
-            ScheduledEvent::DeliverEvent(hold.epoch, event),
-        );
+        let result = CallResult::Hold(result);
+        self.answer(hold.epoch, hold.tag, result, hold.relayed.as_deref());
     }
 
     /// Announces an executor to the leader, and schedules its next announcement.
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod executors;
 mod hosts;
+mod relays;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -10,9 +11,9 @@
 
 use masticfield_jobs::job::JobId;
 use masticfield_jobs::leader::{
-    Call, CallError, ClaimWatch, Decision, Effect, Event, HostOptions, Leader, LeaderOptions,
-    Moment, ReplyId,
+    Call, ClaimWatch, Decision, Effect, Event, HostOptions, Leader, LeaderOptions, Moment, ReplyId,
 };
+use masticfield_jobs::relay::{CallResult, CallTag, ExecutorCall, RelayKey, RelayOptions, Relays};
 use masticfield_jobs::state::{Command, ExecutorKey, State};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +25,8 @@
 use crate::report::Report;
 use crate::scenario::Scenario;
 
+use relays::{CallAtRelay, RelayNode};
+
 /// Wall-clock time at the start, in milliseconds since the Unix epoch.
 const START_WALL_MS: u64 = 1_700_000_000_000;
 
@@ -93,7 +96,21 @@
         delayed: bool,
         /// Whether the answer reaches the leader.
         answered: bool,
+        /// The relay that made the call; `None` for the leader itself.
+        relayed: Option<Box<CallAtRelay>>,
+    },
+    /// A relay sends a sign of life to the leader.
+    RelayHeartbeat(usize),
+    /// A call arrives at its relay.
+    ArriveAtRelay(CallAtRelay),
+    /// The result of a relayed call reaches the leader with this epoch.
+    RelayedResult {
+        epoch: u64,
+        number: u64,
+        result: CallResult,
     },
+    /// A random relay is paused, muted or restarted.
+    DisturbRelay,
     /// An event reaches the leader with this epoch; dropped if another leads.
     DeliverEvent(u64, Event),
     /// Runs may have ended on an executor.
@@ -121,16 +138,17 @@
 }
 
 /// A hold that an executor answers when a run ends or the maximum wait is over.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct PendingHold {
     epoch: u64,
-    key: ExecutorKey,
-    sent: Duration,
+    tag: CallTag,
     /// Number of the last end that the leader has acknowledged.
     last_acknowledged: u64,
     /// End of the maximum wait.
     until: u64,
     fence: u64,
+    /// The relay that made the call; `None` for the leader itself.
+    relayed: Option<Box<CallAtRelay>>,
 }
 
 /// A simulation of a leader with its executors, hosts and callers.
@@ -160,6 +178,12 @@
     /// Pending holds by index of the executor.
     pending_holds: HashMap<usize, PendingHold>,
     hosts: Vec<Host>,
+    /// The leader's view of its relays.
+    relays: Relays,
+    relay_nodes: Vec<RelayNode>,
+    /// Index of each relay that has connected, by the key of its connection.
+    relay_keys: HashMap<RelayKey, usize>,
+    last_relay_key: u64,
     /// Job of each unanswered request, and whether the request cancels it.
     pending_requests: BTreeMap<ReplyId, (JobId, bool)>,
     last_reply_id: u64,
@@ -200,6 +224,10 @@
             executors: Vec::new(),
             pending_holds: HashMap::new(),
             hosts: Vec::new(),
+            relays: Relays::new(relay_options()),
+            relay_nodes: Vec::new(),
+            relay_keys: HashMap::new(),
+            last_relay_key: 0,
             pending_requests: BTreeMap::new(),
             last_reply_id: 0,
             checker: Checker::default(),
@@ -279,6 +307,8 @@
             faults.leader_change_interval_ms,
             ScheduledEvent::ChangeLeader,
         );
+        self.start_relays();
+        self.schedule_fault(faults.relay_fault_interval_ms, ScheduledEvent::DisturbRelay);
         self.schedule(1, ScheduledEvent::Tick);
         if self.scenario.upkeep_window_ms > 0 {
             self.schedule(WARMUP_MS, ScheduledEvent::StartWave);
@@ -333,7 +363,20 @@
                 call,
                 delayed,
                 answered,
-            } => self.deliver_call(epoch, executor, key, &call, delayed, answered),
+                relayed,
+            } => self.deliver_call(epoch, executor, (key, &call), (delayed, answered), relayed),
+            ScheduledEvent::RelayHeartbeat(relay) => self.relay_heartbeat(relay),
+            ScheduledEvent::ArriveAtRelay(arrival) => self.arrive_at_relay(arrival),
+            ScheduledEvent::RelayedResult {
+                epoch,
+                number,
+                result,
+            } => self.handle_relayed_result(epoch, number, result),
+            ScheduledEvent::DisturbRelay => {
+                self.disturb_relay();
+                let mean = self.scenario.faults.relay_fault_interval_ms;
+                self.schedule_fault(mean, ScheduledEvent::DisturbRelay);
+            }
             ScheduledEvent::DeliverEvent(epoch, event) => self.notify_leader(epoch, event),
             ScheduledEvent::AdvanceExecutor(executor) => self.advance(executor),
             ScheduledEvent::HoldTimeout(executor) => {
@@ -382,6 +425,7 @@
 
     /// Lets the leader decide, and schedules the commit of its decision.
     fn decide(&mut self) {
+        self.expire_relayed_calls();
         let started = Instant::now();
         let decision = self.leader.decide(moment(self.now));
         self.decision_time += started.elapsed();
@@ -427,9 +471,21 @@
             Effect::Call {
                 executor: key,
                 id,
+                address,
                 call,
-                ..
-            } => self.send_call(key, &id, call),
+            } => {
+                let call = ExecutorCall {
+                    executor: key,
+                    id,
+                    address,
+                    fence: self.epoch,
+                    decided: Duration::from_millis(self.now),
+                    call,
+                };
+                if let Some(call) = self.send_through_relay(call) {
+                    self.call_executor(&call, None);
+                }
+            }
             Effect::ListHosts => {
                 let hosts = Some(self.list_hosts());
                 self.schedule(
@@ -469,6 +525,7 @@
         }
         self.uncommitted = 0;
         self.epoch += 1;
+        self.relays = Relays::new(relay_options());
         self.leader = Leader::new(
             self.state.clone(),
             leader_options(&self.scenario),
@@ -551,6 +608,14 @@
     })
 }
 
+/// Relays are used whatever the number of executors.
+fn relay_options() -> RelayOptions {
+    RelayOptions {
+        min_executors: 0,
+        ..RelayOptions::new()
+    }
+}
+
 fn moment(now: u64) -> Moment {
     Moment {
         monotonic: Duration::from_millis(now),
@@ -572,24 +637,3 @@
         SURGE_FACTORS.1
     }
 }
-
-/// Returns the event for the leader when a call gets no answer.
-fn timeout_event(executor: ExecutorKey, call: &Call) -> Event {
-    match call {
-        Call::Start { run, .. } => Event::StartResult {
-            executor,
-            run: *run,
-            result: Err(CallError::Unknown),
-        },
-        Call::Stop { run } => Event::StopResult {
-            executor,
-            run: *run,
-            result: Err(CallError::Unknown),
-        },
-        Call::Hold { sent, .. } => Event::HoldResult {
-            executor,
-            sent: *sent,
-            result: Err(CallError::Unknown),
-        },
-    }
-}
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -1,6 +1,6 @@
 //! Invariants that hold in every simulation, whatever faults it injects.
 
-use masticfield_emulator::{Faults, Fleet, Report, Scenario, Simulation};
+use masticfield_emulator::{Faults, Fleet, RelayDefect, Report, Scenario, Simulation};
 use masticfield_jobs::leader::Defect;
 use rstest::rstest;
 
@@ -215,6 +215,50 @@
     }
 }
 
+/// Relays are paused, muted and restarted, and calls to them are late.
+fn relay_faults(faults: Faults) -> Faults {
+    Faults {
+        relay_fault_interval_ms: 600,
+        late_relay_messages: 0.05,
+        ..faults
+    }
+}
+
+fn simulate_relays(faults: Faults, seed: u64, defect: Option<RelayDefect>) -> Report {
+    let mut scenario = Scenario::new(Fleet::small()).load_ms(15_000).relays(4);
+    scenario.relay_defect = defect;
+    Simulation::new(scenario.upkeep().faults(relay_faults(faults)), seed).run()
+}
+
+/// A relay that fails makes answers unknown, and no run is over because its relay is silent.
+#[rstest]
+#[case::relay_faults_only(no_faults())]
+#[case::delayed_orders(delayed_orders())]
+#[case::crashes_and_partitions(crashes_and_partitions())]
+#[case::leader_changes(leader_changes())]
+#[case::mixed_faults(mixed_faults())]
+fn invariants_hold_with_relays(#[case] faults: Faults) {
+    for seed in seeds() {
+        let report = simulate_relays(faults, seed, None);
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+        assert!(report.starts > 0, "seed {seed}: no task was started");
+    }
+}
+
+/// The checks detect each guard of the relays that is left out.
+#[rstest]
+#[case::expiry(RelayDefect::SendExpired, no_faults())]
+#[case::term(RelayDefect::SendDeposed, leader_changes())]
+#[case::lost_relay(RelayDefect::LostNeverRan, no_faults())]
+fn each_left_out_guard_of_relays_is_detected(#[case] defect: RelayDefect, #[case] faults: Faults) {
+    let detected = (0..GUARD_SEEDS).find(|seed| {
+        let report = simulate_relays(faults, *seed, Some(defect));
+        !report.violations.is_empty()
+    });
+    assert!(detected.is_some(), "no violation on {GUARD_SEEDS} seeds");
+}
+
 /// The checks detect each guard that is left out: at least one seed shows a violation.
 #[rstest]
 #[case::capacity(Defect::PlaceWithoutCapacity, no_faults(), 0)]
