fix(routing): wait for no peer that leaves as well

Cause: an entry that gets the leave of a peer marks the peer as left and ignores its later messages, the acknowledgement of its own leave among them. Entries that are stopped together waited for each other until the time limit; the demo ended each clean run with four warnings. Ruled out: the time limit; no acknowledgement could arrive, however long it was. Change: the leave of a peer counts as its acknowledgement.

--- a/crates/masticfield-routing/src/membership/receive.rs
+++ b/crates/masticfield-routing/src/membership/receive.rs
@@ -58,12 +58,7 @@
             PeerBody::LeavingAck(revisions) => self.on_leaving_ack(from, &revisions),
             PeerBody::Members(infos) => self.on_members(now, infos),
             PeerBody::Leave => self.on_leave(from),
-            PeerBody::LeaveAck => {
-                if let Departure::Leaving { pending } = &mut self.departure {
-                    pending.remove(&from);
-                }
-                self.finish_leave();
-            }
+            PeerBody::LeaveAck => self.acknowledge_leave(from),
         }
     }
 
@@ -245,6 +240,16 @@
             let event = MembershipEvent::EntryLeft(from, peer.info.incarnation);
             self.actions.push(Action::Publish(event));
         }
+        // A peer that leaves takes over nothing, and its acknowledgement would be ignored from now.
+        self.acknowledge_leave(from);
+    }
+
+    /// Stops waiting for a peer to acknowledge that this entry leaves.
+    fn acknowledge_leave(&mut self, from: EntryId) {
+        if let Departure::Leaving { pending } = &mut self.departure {
+            pending.remove(&from);
+        }
+        self.finish_leave();
     }
 
     fn on_members(&mut self, now: Instant, infos: Vec<EntryInfo>) {
--- a/crates/masticfield-routing/tests/membership.rs
+++ b/crates/masticfield-routing/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use masticfield_routing::membership::{Defect, Timing};
+use masticfield_routing::membership::{Defect, Input, Timing};
 use network::{Faults, Network};
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 use rstest::rstest;
@@ -35,6 +35,18 @@
     network
 }
 
+/// An installation that stops ends all entries at once. None waits for one that leaves as well.
+#[test]
+fn entries_that_leave_together_wait_for_none_of_them() {
+    let mut network = Network::new(1, 4, 8, Timing::new(), Defect::None);
+    network.run_for(20_000);
+    for entry in 0..4 {
+        network.step(entry, Input::Leave);
+    }
+    network.run_for(200);
+    assert_eq!(network.left.len(), 4, "{:?}", network.left);
+}
+
 /// All datagrams are lost once upstreams leave, but delayed ones still arrive.
 fn leaves_without_network(seed: u64, defect: Defect) -> Network {
     let mut network = Network::new(seed, 4, 8, Timing::new(), defect);
--- a/crates/masticfield-routing/tests/network/mod.rs
+++ b/crates/masticfield-routing/tests/network/mod.rs
@@ -67,6 +67,8 @@
     pub violations: Vec<String>,
     /// Longest use of an incarnation after its end so far, in milliseconds.
     pub longest_use_ms: u64,
+    /// Entries that have finished leaving.
+    pub left: BTreeSet<usize>,
     /// Datagrams and bytes that each entry has sent.
     pub sent: Vec<(usize, usize)>,
     /// Datagrams and bytes that each entry has received.
@@ -101,6 +103,7 @@
             limit_ms: u64::try_from(timing.time_to_live().as_millis()).unwrap(),
             violations: Vec::new(),
             longest_use_ms: 0,
+            left: BTreeSet::new(),
             sent: vec![(0, 0); entries],
             received: vec![(0, 0); entries],
             published: vec![BTreeMap::new(); entries],
@@ -284,6 +287,9 @@
                 Action::Publish(MembershipEvent::Upstream(announcement)) => {
                     self.record_published(entry, &announcement);
                 }
+                Action::Left => {
+                    self.left.insert(entry);
+                }
                 _ => {}
             }
         }
