style(jobs,entry,emulator): what the linter asks of the relays

Ruled out: behaviour; no statement changes its meaning. Change: a renamed field, two calls in place of closures or matches, and a section on errors.

--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -108,13 +108,11 @@
         result: CallResult,
         relayed: Option<&CallAtRelay>,
     ) {
-        match relayed {
-            Some(arrival) => self.return_result(arrival, result),
-            None => {
-                let event = ScheduledEvent::DeliverEvent(epoch, tag.event(result));
-                self.schedule(NETWORK_DELAY_MS, event);
-            }
+        if let Some(arrival) = relayed {
+            return self.return_result(arrival, result);
         }
+        let event = ScheduledEvent::DeliverEvent(epoch, tag.event(result));
+        self.schedule(NETWORK_DELAY_MS, event);
     }
 
     /// Carries out a call on an executor and sends the answer. A call times out if the executor is
--- a/crates/masticfield-entry/src/jobs/link.rs
+++ b/crates/masticfield-entry/src/jobs/link.rs
@@ -7,7 +7,7 @@
 use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::Reply;
 use masticfield_jobs::protocol::{FromEntry, ToEntry};
-use masticfield_jobs::relay::RelayOffer;
+use masticfield_jobs::relay::{ConfirmedAnnouncements, RelayOffer};
 use masticfield_wire::{Connection, FrameReader, FrameWriter, WireError};
 use tokio::sync::{mpsc, watch};
 
@@ -136,7 +136,7 @@
                     let (reader, writer) = *connection;
                     let end = self.serve(reader, writer).await;
                     self.relay.iter().for_each(Relay::disconnect);
-                    self.announcements.with(|confirmed| confirmed.clear());
+                    self.announcements.with(ConfirmedAnnouncements::clear);
                     let why = end.err().map(|error| error.to_string()).unwrap_or_default();
                     log::info!(why; "the leading replica is not connected");
                     self.metrics.record_connection(false);
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -101,7 +101,7 @@
                 announcement,
             } => self.on_announcement(now, reply_to, &announcement),
             Event::AnnouncedAgain(announcement) => {
-                self.on_repeated_announcement(now, &announcement)
+                self.on_repeated_announcement(now, &announcement);
             }
             Event::Left { reply_to, id } => self.on_left(now, reply_to, &id),
             Event::Wave { reply_to, order } => self.on_wave(now, reply_to, order),
--- a/crates/masticfield-jobs/src/relay/call_result.rs
+++ b/crates/masticfield-jobs/src/relay/call_result.rs
@@ -15,6 +15,10 @@
 
 impl CallResult {
     /// Returns the result without its data.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call has failed, for the same reason.
     pub fn outcome(&self) -> Result<(), CallError> {
         match self {
             Self::Order(result) => result.as_ref().map(drop).map_err(|error| *error),
--- a/crates/masticfield-jobs/src/relay/relays.rs
+++ b/crates/masticfield-jobs/src/relay/relays.rs
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 pub struct Relays {
     options: RelayOptions,
-    relays: BTreeMap<RelayKey, Relay>,
+    connected: BTreeMap<RelayKey, Relay>,
     /// Relay of each executor that was called, as far as it is chosen; `None` for no relay.
     chosen: HashMap<ExecutorKey, Option<RelayKey>>,
     pending: BTreeMap<u64, PendingCall>,
@@ -108,7 +108,7 @@
     pub fn new(options: RelayOptions) -> Self {
         Self {
             options,
-            relays: BTreeMap::new(),
+            connected: BTreeMap::new(),
             chosen: HashMap::new(),
             pending: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -124,14 +124,14 @@
             last_heard: now,
             suspended_until: None,
         };
-        self.relays.insert(key, relay);
+        self.connected.insert(key, relay);
         self.chosen.clear();
     }
 
     /// Removes a relay whose connection has ended; returns the results of its calls, which are not
     /// known.
     pub fn disconnect(&mut self, key: RelayKey) -> Vec<Event> {
-        if self.relays.remove(&key).is_none() {
+        if self.connected.remove(&key).is_none() {
             return Vec::new();
         }
         self.chosen.retain(|_, relay| *relay != Some(key));
@@ -140,14 +140,14 @@
 
     /// Records that a message of a relay has arrived.
     pub fn record_contact(&mut self, now: Duration, key: RelayKey) {
-        if let Some(relay) = self.relays.get_mut(&key) {
+        if let Some(relay) = self.connected.get_mut(&key) {
             relay.last_heard = now;
         }
     }
 
     /// Returns whether calls go through relays, given the number of all executors.
     pub fn are_used(&self, executors: usize) -> bool {
-        executors >= self.options.min_executors && !self.relays.is_empty()
+        executors >= self.options.min_executors && !self.connected.is_empty()
     }
 
     /// Decides how a call reaches its executor, which is in `zone`; `executors` is the number of
@@ -189,7 +189,7 @@
         if executors < self.options.min_executors {
             return None;
         }
-        let relay = self.relays.get(&self.choose(id, zone)?)?;
+        let relay = self.connected.get(&self.choose(id, zone)?)?;
         Some(Arc::clone(&relay.offer.announce_address))
     }
 
@@ -227,7 +227,7 @@
 
     /// Returns the number of relays that get calls, and of calls on their way.
     pub fn load(&self) -> (usize, usize) {
-        let relays = self.relays.values();
+        let relays = self.connected.values();
         let usable = relays.filter(|relay| relay.suspended_until.is_none());
         (usable.count(), self.pending.len())
     }
@@ -235,7 +235,7 @@
     /// Takes relays that are silent out of use, and lets those back in that were not silent again.
     fn suspend_silent(&mut self, now: Duration) -> Vec<Event> {
         let mut silent = Vec::new();
-        for (key, relay) in &mut self.relays {
+        for (key, relay) in &mut self.connected {
             let is_silent = now > relay.last_heard + self.options.max_silence;
             if is_silent {
                 if relay.suspended_until.is_none() {
@@ -274,7 +274,7 @@
     /// any, otherwise among all.
     fn choose(&self, id: &str, zone: &str) -> Option<RelayKey> {
         let usable = self
-            .relays
+            .connected
             .iter()
             .filter(|(_, relay)| relay.suspended_until.is_none());
         let key = |(key, relay): (&RelayKey, &Relay)| {
--- a/crates/masticfield-jobs/tests/relay.rs
+++ b/crates/masticfield-jobs/tests/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use masticfield_jobs::job::{JobId, RunId, TaskId};
+use masticfield_jobs::job::{JobId, Resources, RunId, TaskId};
 use masticfield_jobs::leader::{Announcement, Call, CallError, Event};
 use masticfield_jobs::relay::{
     CALL_VALIDITY, CallResult, ClockBound, ConfirmedAnnouncements, ExecutorCall, RelayGate,
@@ -259,7 +259,7 @@
             zone: "a".into(),
             labels: Vec::new(),
             rack: None,
-            capacity: Default::default(),
+            capacity: Resources::default(),
         },
         sequence,
         clock_ms: 40,
