fix(jobs): saturate times and sizes that senders give

Cause: operators of similar systems report processes that one malformed message took down. A job with an extreme estimate, a configuration with an extreme target or an executor with an extreme clock overflowed sums of the leader: a panic where overflow is checked, and a due time, a lease or a pool size near zero in a release build. Ruled out: the decoders; 4,000 random and damaged bodies gave errors only. Change: these sums saturate.

--- a/crates/masticfield-jobs/src/job/spec.rs
+++ b/crates/masticfield-jobs/src/job/spec.rs
@@ -110,7 +110,8 @@
         for step in &self.steps {
             let dependencies = step.depends_on.iter();
             let starts = dependencies.filter_map(|dependency| ends.get(usize::from(*dependency)));
-            ends.push(starts.max().copied().unwrap_or_default() + step.estimate_ms);
+            let start = starts.max().copied().unwrap_or_default();
+            ends.push(start.saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -126,7 +126,7 @@
         if spec.is_long_running() || spec.timetable.is_some() {
             return (backlog, None);
         }
-        let useful_ms = on_time_ms(spec, config) * USEFUL_FACTOR;
+        let useful_ms = on_time_ms(spec, config).saturating_mul(USEFUL_FACTOR);
         (
             backlog,
             Some(useful_ms.saturating_sub(spec.critical_path_ms())),
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -74,7 +74,7 @@
     pub(super) fn extend_lease(&mut self, now: Moment, executor: ExecutorKey) -> Option<u64> {
         let lease = u64::try_from(self.options.lease.as_millis()).unwrap_or(u64::MAX);
         let view = self.executors.get_mut(&executor)?;
-        let deadline = view.clock?.estimate(now.monotonic) + lease;
+        let deadline = view.clock?.estimate(now.monotonic).saturating_add(lease);
         if view.failed_holds == 0 {
             view.deadline_ms = view.deadline_ms.max(deadline);
         }
--- a/crates/masticfield-jobs/src/leader/pending_job.rs
+++ b/crates/masticfield-jobs/src/leader/pending_job.rs
@@ -124,7 +124,8 @@
             (_, Some(_)) => step.estimate_ms,
             (_, None) => step.estimate_ms / 2,
         };
-        ends.push(starts.max().copied().unwrap_or_default() + time);
+        let start = starts.max().copied().unwrap_or_default();
+        ends.push(start.saturating_add(time));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -120,7 +120,7 @@
             return (true, u64::MAX);
         };
         let key = match self.options.order {
-            JobOrder::EarliestDeadline => job.accepted_ms + on_time_ms(spec, queue),
+            JobOrder::EarliestDeadline => job.accepted_ms.saturating_add(on_time_ms(spec, queue)),
             JobOrder::ShortestFirst => {
                 let left = job
                     .occurrences
--- a/crates/masticfield-jobs/src/schedule/lease.rs
+++ b/crates/masticfield-jobs/src/schedule/lease.rs
@@ -21,12 +21,13 @@
     /// Returns the lowest value that the executor's clock can show now.
     pub fn lower_bound(self, now: Duration) -> u64 {
         let elapsed = now.saturating_sub(self.received).mul_f64(SLOWEST_CLOCK);
-        self.clock_ms + millis(elapsed)
+        self.clock_ms.saturating_add(millis(elapsed))
     }
 
     /// Returns what the executor's clock shows now if it runs at the rate of the local clock.
     pub fn estimate(self, now: Duration) -> u64 {
-        self.clock_ms + millis(now.saturating_sub(self.received))
+        let elapsed = now.saturating_sub(self.received);
+        self.clock_ms.saturating_add(millis(elapsed))
     }
 
     /// Returns whether a lease until `deadline_ms` of the executor's clock has certainly expired.
--- a/crates/masticfield-jobs/src/schedule/pool_size.rs
+++ b/crates/masticfield-jobs/src/schedule/pool_size.rs
@@ -54,7 +54,7 @@
     let by_memory = hosts(to_f64(present.memory_mb), to_f64(host.memory_mb));
     let by_gpus = hosts(to_f64(present.gpus), to_f64(host.gpus));
     let needed = by_cores.max(by_memory).max(by_gpus).max(load.spread_hosts);
-    (needed + SPARE_HOSTS).max(MIN_HOSTS)
+    needed.saturating_add(SPARE_HOSTS).max(MIN_HOSTS)
 }
 
 #[expect(
--- a/crates/masticfield-jobs/src/schedule/rank.rs
+++ b/crates/masticfield-jobs/src/schedule/rank.rs
@@ -22,7 +22,7 @@
     Rank {
         finite: !spec.is_long_running(),
         priority: queue.priority,
-        due_ms: accepted_ms + on_time_ms(spec, queue),
+        due_ms: accepted_ms.saturating_add(on_time_ms(spec, queue)),
     }
 }
 
@@ -42,10 +42,10 @@
 /// In a surge that exceeds the pool, jobs that can be on time are scheduled before those that will
 /// be late anyway; otherwise every job would wait behind others until it is late as well.
 pub fn timeliness(on_time_ms: u64, waited_ms: u64, remaining_ms: u64) -> Timeliness {
-    let total = waited_ms + remaining_ms;
+    let total = waited_ms.saturating_add(remaining_ms);
     if total <= on_time_ms {
         Timeliness::OnTime
-    } else if total <= on_time_ms * USEFUL_FACTOR {
+    } else if total <= on_time_ms.saturating_mul(USEFUL_FACTOR) {
         Timeliness::Late
     } else {
         Timeliness::TooLate
@@ -61,5 +61,5 @@
         reason = "milliseconds of a job, rounded"
     )]
     let work = (spec.critical_path_ms() as f64 * queue.stretch.max(1.0)) as u64;
-    work + queue.target_ms
+    work.saturating_add(queue.target_ms)
 }
