feat(jobs): log each run that ends with its executor

Ruled out: a metric alone; masticfield_run_seconds{end="gone"} counted such runs already, but not whose. Change: 'run ended' with how=gone, the task's failures, the age of the run and of the executor's last answer.

--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -5,6 +5,7 @@
 
 use super::executor::{ExecutorView, HoldPhase};
 use super::{Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Reply, ReplyId};
+use crate::job::RunId;
 use crate::schedule::poll_interval;
 use crate::state::{Command, EndKind, ExecutorKey};
 
@@ -155,6 +156,7 @@
         );
         let runs: Vec<_> = record.runs.iter().copied().collect();
         log::info!(executor = id.as_ref(), runs = runs.len(), why; "executor gone");
+        self.log_lost_runs(now, key, &runs);
         self.propose(Command::Retire {
             executor: key,
             at_ms: now.wall_ms,
@@ -173,6 +175,29 @@
         self.after_commit(Effect::Disconnect { executor: key });
     }
 
+    /// Logs the runs that end with their executor.
+    fn log_lost_runs(&self, now: Moment, key: ExecutorKey, runs: &[RunId]) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let elapsed_ms = |since: Duration| {
+            let elapsed = now.monotonic.saturating_sub(since);
+            u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        };
+        let heard_ms = view.clock.map(|clock| elapsed_ms(clock.received));
+        for run in runs {
+            let job = self.state.job(run.task.job);
+            let failures = job.and_then(|job| Some(job.task(run.task)?.failures));
+            let placed = view.runs.get(run).map(|run| run.placed_at);
+            let placed_ms = placed.map(elapsed_ms);
+            let how = EndKind::Gone.name();
+            log::info!(
+                run:%, executor = key.0, how, failures, placed_ms, heard_ms;
+                "run ended"
+            );
+        }
+    }
+
     /// Checks every executor for expired leases, lost contact, and orders to repeat.
     pub(super) fn check_executors(&mut self, now: Moment) {
         let keys: Vec<_> = self.executors.keys().copied().collect();
