test(emulator): tasks that crash executors are not started again and again

Cause: no simulation had a task that ends its executor, so nothing showed that such a task is started for ever. Ruled out: a crash of a random executor shows it; those runs are lost as well, but the next start succeeds. Change: a share of jobs has a task that crashes each executor 10 ms after its start; the executor is back after 1 to 9 s, and calls to its former incarnation are answered by the new one, as on the users' platform. The checker allows two starts after three crashes.

--- a/crates/masticfield-emulator/src/checker.rs
+++ b/crates/masticfield-emulator/src/checker.rs
@@ -10,6 +10,12 @@
 /// Time after which a long-running task that does not run counts as missing, in milliseconds.
 const OUTAGE_GRACE_MS: u64 = 4_500;
 
+/// Number of executors that a task may crash without a limit on its starts.
+const CRASHES_BEFORE_LIMIT: u32 = 3;
+
+/// Number of starts of a task after these crashes that violates the limit.
+const EXCESSIVE_STARTS: u32 = 3;
+
 /// A job that a caller has submitted, and what the caller knows of it.
 #[derive(Debug, Clone)]
 pub(crate) struct SubmittedJob {
@@ -28,6 +34,8 @@
     pub(crate) ended_at: Option<u64>,
     /// Whether the job ended because all its tasks are done.
     pub(crate) completed: bool,
+    /// Task that crashes each executor that starts it, if the job has one.
+    pub(crate) crashing_task: Option<TaskId>,
 }
 
 /// Checks invariants against the jobs that callers submitted and the runs on executors.
@@ -40,6 +48,8 @@
     pub(crate) done: BTreeSet<TaskId>,
     /// Tasks that ran and no longer do: since when, and whether an order ended the run.
     outages: BTreeMap<TaskId, (u64, bool)>,
+    /// Executors that each task has crashed, and its starts since the last one without a limit.
+    crashes: BTreeMap<TaskId, (u32, u32)>,
     /// Descriptions of violated invariants.
     pub(crate) violations: Vec<String>,
     /// Starts that took an executor above its capacity.
@@ -98,6 +108,9 @@
                 "{now}: {run} started after {failures} failures of its task"
             ));
         }
+        if !delayed {
+            self.check_crashes(now, run);
+        }
         let running = self.running.entry(task).or_default();
         if !copies && (!running.is_empty() || done) {
             self.duplicate_runs += 1;
@@ -109,6 +122,30 @@
         self.outages.remove(&task);
     }
 
+    /// Checks that a task that crashes executors is not started again and again.
+    fn check_crashes(&mut self, now: u64, run: RunId) {
+        let Some((crashes, starts)) = self.crashes.get_mut(&run.task) else {
+            return;
+        };
+        *starts += u32::from(*crashes >= CRASHES_BEFORE_LIMIT);
+        if *starts >= EXCESSIVE_STARTS {
+            self.violations.push(format!(
+                "{now}: {run} started after {crashes} executors have crashed under its task"
+            ));
+        }
+    }
+
+    /// Records that a task has crashed an executor.
+    pub(crate) fn record_crash(&mut self, task: TaskId) {
+        self.crashes.entry(task).or_default().0 += 1;
+    }
+
+    /// Returns whether a task crashes each executor that starts it.
+    pub(crate) fn is_crashing(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|job| job.crashing_task == Some(task))
+    }
+
     /// Records the end of a run.
     pub(crate) fn record_end(&mut self, now: u64, executor: usize, run: RunId) {
         if let Some(running) = self.running.get_mut(&run.task)
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -21,6 +21,12 @@
     pub cancelled_or_failed: u32,
     /// Jobs that failed and were not cancelled; included in `cancelled_or_failed`.
     pub failed: u32,
+    /// Jobs that failed although none of their tasks crashes executors; included in `failed`.
+    pub failed_without_fault: u32,
+    /// Jobs with a task that crashes executors, as far as they were accepted and not cancelled.
+    pub crashing_jobs: u32,
+    /// Executors that a task has crashed.
+    pub crashes_by_tasks: u32,
     /// Earned share of the total credit, from 0 to 1.
     ///
     /// The credit of a job grows with its work. A late job earns 7% of its credit up to three times
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -79,6 +79,8 @@
     pub slow_executors: f64,
     /// Factor on the duration of work on slow executors; a large one stalls their tasks.
     pub slowdown: u32,
+    /// Share of jobs with one task that crashes each executor that starts it.
+    pub crashing_jobs: f64,
 }
 
 impl Scenario {
@@ -109,6 +111,7 @@
                 failing_executors: 0.0,
                 slow_executors: 0.0,
                 slowdown: 0,
+                crashing_jobs: 0.0,
             },
         }
     }
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -1,6 +1,6 @@
 //! Callers: their requests about jobs, and the replies.
 
-use masticfield_jobs::job::JobId;
+use masticfield_jobs::job::{JobId, JobSpec, TaskId};
 use masticfield_jobs::leader::{Event, JobRequest, JobRequestKind, Refusal, Reply, ReplyId};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -71,10 +71,12 @@
         // As in the configuration of the queues: `stretch` and `target_ms`.
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a job")]
         let objective_ms = round_to_u64(spec.critical_path_ms() as f64 * 1.6) + 600;
+        let crashing_task = self.choose_crashing_task(job, &spec);
         self.checker.jobs.insert(
             job,
             SubmittedJob {
                 spec,
+                crashing_task,
                 submitted_at: self.now,
                 objective_ms,
                 accepted: false,
@@ -92,6 +94,18 @@
         }
     }
 
+    /// Returns the task of a new job that is to crash executors, if any.
+    fn choose_crashing_task(&mut self, job: JobId, spec: &JobSpec) -> Option<TaskId> {
+        let share = self.scenario.faults.crashing_jobs;
+        if share == 0.0 || spec.is_long_running() || !self.caller_rng().random_bool(share) {
+            return None;
+        }
+        let step = self.caller_rng().random_range(0..spec.steps.len());
+        let index = self.caller_rng().random_range(0..spec.steps[step].count);
+        let step = u16::try_from(step).ok()?;
+        Some(TaskId::new(job, 0, step, index))
+    }
+
     /// Repeats the submission of a job, always to the first queue.
     pub(super) fn resubmit(&mut self, job: JobId) {
         self.send_submission(job, 0);
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -10,8 +10,8 @@
 
 use super::relays::CallAtRelay;
 use super::{
-    ANNOUNCE_INTERVAL_MS, CALL_TIMEOUT_MS, NETWORK_DELAY_MS, PendingHold, START_WALL_MS,
-    ScheduledEvent, Simulation,
+    ANNOUNCE_INTERVAL_MS, CALL_TIMEOUT_MS, CRASH_DELAY_MS, CRASH_RETURN_MS, NETWORK_DELAY_MS,
+    PendingHold, START_WALL_MS, ScheduledEvent, Simulation,
 };
 use crate::executor::{ActiveRun, Executor, Health};
 use crate::fleet::round_to_u64;
@@ -128,7 +128,10 @@
         let (now, tag) = (self.now, CallTag::new(key, call));
         let executor = &self.executors[index];
         if !executor.up || executor.partitioned_until > now {
-            if answered {
+            if answered && self.has_successor(index) {
+                let result = tag.failed(CallError::OtherIncarnation);
+                self.answer(epoch, tag, result, relayed.as_deref());
+            } else if answered {
                 self.schedule_timeout(epoch, tag, relayed.as_deref());
             }
             return;
@@ -251,6 +254,9 @@
             );
             self.checker.violations.push(text);
         }
+        if self.checker.is_crashing(run.task) {
+            self.schedule(CRASH_DELAY_MS, ScheduledEvent::CrashByRun(index, run));
+        }
         if let Some(ends_at) = active.ends_at {
             self.schedule(ends_at - self.now, ScheduledEvent::AdvanceExecutor(index));
         }
@@ -376,6 +382,27 @@
         self.schedule(after, ScheduledEvent::HostReturns(host));
     }
 
+    /// Crashes the executor that has started a run of a task that crashes executors.
+    pub(super) fn crash_by_run(&mut self, index: usize, run: RunId) {
+        let host = self.executors[index].host;
+        if !self.executors[index].up || !self.executors[index].running.contains_key(&run) {
+            return;
+        }
+        self.checker.record_crash(run.task);
+        self.report.crashes_by_tasks += 1;
+        self.end_executor(index);
+        let after = self.rng.random_range(CRASH_RETURN_MS.0..CRASH_RETURN_MS.1);
+        self.schedule(after, ScheduledEvent::HostReturns(host));
+    }
+
+    /// Returns whether another executor answers at the address of one that has ended.
+    fn has_successor(&self, index: usize) -> bool {
+        let ended = &self.executors[index];
+        let successor = self.hosts[ended.host].executor;
+        let successor = successor.map(|successor| &self.executors[successor]);
+        !ended.up && successor.is_some_and(|successor| successor.partitioned_until <= self.now)
+    }
+
     /// Ends an executor and all its runs.
     pub(super) fn end_executor(&mut self, index: usize) {
         let runs: Vec<_> = self.executors[index].running.keys().copied().collect();
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use masticfield_jobs::job::JobId;
+use masticfield_jobs::job::{JobId, RunId};
 use masticfield_jobs::leader::{
     Call, ClaimWatch, Decision, Effect, Event, HostOptions, Leader, LeaderOptions, Moment, ReplyId,
 };
@@ -57,6 +57,12 @@
 /// Lease of a leader's request about a host at the platform, in milliseconds.
 const HANDOVER_MS: u64 = 3_000;
 
+/// Time after which a task that crashes executors does so, in milliseconds.
+const CRASH_DELAY_MS: u64 = 10;
+
+/// Shortest and longest time until an executor is back that a task has crashed, in milliseconds.
+const CRASH_RETURN_MS: (u64, u64) = (1_000, 9_000);
+
 /// Share of the load for which each queue surges.
 const SURGE_SHARE: f64 = 0.25;
 
@@ -119,6 +125,8 @@
     HoldTimeout(usize),
     /// A random executor crashes.
     CrashExecutor,
+    /// A run crashes the executor that has started it.
+    CrashByRun(usize, RunId),
     /// A random executor is separated from the leader.
     PartitionExecutor,
     /// Another replica becomes the leader.
@@ -395,6 +403,7 @@
                     ScheduledEvent::CrashExecutor,
                 );
             }
+            ScheduledEvent::CrashByRun(executor, run) => self.crash_by_run(executor, run),
             ScheduledEvent::PartitionExecutor => {
                 let executor = self.rng.random_range(0..self.executors.len());
                 let duration = self.rng.random_range(500..9_000);
@@ -549,8 +558,16 @@
             if submitted.spec.is_long_running() {
                 continue;
             }
-            let credit = 1.0 + submitted.spec.work();
+            // A job that crashes executors cannot be done, and earns nothing.
+            let can_be_done = submitted.crashing_task.is_none();
+            let credit = if can_be_done {
+                1.0 + submitted.spec.work()
+            } else {
+                0.0
+            };
             self.report.submitted += 1;
+            let accepted = submitted.accepted && submitted.cancelled_at.is_none();
+            self.report.crashing_jobs += u32::from(!can_be_done && accepted);
             owed += credit;
             let duration = submitted
                 .ended_at
@@ -575,6 +592,8 @@
                         owed -= credit;
                     } else {
                         self.report.failed += 1;
+                        self.report.failed_without_fault +=
+                            u32::from(submitted.crashing_task.is_none());
                     }
                 }
                 None if submitted.accepted => {
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -106,6 +106,28 @@
     );
 }
 
+/// Some jobs have a task that crashes each executor that starts it.
+fn crashing_tasks(faults: Faults) -> Faults {
+    Faults {
+        crashing_jobs: 0.05,
+        ..faults
+    }
+}
+
+#[rstest]
+#[case::alone(no_faults())]
+#[case::leader_changes(leader_changes())]
+#[case::crashes_and_partitions(crashes_and_partitions())]
+#[case::mixed_faults(mixed_faults())]
+fn a_task_that_crashes_executors_is_not_started_again_and_again(#[case] faults: Faults) {
+    for seed in seeds() {
+        let report = simulate(crashing_tasks(faults), seed);
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+        assert!(report.crashing_jobs > 0, "seed {seed}: no task crashes");
+    }
+}
+
 /// Executors on which work takes `factor` times as long.
 fn slow_executors(factor: u32) -> Faults {
     Faults {
