fix(jobs): end no run by a poll that was answered before it started

Cause: a run that a poll lists was taken to be confirmed when that poll was sent. Ruled out: a lost order, as the executor answered it; a change of the leader, which came 0.8 s later. Change: such a run is confirmed as of the time at which the report is processed. A poll that is sent at that time or later decides, so that no poll more is needed than before. Evidence: a_run_is_not_ended_by_a_poll_that_was_answered_before_it_started failed before (End kind Gone at 31 ms, and a second Start).

--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -136,7 +136,8 @@
                 run.baseline
                     .get_or_insert((report.clock_ms, listed.percent));
                 if matches!(run.phase, RunPhase::Inherited | RunPhase::Ordered) {
-                    run.phase = RunPhase::Confirmed(sent);
+                    // Polls overlap: one that was sent later may have been answered earlier.
+                    run.phase = RunPhase::Confirmed(now.monotonic);
                 }
             }
         }
@@ -175,7 +176,7 @@
             match phase {
                 // The former leader's order to start may still arrive. Repeating it settles the run.
                 RunPhase::Inherited => self.resume_start(now, key, run),
-                RunPhase::Confirmed(since) if since < sent => {
+                RunPhase::Confirmed(since) if since <= sent => {
                     self.end_run(now, key, run, EndKind::Gone, None);
                 }
                 RunPhase::StopAcknowledged(since) if since < sent => {
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec};
+use masticfield_jobs::job::{JobId, JobSpec, Resources, RunId, StepSpec};
 use masticfield_jobs::leader::{
     Announcement, Call, ClaimWatch, Effect, Event, HoldReport, HostError, HostOptions, JobRequest,
     JobRequestKind, Leader, LeaderOptions, ListedHost, ListedRun, Moment, ReplyId,
@@ -417,3 +417,51 @@
     });
     state
 }
+
+fn held(sent: Moment, clock_ms: u64, running: &[RunId]) -> Event {
+    let running = running.iter().map(|run| ListedRun {
+        run: *run,
+        saved: None,
+        percent: 0,
+        load: None,
+    });
+    Event::HoldResult {
+        executor: EXECUTOR,
+        sent: sent.monotonic,
+        result: Ok(HoldReport {
+            clock_ms,
+            started_ms: Some(5),
+            running: running.collect(),
+            finished: Vec::new(),
+        }),
+    }
+}
+
+fn started_runs(commands: &[Command]) -> Vec<RunId> {
+    let starts = commands.iter().filter_map(|command| match command {
+        Command::Start { run, .. } => Some(*run),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Two polls are under way while a run starts, and the executor answers the later one first.
+#[test]
+fn a_run_is_not_ended_by_a_poll_that_was_answered_before_it_started() {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    leader.decide(moment(0));
+    leader.handle(moment(1), held(moment(0), 900, &[]));
+    leader.handle(moment(2), submit(7));
+    let runs = started_runs(&leader.decide(moment(2)).commands);
+    leader.handle(moment(30), held(moment(5), 930, &runs));
+    leader.handle(moment(31), held(moment(10), 925, &[]));
+    let commands = leader.decide(moment(31)).commands;
+    assert_eq!(commands, [], "{runs:?} was listed at 30 ms");
+    leader.handle(moment(60), held(moment(31), 960, &[]));
+    let ended = leader.decide(moment(60)).commands;
+    let ended = ended
+        .iter()
+        .any(|command| matches!(command, Command::End { .. }));
+    assert!(ended, "{runs:?} is missing in a poll sent since");
+}
