--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -178,7 +178,7 @@
     fn apply_entry(&mut self, applied: &Applied) {
         self.applied_index = applied.index;
         match applied.kind {
-            AppliedKind::Snapshot => match postcard::from_bytes(&applied.payload) {
+            AppliedKind::Snapshot => match State::decode(&applied.payload) {
                 Ok(state) => {
                     self.state = state;
                     self.claims = ClaimWatch::new(boot_now());
@@ -208,8 +208,7 @@
         }
         if self.log_bytes > SNAPSHOT_BYTES {
             self.log_bytes = 0;
-            let state = postcard::to_stdvec(&self.state).expect("the state is plain data");
-            self.replica.snapshot(applied.index, state);
+            self.replica.snapshot(applied.index, self.state.encode());
         }
     }
 
--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -43,6 +43,7 @@
     executor_calls: HistogramVec,
     relayed_calls: IntCounterVec,
     host_calls: IntCounterVec,
+    executor_crashes: IntCounter,
     state_differences: IntCounter,
     pub(super) work: CounterVec,
     is_leader: IntGauge,
@@ -113,6 +114,10 @@
                 ),
                 &["call", "outcome"],
             )?,
+            executor_crashes: IntCounter::new(
+                "masticfield_executor_crashes_total",
+                "Executors that ended without notice while they ran tasks of open jobs",
+            )?,
             state_differences: IntCounter::new(
                 "masticfield_state_differences_total",
                 "Decisions that changed nothing when they were committed; each is a fault",
@@ -131,8 +136,9 @@
                 &["pool", "what"],
             )?,
         };
-        let all: [Box<dyn Collector>; 13] = [
+        let all: [Box<dyn Collector>; 14] = [
             Box::new(metrics.relayed_calls.clone()),
+            Box::new(metrics.executor_crashes.clone()),
             Box::new(metrics.state_differences.clone()),
             Box::new(metrics.replies.clone()),
             Box::new(metrics.job_wait.clone()),
@@ -163,6 +169,10 @@
     }
 
     /// Records how long a job waited for its first task to start.
+    pub(super) fn count_executor_crash(&self) {
+        self.executor_crashes.inc();
+    }
+
     pub(super) fn observe_job_wait(&self, waited: Duration) {
         self.job_wait.observe(waited.as_secs_f64());
     }
--- a/crates/masticfield-control/src/jobs/observer.rs
+++ b/crates/masticfield-control/src/jobs/observer.rs
@@ -1,6 +1,6 @@
 //! Derives the metrics of jobs and runs from committed commands.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use masticfield_core::clock::boot_now;
@@ -27,7 +27,7 @@
 
     /// Applies a command that this replica proposed as leader, and records what it changes.
     pub(super) fn apply(&mut self, state: &mut State, command: Command, wall_ms: u64) {
-        let open = open_job(state, &command);
+        let open = open_jobs(state, &command);
         self.record(state, &command, wall_ms);
         let kind = command.name();
         if !state.apply(command) {
@@ -35,8 +35,8 @@
             log::error!(command = kind; "a committed command did not change the state");
             self.metrics.count_state_difference();
         }
-        let ended = open.and_then(|job| state.job(job));
-        if let Some(job) = ended.filter(|job| job.phase != JobPhase::Open) {
+        let ended = open.into_iter().filter_map(|job| state.job(job));
+        for job in ended.filter(|job| job.phase != JobPhase::Open) {
             let ended_ms = job.ended_ms.unwrap_or(wall_ms);
             let duration = Duration::from_millis(ended_ms.saturating_sub(job.accepted_ms));
             self.metrics.observe_job(job.phase, duration);
@@ -53,6 +53,7 @@
                 }
             }
             Command::End { run, kind, .. } => self.record_run_end(*run, *kind),
+            Command::Crash { .. } => self.metrics.count_executor_crash(),
             Command::Retire { executor, .. } => {
                 let runs = state.executor(*executor).map(|record| &record.runs);
                 for run in runs.into_iter().flatten() {
@@ -76,13 +77,17 @@
     }
 }
 
-/// The open job that a command may end.
-fn open_job(state: &State, command: &Command) -> Option<JobId> {
-    let job = match command {
-        Command::End { run, .. } => run.task.job,
-        Command::Cancel { job, .. } => *job,
-        _ => return None,
+/// The open jobs that a command may end.
+fn open_jobs(state: &State, command: &Command) -> BTreeSet<JobId> {
+    let jobs = match command {
+        Command::End { run, .. } => BTreeSet::from([run.task.job]),
+        Command::Cancel { job, .. } => BTreeSet::from([*job]),
+        Command::Crash { runs, .. } => runs.iter().map(|run| run.run.task.job).collect(),
+        _ => BTreeSet::new(),
     };
-    let open = state.job(job)?.phase == JobPhase::Open;
-    open.then_some(job)
+    let is_open = |job: &JobId| {
+        let job = state.job(*job);
+        job.is_some_and(|job| job.phase == JobPhase::Open)
+    };
+    jobs.into_iter().filter(is_open).collect()
 }
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -128,6 +128,33 @@
     }
 }
 
+/// A task that crashes executors is given up after two, and is tried where no other job is blamed.
+#[rstest]
+#[case::alone(no_faults())]
+#[case::crashes_and_partitions(crashes_and_partitions())]
+fn a_task_that_crashes_executors_costs_few_executors_and_no_other_jobs(#[case] faults: Faults) {
+    let (mut submitted, mut crashing, mut crashes, mut blamed) = (0, 0, 0, 0);
+    for seed in seeds() {
+        let scenario = Scenario::new(Fleet::small())
+            .load_ms(15_000)
+            .jobs_per_s(1.0)
+            .faults(crashing_tasks(faults));
+        let report = Simulation::new(scenario, seed).run();
+        submitted += report.submitted;
+        crashing += report.crashing_jobs;
+        crashes += report.crashes_by_tasks;
+        blamed += report.failed_without_fault;
+    }
+    assert!(
+        crashes <= 3 * crashing,
+        "{crashes} crashes by {crashing} tasks"
+    );
+    assert!(
+        blamed * 100 <= submitted,
+        "{blamed} of {submitted} jobs were given up without a fault"
+    );
+}
+
 /// Executors on which work takes `factor` times as long.
 fn slow_executors(factor: u32) -> Faults {
     Faults {
@@ -289,6 +316,7 @@
 #[case::leases(Defect::LapseAtOnce, crashes_and_partitions(), 0)]
 #[case::availability(Defect::RepeatRefused, crashes_and_partitions(), 250)]
 #[case::handover(Defect::HandoverAtOnce, leader_changes(), 0)]
+#[case::crashes(Defect::IgnoreCrashes, crashing_tasks(no_faults()), 0)]
 fn each_left_out_guard_is_detected(
     #[case] defect: Defect,
     #[case] faults: Faults,
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::executor::{ExecutorView, HoldPhase};
+use super::retirement::Retirement;
 use super::{Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Reply, ReplyId};
 use crate::job::RunId;
 use crate::schedule::poll_interval;
@@ -62,7 +63,7 @@
                 }
                 return same.then_some(known);
             }
-            self.retire(now, known, "reborn");
+            self.retire(now, known, Retirement::Reborn);
         }
         let key = self.state.next_executor_key();
         self.propose(Command::Enlist {
@@ -146,7 +147,7 @@
     }
 
     /// Removes an incarnation that has ended, with all its runs.
-    pub(super) fn retire(&mut self, now: Moment, key: ExecutorKey, why: &'static str) {
+    pub(super) fn retire(&mut self, now: Moment, key: ExecutorKey, reason: Retirement) {
         let Some(record) = self.state.executor(key) else {
             return;
         };
@@ -155,8 +156,10 @@
             Arc::clone(&record.incarnation.pool),
         );
         let runs: Vec<_> = record.runs.iter().copied().collect();
+        let why = reason.name();
         log::info!(executor = id.as_ref(), runs = runs.len(), why; "executor gone");
         self.log_lost_runs(now, key, &runs);
+        let given_up = self.record_crash(now, key, reason);
         self.propose(Command::Retire {
             executor: key,
             at_ms: now.wall_ms,
@@ -171,6 +174,7 @@
         for run in runs {
             self.update_pending(now, run.task.job);
         }
+        self.end_given_up(now, &given_up);
         self.changed_pools.insert(pool);
         self.after_commit(Effect::Disconnect { executor: key });
     }
@@ -221,13 +225,14 @@
         let lapsed = !view.responsive && !view.runs.is_empty() && expired;
         let silent = now.monotonic > last_contact.max(view.former_leases_end) + SILENCE_TIMEOUT;
         if left {
-            return self.retire(now, key, "left");
+            return self.retire(now, key, Retirement::Left);
         }
         if lapsed {
             self.expire_leases(now, key);
         } else if silent && view.runs.is_empty() {
-            return self.retire(now, key, "silent");
+            return self.retire(now, key, Retirement::Silent);
         }
+        self.check_quarantine(now, key);
         self.retry_orders(now, key);
         self.hold_if_due(now, key);
     }
@@ -238,6 +243,7 @@
             return;
         };
         let runs: Vec<_> = view.runs.keys().copied().collect();
+        self.keep_lapsed(key);
         log::info!(executor = key.0, runs = runs.len(); "leases ran out without an answer");
         for run in runs {
             self.end_run(now, key, run, EndKind::Lapsed, None);
--- /dev/null
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -0,0 +1,198 @@
+//! Crashes of executors, and which of their runs may have caused them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::executor::{ExecutorView, RunOrigin};
+use super::retirement::Retirement;
+use super::{Defect, Leader, Moment};
+use crate::job::{JobId, RunId, TaskId};
+use crate::state::{Command, CrashedRun, ExecutorKey, JobPhase, RunStart};
+
+/// Time for which an executor must live on after the start of a run to have outlived it.
+///
+/// A shorter time leaves fewer tasks in doubt after a crash; a task that takes longer to crash an
+/// executor is given up after more crashes.
+pub(super) const START_WINDOW: Duration = Duration::from_millis(200);
+
+impl Leader {
+    /// Counts the end of an executor against its runs, unless it was expected to end; returns the
+    /// jobs that are given up.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Moment,
+        key: ExecutorKey,
+        reason: Retirement,
+    ) -> Vec<JobId> {
+        let lapsed = self.lapsed.remove(&key).unwrap_or_default();
+        if !self.has_crashed(key, reason) || self.options.defect == Some(Defect::IgnoreCrashes) {
+            return Vec::new();
+        }
+        let Some(record) = self.state.executor(key) else {
+            return Vec::new();
+        };
+        let view = self.executors.get(&key);
+        let runs = record.runs.iter().map(|run| CrashedRun {
+            run: *run,
+            start: view.map_or(RunStart::Past, |view| view.start_of(*run)),
+        });
+        let runs: Vec<_> = runs.chain(lapsed).collect();
+        let jobs: BTreeSet<_> = runs.iter().map(|crashed| crashed.run.task.job).collect();
+        let count = |start| runs.iter().filter(|crashed| crashed.start == start).count();
+        let (recent, unanswered) = (count(RunStart::Recent), count(RunStart::Unanswered));
+        log::info!(executor = key.0, runs = runs.len(), recent, unanswered; "executor crashed");
+        let at_ms = now.wall_ms;
+        let is_open = |leader: &Self, job: &JobId| {
+            let record = leader.state.job(*job);
+            record.is_some_and(|record| record.phase == JobPhase::Open)
+        };
+        let mut jobs: Vec<_> = jobs.into_iter().filter(|job| is_open(self, job)).collect();
+        self.propose(Command::Crash { runs, at_ms });
+        jobs.retain(|job| !is_open(self, job));
+        jobs
+    }
+
+    /// Stops what is left of jobs that were given up.
+    pub(super) fn end_given_up(&mut self, now: Moment, jobs: &[JobId]) {
+        for job in jobs {
+            log::warn!(job:%; "job given up, as its tasks crash executors");
+            self.log_job_end(*job);
+            self.update_pending(now, *job);
+            self.stop_unneeded_runs(now, *job);
+        }
+    }
+
+    /// Returns whether a removed executor has crashed: nobody has asked it to end, and it has not
+    /// announced its end.
+    fn has_crashed(&self, key: ExecutorKey, reason: Retirement) -> bool {
+        let leaving = self.state.executor(key).is_none_or(|record| record.leaving);
+        let mut claims = self.state.claims().values();
+        let claimed = claims.any(|(_, executor)| *executor == Some(key));
+        reason.is_crash() && !leaving && !claimed
+    }
+
+    /// Keeps the runs of an executor whose leases have expired. Whether it crashed will be known
+    /// when it or its successor answers.
+    pub(super) fn keep_lapsed(&mut self, key: ExecutorKey) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let runs = view.runs.keys().map(|run| CrashedRun {
+            run: *run,
+            start: view.start_of(*run),
+        });
+        let runs: Vec<_> = runs.collect();
+        self.lapsed.entry(key).or_default().extend(runs);
+    }
+
+    /// Takes over the lapsed runs that former leaders left. It is not known which were starting.
+    pub(super) fn take_over_lapsed(&mut self, key: ExecutorKey) {
+        let runs = self.state.lapsed_runs(key);
+        let runs = runs.map(|run| CrashedRun {
+            run,
+            start: RunStart::Past,
+        });
+        let runs: Vec<_> = runs.collect();
+        if !runs.is_empty() {
+            self.lapsed.insert(key, runs);
+        }
+    }
+
+    /// Returns whether a task waits until it is known whether executors have crashed on which its
+    /// lease has expired: if they have, the task is to be given up.
+    pub(super) fn awaits_lapsed(&self, task: TaskId) -> bool {
+        let lapsed = self.lapsed.values().flatten();
+        let lapsed = lapsed.filter(|lapsed| lapsed.run.task == task);
+        self.state.reaches_crash_limit(task, lapsed)
+    }
+
+    /// Clears suspected tasks whose start the executor has outlived.
+    pub(super) fn clear_survivors(&mut self, key: ExecutorKey) {
+        let Some(view) = self.executors.get_mut(&key) else {
+            return;
+        };
+        if view.suspects == 0 {
+            return;
+        }
+        for run in view.take_survivors() {
+            if self.propose(Command::Survived { task: run.task }) {
+                log::info!(run:%, executor = key.0; "the executor has outlived the start");
+            }
+            self.release_if_cleared(key, run.task.job);
+        }
+    }
+
+    /// Ends the quarantine of an executor once no task of its job is suspected any more.
+    fn release_if_cleared(&mut self, key: ExecutorKey, job: JobId) {
+        if self.state.has_suspects(job) {
+            return;
+        }
+        if let Some(view) = self.executors.get_mut(&key)
+            && view
+                .quarantine
+                .is_some_and(|quarantine| quarantine.job == job)
+        {
+            view.quarantine = None;
+            self.plan_pool_of(key);
+        }
+    }
+
+    /// Plans the pool of an executor again with the next decision.
+    pub(super) fn plan_pool_of(&mut self, key: ExecutorKey) {
+        if let Some(record) = self.state.executor(key) {
+            let pool = Arc::clone(&record.incarnation.pool);
+            self.changed_pools.insert(pool);
+        }
+    }
+}
+
+impl ExecutorView {
+    /// Returns what is known of the start of a run.
+    ///
+    /// The age of a run of a former leader that this leader has never seen on the executor is not
+    /// known; most such runs have been there for long.
+    fn start_of(&self, run: RunId) -> RunStart {
+        let Some(run) = self.runs.get(&run) else {
+            return RunStart::Past;
+        };
+        let (Some((start_ms, _)), Some(clock)) = (run.baseline, self.clock) else {
+            return match run.origin {
+                RunOrigin::Placed => RunStart::Unanswered,
+                RunOrigin::Inherited => RunStart::Past,
+            };
+        };
+        let window = u64::try_from(START_WINDOW.as_millis()).unwrap_or(u64::MAX);
+        if clock.clock_ms < start_ms.saturating_add(window) {
+            RunStart::Recent
+        } else {
+            RunStart::Past
+        }
+    }
+
+    /// Returns whether the executor is not known to have outlived the start of a run.
+    fn is_starting(&self, run: RunId) -> bool {
+        self.start_of(run) != RunStart::Past
+    }
+
+    /// Returns whether only runs of `job` may still be starting on the executor.
+    pub(super) fn is_quiet_for(&self, job: JobId) -> bool {
+        let mut others = self.runs.keys().filter(|run| run.task.job != job);
+        !others.any(|run| self.is_starting(*run))
+    }
+
+    /// Returns the suspected runs whose start the executor has outlived, which are no longer
+    /// suspected.
+    fn take_survivors(&mut self) -> Vec<RunId> {
+        let suspects = self.runs.iter().filter(|(_, view)| view.suspected);
+        let survivors = suspects.filter(|(run, _)| !self.is_starting(**run));
+        let survivors: Vec<_> = survivors.map(|(run, _)| *run).collect();
+        for run in &survivors {
+            if let Some(view) = self.runs.get_mut(run) {
+                view.suspected = false;
+                self.suspects -= 1;
+            }
+        }
+        survivors
+    }
+}
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::quarantine::Quarantine;
 use crate::job::{Resources, RunId};
 use crate::schedule::{ClockReading, Reliability, ReliabilityStatus, expected_end};
 
@@ -51,6 +52,10 @@
     /// Time at which the executor reported that it is about to end.
     pub(super) left_at: Option<Duration>,
     pub(super) reliability: Reliability,
+    /// Number of these runs that may crash the executor; see [`RunView::suspected`].
+    pub(super) suspects: u32,
+    /// Set while only the tasks of one job are started on the executor.
+    pub(super) quarantine: Option<Quarantine>,
 }
 
 /// State of the executor's poll; see [`Call::Hold`](super::Call::Hold).
@@ -77,10 +82,22 @@
     pub(super) pending_starts: u32,
     pub(super) long_running: bool,
     pub(super) best_effort: bool,
+    pub(super) origin: RunOrigin,
+    /// Whether the task may crash the executor, and the executor has not outlived its start.
+    pub(super) suspected: bool,
     /// Latest progress, in percent.
     pub(super) percent: u32,
 }
 
+/// Who placed a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunOrigin {
+    /// This leader.
+    Placed,
+    /// A former leader; how long ago is not known.
+    Inherited,
+}
+
 /// Progress of a run's orders to start and to stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RunPhase {
@@ -120,6 +137,8 @@
             cordoned: false,
             left_at: None,
             reliability: Reliability::default(),
+            suspects: 0,
+            quarantine: None,
         }
     }
 
@@ -140,6 +159,7 @@
         }
         self.serving += u32::from(view.long_running && !view.best_effort);
         self.best_effort += u32::from(view.best_effort);
+        self.suspects += u32::from(view.suspected);
         self.runs.insert(run, view);
     }
 
@@ -152,6 +172,7 @@
         }
         self.serving -= u32::from(view.long_running && !view.best_effort);
         self.best_effort -= u32::from(view.best_effort);
+        self.suspects -= u32::from(view.suspected);
         Some(view)
     }
 
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::crashes::START_WINDOW;
 use super::executor::{HoldPhase, RunPhase};
+use super::retirement::Retirement;
 use super::{Call, CallError, HoldReport, Leader, Moment, Rejection};
 use crate::job::RunId;
 use crate::state::{EndKind, ExecutorKey};
@@ -49,8 +51,10 @@
             .any(|run| !matches!(run.phase, RunPhase::Confirmed(_) | RunPhase::Ordered));
         let up_to_date = view.responsive && view.failed_holds == 0;
         let starting = !self.hosts.upkeep_due.is_empty() && view.is_starting_long_running();
+        let in_doubt = view.suspects > 0 || view.quarantine.is_some();
         let wait = match (up_to_date, uncertain) {
             (false, _) => Duration::ZERO,
+            (true, _) if in_doubt => START_WINDOW,
             // The report's lists settle uncertain runs, and no end may occur to trigger the answer.
             (true, true) => UNCERTAIN_WAIT,
             (true, false) if starting => STARTING_WAIT,
@@ -90,7 +94,7 @@
         }
         match result {
             Ok(report) => self.apply_report(now, key, sent, &report),
-            Err(CallError::OtherIncarnation) => self.retire(now, key, "another life answers"),
+            Err(CallError::OtherIncarnation) => self.retire(now, key, Retirement::Replaced),
             Err(CallError::Rejected(Rejection::Fence)) => {
                 log::info!(executor = key.0; "executor has seen the fence of a later leader");
                 view.hold = HoldPhase::Due(now.monotonic + RETRY_DELAY * 5);
@@ -119,7 +123,7 @@
             .started_ms
             .is_some_and(|reported_ms| reported_ms != started_ms)
         {
-            return self.retire(now, key, "reborn");
+            return self.retire(now, key, Retirement::Reborn);
         }
         let Some(view) = self.executors.get_mut(&key) else {
             return;
@@ -130,6 +134,7 @@
         }
         let first_answer = !view.responsive;
         (view.responsive, view.failed_holds) = (true, 0);
+        self.lapsed.remove(&key);
         for listed in &report.running {
             if let Some(run) = view.runs.get_mut(&listed.run) {
                 run.percent = listed.percent;
@@ -149,6 +154,7 @@
             view.acknowledged = view.acknowledged.max(last.number);
         }
         self.check_progress(now, key, report.clock_ms);
+        self.clear_survivors(key);
         self.settle_missing_runs(now, key, sent, report);
         self.stop_unknown_runs(now, key, report);
         if first_answer && let Some(record) = self.state.executor(key) {
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -7,6 +7,7 @@
 use super::executor::ExecutorView;
 use super::host::{HostOperation, HostView, OperationPhase};
 use super::options::AWAY_MARGIN;
+use super::retirement::Retirement;
 use super::{ClaimWatch, Defect, Effect, HostError, Leader, ListedHost, Moment};
 use crate::state::{Command, ExecutorKey, HostClaim};
 
@@ -489,7 +490,7 @@
             host.away_until = Some(now.monotonic + time + AWAY_MARGIN);
         }
         if let Some(key) = ended {
-            self.retire(now, key, "its host was taken");
+            self.retire(now, key, Retirement::HostTaken);
         }
         if let HostClaim::Upkeep { wave } = claim {
             self.propose(Command::UpkeepBegun {
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{ExecutorView, RunPhase, RunView};
+use super::executor::{ExecutorView, RunOrigin, RunPhase, RunView};
 use super::hosts::Hosts;
 use super::pending_job::PendingJob;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::RouteTable;
 use crate::schedule::{OfferedLoad, Rank, lease_end};
-use crate::state::{Command, ExecutorKey, JobPhase, State};
+use crate::state::{Command, CrashedRun, ExecutorKey, JobPhase, State};
 
 /// Interval of checks for changes that no event announces.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -47,6 +47,8 @@
     pub(super) poll_interval: Duration,
     /// Executor and time of the latest failure of each task of an open job.
     pub(super) last_failures: BTreeMap<TaskId, (ExecutorKey, Duration)>,
+    /// Runs whose leases have expired on executors that have not answered since.
+    pub(super) lapsed: BTreeMap<ExecutorKey, Vec<CrashedRun>>,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
     last_check: Duration,
@@ -72,6 +74,7 @@
             hosts: Hosts::new(claims, now.monotonic),
             poll_interval: Duration::ZERO,
             last_failures: BTreeMap::new(),
+            lapsed: BTreeMap::new(),
             offered_load: BTreeMap::new(),
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
@@ -205,6 +208,7 @@
                 view.add_run(run, self.new_run_view(now, run, RunPhase::Inherited));
             }
             self.executors.insert(key, view);
+            self.take_over_lapsed(key);
         }
         let jobs: Vec<_> = self.state.jobs().map(|(job, _)| job).collect();
         for job in jobs {
@@ -226,6 +230,12 @@
             pending_starts: 0,
             long_running: step.is_some_and(|step| step.long_running),
             best_effort: step.is_some_and(|step| step.best_effort),
+            origin: if phase == RunPhase::Inherited {
+                RunOrigin::Inherited
+            } else {
+                RunOrigin::Placed
+            },
+            suspected: self.state.is_suspected(run.task),
             percent: 0,
         }
     }
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -7,6 +7,7 @@
 
 mod announce;
 mod claim_watch;
+mod crashes;
 mod decision;
 mod event;
 mod executor;
@@ -24,7 +25,9 @@
 mod pool_stats;
 mod pool_view;
 mod pools;
+mod quarantine;
 mod reads;
+mod retirement;
 mod track;
 mod upkeep;
 
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -45,6 +45,8 @@
     RepeatRefused,
     /// Requests about hosts are sent while a former leader's may still be in effect.
     HandoverAtOnce,
+    /// Crashes of executors are not counted against the tasks that they ran.
+    IgnoreCrashes,
 }
 
 /// Timing of the platform's hosts.
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::executor::RunPhase;
+use super::retirement::Retirement;
 use super::{Call, CallError, Defect, Effect, Leader, Moment, Rejection};
 use crate::job::{JobId, RunId};
 use crate::state::{Command, EndKind, ExecutorKey, JobPhase};
@@ -126,13 +127,13 @@
                 if !stopping {
                     view.phase = RunPhase::Confirmed(now.monotonic);
                 }
-                let long_running = view.long_running;
-                if long_running && !self.hosts.upkeep_due.is_empty() {
+                let (long_running, suspected) = (view.long_running, view.suspected);
+                if suspected || (long_running && !self.hosts.upkeep_due.is_empty()) {
                     self.poll_beside(now, executor);
                 }
             }
             Err(CallError::Unknown) => self.on_start_unanswered(now, executor, run, stopping),
-            Err(CallError::OtherIncarnation) => self.retire(now, executor, "another life answers"),
+            Err(CallError::OtherIncarnation) => self.retire(now, executor, Retirement::Replaced),
             Err(CallError::Rejected(reason)) => {
                 view.pending_starts -= 1;
                 let open = view.pending_starts;
@@ -267,7 +268,7 @@
                 }
                 self.poll_now(now, executor);
             }
-            Err(CallError::OtherIncarnation) => self.retire(now, executor, "another life answers"),
+            Err(CallError::OtherIncarnation) => self.retire(now, executor, Retirement::Replaced),
             // The order is repeated until a report contains the end of the run.
             Err(CallError::Unknown | CallError::Rejected(_)) => {}
         }
@@ -337,7 +338,7 @@
     }
 
     /// Logs the end of a job if the end of a run has caused it.
-    fn log_job_end(&self, id: JobId) {
+    pub(super) fn log_job_end(&self, id: JobId) {
         let job = self.state.job(id);
         if let Some(job) = job
             && let Some(ended) = job.ended_ms.filter(|_| job.phase != JobPhase::Cancelled)
--- a/crates/masticfield-jobs/src/leader/placement.rs
+++ b/crates/masticfield-jobs/src/leader/placement.rs
@@ -39,7 +39,8 @@
             let fitting = pool.slots.iter().filter(|slot| {
                 let excluded =
                     has_failed && pool.any_reliable && slot.status != ReliabilityStatus::Good;
-                avoided_executor != Some(slot.key) && !excluded
+                let quarantined = slot.quarantine.is_some_and(|job| job != task.job);
+                avoided_executor != Some(slot.key) && !excluded && !quarantined
             });
             let fitting = fitting.map(|slot| self.candidate(slot, step, &siblings));
             let request = PlacementRequest {
@@ -65,7 +66,10 @@
     }
 
     /// Returns the first of the tasks, with their job and step; all tasks are of one step.
-    fn step_of(&self, tasks: &[(TaskId, u32)]) -> Option<(TaskId, &JobRecord, &StepSpec)> {
+    pub(super) fn step_of(
+        &self,
+        tasks: &[(TaskId, u32)],
+    ) -> Option<(TaskId, &JobRecord, &StepSpec)> {
         let (first, _) = *tasks.first()?;
         let job = self.state.job(first.job)?;
         let step = job.spec.as_ref()?.steps.get(usize::from(first.step))?;
@@ -74,7 +78,7 @@
 
     /// Returns an executor as a candidate for a task; `siblings` are the executors of the other
     /// tasks of its step.
-    fn candidate<'a>(
+    pub(super) fn candidate<'a>(
         &'a self,
         slot: &'a Slot,
         step: &StepSpec,
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -11,6 +11,9 @@
 use crate::schedule::{Backlog, JobOrder, Timeliness, on_time_ms};
 use crate::state::{ExecutorKey, JobPhase};
 
+/// A task that is ready to start, and the number of its latest run.
+type StartableTask = (TaskId, u32);
+
 impl Leader {
     /// Updates whether and where a job is in the pending jobs of its pool.
     pub(super) fn update_pending(&mut self, now: Moment, id: JobId) {
@@ -145,10 +148,16 @@
         for gang in self.startable_gangs(now, id) {
             any |= self.start_gang(now, &gang, pool);
         }
-        let startable = self.startable_tasks(now, id);
+        let (suspects, startable) = self.startable_tasks(now, id);
         let same_step = |(a, _): &(TaskId, u32), (b, _): &(TaskId, u32)| {
             (a.occurrence, a.step) == (b.occurrence, b.step)
         };
+        for tasks in suspects.chunk_by(same_step) {
+            for (task, last_run, executor) in self.place_suspects(now, tasks, pool) {
+                self.place(now, task.run(last_run + 1), executor);
+                any = true;
+            }
+        }
         for tasks in startable.chunk_by(same_step) {
             for (task, last_run, executor) in self.place_tasks(now, tasks, pool) {
                 self.place(now, task.run(last_run + 1), executor);
@@ -231,8 +240,19 @@
     }
 
     /// Returns the tasks of a job, other than those of gangs, that are ready to start, with the
-    /// number of their latest run.
-    fn startable_tasks(&self, now: Moment, id: JobId) -> Vec<(TaskId, u32)> {
+    /// number of their latest run; first those that may crash their executor.
+    fn startable_tasks(&self, now: Moment, id: JobId) -> (Vec<StartableTask>, Vec<StartableTask>) {
+        let found = self.waiting_tasks(now, id);
+        if !self.state.has_suspects(id) && self.lapsed.is_empty() {
+            return (Vec::new(), found);
+        }
+        let settled = found
+            .into_iter()
+            .filter(|(task, _)| !self.awaits_lapsed(*task));
+        settled.partition(|(task, _)| self.state.is_suspected(*task))
+    }
+
+    fn waiting_tasks(&self, now: Moment, id: JobId) -> Vec<StartableTask> {
         let mut found = Vec::new();
         let Some(job) = self.state.job(id) else {
             return found;
--- a/crates/masticfield-jobs/src/leader/pool_view.rs
+++ b/crates/masticfield-jobs/src/leader/pool_view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{Defect, Leader, Moment};
-use crate::job::{Resources, StepSpec};
+use crate::job::{JobId, Resources, StepSpec};
 use crate::schedule::ReliabilityStatus;
 use crate::state::ExecutorKey;
 
@@ -32,6 +32,8 @@
     pub(super) status: ReliabilityStatus,
     /// Whether the host is still due for upkeep in a wave that is under way.
     pub(super) upkeep_due: bool,
+    /// Job whose tasks alone may start on the executor.
+    pub(super) quarantine: Option<JobId>,
 }
 
 impl PoolView {
@@ -94,6 +96,7 @@
             best_effort: view.best_effort,
             status,
             upkeep_due: self.hosts.upkeep_due.contains(&key),
+            quarantine: view.quarantine.map(|quarantine| quarantine.job),
         });
         PoolView {
             slots: slots.collect(),
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -19,6 +19,7 @@
 pub use job_order::JobOrder;
 pub use lease::{ClockReading, lease_end};
 pub use offered_load::OfferedLoad;
+pub(crate) use placement::fits;
 pub use placement::{Candidate, PlacementRequest, choose};
 pub use poll_interval::poll_interval;
 pub use pool_size::{PoolLoad, required_hosts, residual_demand};
--- a/crates/masticfield-jobs/src/schedule/placement.rs
+++ b/crates/masticfield-jobs/src/schedule/placement.rs
@@ -53,7 +53,8 @@
     best.map(|candidate| candidate.key)
 }
 
-fn fits(request: PlacementRequest<'_>, candidate: &Candidate<'_>) -> bool {
+/// Returns whether a candidate is suitable for a task.
+pub(crate) fn fits(request: PlacementRequest<'_>, candidate: &Candidate<'_>) -> bool {
     let label = request.step.label.as_ref();
     let max_siblings = request.step.max_per_executor;
     // Best-effort tasks may push the tail latency of serving tasks over its limit.
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ExecutorIncarnation, ExecutorKey, HostClaim, WaveOrder};
-use crate::job::{JobId, JobSpec, RunId};
+use super::{CrashedRun, ExecutorIncarnation, ExecutorKey, HostClaim, WaveOrder};
+use crate::job::{JobId, JobSpec, RunId, TaskId};
 use crate::queue::{QueueId, QueuesConfig};
 
 /// A change of the replicated state.
@@ -112,6 +112,19 @@
         /// End of the range, in milliseconds since the Unix epoch; exclusive.
         before_ms: u64,
     },
+    /// Counts the crash of an executor against the tasks that it ran, and gives up jobs with a task
+    /// that has crashed too many. Precedes the removal of the executor.
+    Crash {
+        /// Runs that the executor had.
+        runs: Vec<CrashedRun>,
+        /// Time at which the leader learned of the crash.
+        at_ms: u64,
+    },
+    /// Records that an executor has outlived the start of a task that may have crashed others.
+    Survived {
+        /// Task that was started.
+        task: TaskId,
+    },
 }
 
 impl Command {
@@ -131,6 +144,8 @@
             Self::Claim { .. } => "claim",
             Self::Unclaim { .. } => "unclaim",
             Self::Forget { .. } => "forget",
+            Self::Crash { .. } => "crash",
+            Self::Survived { .. } => "survived",
         }
     }
 }
--- a/crates/masticfield-jobs/src/state/job.rs
+++ b/crates/masticfield-jobs/src/state/job.rs
@@ -108,6 +108,13 @@
         step.tasks.get_mut(task.index as usize)
     }
 
+    /// Returns whether a task runs until its job is cancelled.
+    pub(super) fn is_long_running(&self, task: TaskId) -> bool {
+        let spec = self.spec.as_ref();
+        let step = spec.and_then(|spec| spec.steps.get(usize::from(task.step)));
+        step.is_some_and(|step| step.long_running)
+    }
+
     /// Returns whether a run is still needed: the job is open and the run's task is not done.
     pub fn needs(&self, run: RunId) -> bool {
         let open = self.phase == JobPhase::Open;
--- a/crates/masticfield-jobs/src/state/mod.rs
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -4,16 +4,19 @@
 //! state changes nothing.
 
 mod command;
+mod crashes;
 mod entries;
 mod executor;
 mod host_claim;
 mod job;
+mod snapshot;
 #[expect(clippy::module_inception, reason = "the file has the type's name")]
 mod state;
 mod task;
 mod wave;
 
 pub use command::{Command, EndKind};
+pub use crashes::{CrashedRun, RunStart};
 pub use entries::encode_entries;
 pub use executor::{ExecutorIncarnation, ExecutorKey, ExecutorRecord};
 pub use host_claim::HostClaim;
--- /dev/null
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -0,0 +1,30 @@
+//! Encoding of the state as a snapshot.
+
+use super::State;
+
+impl State {
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the state cannot be encoded, which is a bug in its type.
+    pub fn encode(&self) -> Vec<u8> {
+        let encoded = postcard::to_stdvec(self).expect("the state is plain data");
+        postcard::to_extend(&self.crashes, encoded).expect("the state is plain data")
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// Snapshots that were written before crashes were counted end without them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not an encoded state.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            state.crashes = postcard::from_bytes(rest)?;
+        }
+        Ok(state)
+    }
+}
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -5,11 +5,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::crashes::{Crashes, Suspects};
 use super::{
-    Command, EndKind, ExecutorIncarnation, ExecutorKey, ExecutorRecord, HostClaim, JobPhase,
-    JobRecord, Wave, WaveOrder,
+    Command, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey, ExecutorRecord, HostClaim,
+    JobPhase, JobRecord, Wave, WaveOrder,
 };
-use crate::job::{JobId, RunId};
+use crate::job::{JobId, RunId, TaskId};
 use crate::queue::{QueueConfig, QueueId, QueuesConfig, RouteTable};
 
 /// Maximum attempts of a task whose queue has no configuration.
@@ -30,6 +31,9 @@
     waves: BTreeMap<u64, Wave>,
     /// Outstanding requests to the platform by host, with the executor that each one ends.
     claims: BTreeMap<Arc<str>, (HostClaim, Option<ExecutorKey>)>,
+    /// Encoded after the rest; see [`State::encode`].
+    #[serde(skip)]
+    pub(super) crashes: Crashes,
 }
 
 /// The configuration in force.
@@ -118,6 +122,34 @@
         &self.claims
     }
 
+    /// Returns whether a task may have crashed the executors that it was started on: its job should
+    /// start it where no other job can be at fault.
+    pub fn is_suspected(&self, task: TaskId) -> bool {
+        self.crashes.is_suspected(task)
+    }
+
+    /// Returns whether any task of a job is suspected; see [`is_suspected`](Self::is_suspected).
+    pub fn has_suspects(&self, job: JobId) -> bool {
+        self.crashes.has_suspects(job)
+    }
+
+    /// Returns whether a task would be given up if the executors have crashed on which its runs have
+    /// lapsed.
+    pub fn reaches_crash_limit<'a>(
+        &self,
+        task: TaskId,
+        lapsed: impl Iterator<Item = &'a CrashedRun>,
+    ) -> bool {
+        let job = self.jobs.get(&task.job);
+        let long_running = job.is_some_and(|job| job.is_long_running(task));
+        self.crashes.reaches_limit(task, lapsed, long_running)
+    }
+
+    /// Returns the runs whose leases expired on an executor that has not been given a run since.
+    pub fn lapsed_runs(&self, executor: ExecutorKey) -> impl Iterator<Item = RunId> {
+        self.crashes.lapsed(executor)
+    }
+
     /// Applies a command; returns whether it changed the state.
     pub fn apply(&mut self, command: Command) -> bool {
         match command {
@@ -164,6 +196,8 @@
             } => self.claim(host, (claim, executor)),
             Command::Unclaim { host } => self.claims.remove(&host).is_some(),
             Command::Forget { before_ms } => self.forget(before_ms),
+            Command::Crash { runs, at_ms } => self.crash(&runs, at_ms),
+            Command::Survived { task } => self.survived(task),
         }
     }
 
@@ -192,6 +226,7 @@
         let open = record.phase == JobPhase::Open;
         record.end(JobPhase::Cancelled, at_ms);
         record.release_spec();
+        self.crashes.forget_job(job);
         open
     }
 
@@ -213,6 +248,7 @@
         let Some(record) = self.executors.remove(&key) else {
             return false;
         };
+        self.crashes.forget_executor(key);
         for run in record.runs {
             self.end_run(run, EndKind::Gone, None, at_ms);
         }
@@ -238,6 +274,7 @@
         job.started = true;
         job.active_runs += 1;
         record.runs.insert(run);
+        self.crashes.forget_executor(executor);
         true
     }
 
@@ -252,6 +289,9 @@
         let record = self.executors.get_mut(&executor);
         let removed = record.is_some_and(|record| record.runs.remove(&run));
         if removed {
+            if kind == EndKind::Lapsed {
+                self.crashes.record_lapse(executor, run);
+            }
             self.end_run(run, kind, saved, at_ms);
         }
         removed
@@ -271,6 +311,37 @@
         let attempts = queue.map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts);
         job.apply_end(run, kind, attempts.max(1), at_ms);
         job.release_spec();
+        let open = job.phase == JobPhase::Open;
+        if !open {
+            self.crashes.forget_job(run.task.job);
+        } else if kind == EndKind::Done {
+            self.crashes.forget_task(run.task);
+        }
+    }
+
+    fn crash(&mut self, runs: &[CrashedRun], at_ms: u64) -> bool {
+        let suspects = Suspects::new(runs);
+        let mut changed = false;
+        for crashed in runs {
+            let task = crashed.run.task;
+            let job = self.jobs.get_mut(&task.job);
+            let Some(job) = job.filter(|job| job.needs(crashed.run)) else {
+                continue;
+            };
+            changed = true;
+            let long_running = job.is_long_running(task);
+            if self.crashes.count(*crashed, suspects, long_running) {
+                job.end(JobPhase::Failed, at_ms);
+                self.crashes.forget_job(task.job);
+            }
+        }
+        changed
+    }
+
+    fn survived(&mut self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let long_running = job.is_some_and(|job| job.is_long_running(task));
+        self.crashes.record_survival(task, long_running)
     }
 
     fn wave(&mut self, order: WaveOrder, at_ms: u64) -> bool {
--- /dev/null
+++ b/crates/masticfield-jobs/tests/crashes.rs
@@ -0,0 +1,369 @@
+//! Tasks that crash executors: how crashes are counted, and where suspected tasks start.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfield_jobs::job::{JobId, JobSpec, Resources, RunId, StepSpec, TaskId};
+use masticfield_jobs::leader::{
+    Announcement, CallError, ClaimWatch, Event, HoldReport, JobRequest, JobRequestKind, Leader,
+    LeaderOptions, ListedRun, Moment, ReplyId,
+};
+use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueueId, QueuesConfig};
+use masticfield_jobs::state::{
+    Command, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey, JobStatus, RunStart, State,
+};
+use rstest::rstest;
+
+const EXECUTOR: ExecutorKey = ExecutorKey(1);
+
+fn configure() -> Command {
+    let config = QueuesConfig {
+        version: 1,
+        queues: vec![QueueConfig {
+            name: "q".into(),
+            authority: "a.example".into(),
+            prefix: "/q/".into(),
+            pool: "p".into(),
+            timeout_ms: 3_000,
+            target_ms: 600,
+            priority: 0,
+            max_attempts: 2,
+            stretch: 1.6,
+            advice: None,
+        }],
+        pools: vec![PoolConfig {
+            name: "p".into(),
+            max_connections: 64,
+            rejects_overload: false,
+            standby: false,
+        }],
+        limits: None,
+    };
+    Command::Configure {
+        config,
+        content: Arc::from(&b"config"[..]),
+    }
+}
+
+fn incarnation(id: &str) -> ExecutorIncarnation {
+    ExecutorIncarnation {
+        id: id.into(),
+        started_ms: 5,
+        pool: "p".into(),
+        address: format!("127.0.0.1:{id}").into(),
+        zone: "z".into(),
+        labels: Vec::new(),
+        rack: None,
+        capacity: Resources {
+            cpu_milli: 4_000,
+            memory_mb: 4_000,
+            gpus: 0,
+        },
+    }
+}
+
+fn spec(long_running: bool) -> JobSpec {
+    JobSpec {
+        payload: "x".into(),
+        steps: vec![StepSpec {
+            count: 1,
+            need: Resources {
+                cpu_milli: 1_000,
+                memory_mb: 10,
+                gpus: 0,
+            },
+            estimate_ms: 500,
+            long_running,
+            ..StepSpec::default()
+        }],
+        timetable: None,
+    }
+}
+
+fn state(jobs: u64, long_running: bool) -> State {
+    let mut state = State::default();
+    state.apply(configure());
+    state.apply(Command::Enlist {
+        executor: EXECUTOR,
+        incarnation: incarnation("e1"),
+    });
+    for job in 1..=jobs {
+        state.apply(Command::Submit {
+            job: JobId::new(job),
+            queue: QueueId(0),
+            spec: spec(long_running),
+            at_ms: 1,
+        });
+    }
+    state
+}
+
+const fn task(job: u64) -> TaskId {
+    TaskId::new(JobId::new(job), 0, 0, 0)
+}
+
+fn crash(state: &mut State, runs: &[(u64, RunStart)]) {
+    let runs = runs.iter().map(|(job, start)| CrashedRun {
+        run: task(*job).run(1),
+        start: *start,
+    });
+    let runs = runs.collect();
+    state.apply(Command::Crash { runs, at_ms: 9 });
+}
+
+fn has_failed(state: &State, job: u64) -> bool {
+    let job = state.job(JobId::new(job));
+    job.is_some_and(|job| job.status() == JobStatus::Failed)
+}
+
+/// Crashes under job 1, each with the runs beside it, and the number after which it is given up.
+#[rstest]
+#[case::alone(RunStart::Recent, None, 2)]
+#[case::beside_older_runs(RunStart::Recent, Some(RunStart::Past), 2)]
+#[case::beside_another_start(RunStart::Recent, Some(RunStart::Recent), 5)]
+#[case::long_after_its_start(RunStart::Past, None, 5)]
+#[case::never_known_to_have_started(RunStart::Unanswered, None, 5)]
+fn a_task_is_given_up_once_it_is_known_to_crash_executors(
+    #[case] start: RunStart,
+    #[case] beside: Option<RunStart>,
+    #[case] expected: usize,
+) {
+    let mut state = state(8, false);
+    let given_up = (1..20).find(|number| {
+        let other = beside.map(|start| (number % 7 + 2, start));
+        let runs: Vec<_> = [(1, start)].into_iter().chain(other).collect();
+        crash(&mut state, &runs);
+        has_failed(&state, 1)
+    });
+    assert_eq!(given_up, Some(expected as u64));
+}
+
+#[test]
+fn a_long_running_task_outlives_any_number_of_executors() {
+    let mut state = state(1, true);
+    for _ in 0..20 {
+        crash(&mut state, &[(1, RunStart::Past)]);
+        crash(&mut state, &[(1, RunStart::Recent)]);
+        state.apply(Command::Survived { task: task(1) });
+    }
+    assert!(!has_failed(&state, 1));
+    crash(&mut state, &[(1, RunStart::Recent)]);
+    crash(&mut state, &[(1, RunStart::Recent)]);
+    assert!(has_failed(&state, 1), "two crashes at its start in a row");
+}
+
+/// An executor that crashes before it answers shows only that its unanswered runs are suspect.
+#[rstest]
+#[case::recent([RunStart::Recent, RunStart::Unanswered, RunStart::Past], [true, false, false])]
+#[case::unanswered([RunStart::Unanswered, RunStart::Past, RunStart::Past], [true, false, false])]
+#[case::past([RunStart::Past, RunStart::Past, RunStart::Past], [false, false, false])]
+fn runs_are_suspected_by_what_is_known_of_their_start(
+    #[case] starts: [RunStart; 3],
+    #[case] expected: [bool; 3],
+) {
+    let mut state = state(3, false);
+    let runs: Vec<_> = (1..).zip(starts).collect();
+    crash(&mut state, &runs);
+    let suspected = [1, 2, 3].map(|job| state.is_suspected(task(job)));
+    assert_eq!(suspected, expected);
+}
+
+#[test]
+fn a_snapshot_keeps_crashes_and_one_without_them_is_read() {
+    let mut state = state(1, false);
+    let without = postcard::to_stdvec(&state).expect("the state is plain data");
+    assert_eq!(State::decode(&without).as_ref(), Ok(&state));
+    crash(&mut state, &[(1, RunStart::Recent)]);
+    let decoded = State::decode(&state.encode()).expect("a snapshot");
+    assert!(decoded.is_suspected(task(1)));
+    assert_eq!(decoded, state);
+}
+
+/// The lease of a run expires without an answer; whether its executor crashed is known later.
+#[test]
+fn lapsed_runs_are_kept_until_their_executor_is_given_another() {
+    let mut state = state(2, false);
+    let start = |job| Command::Start {
+        run: task(job).run(1),
+        executor: EXECUTOR,
+    };
+    state.apply(start(1));
+    state.apply(Command::End {
+        run: task(1).run(1),
+        executor: EXECUTOR,
+        kind: EndKind::Lapsed,
+        saved: None,
+        at_ms: 2,
+    });
+    let lapsed: Vec<_> = state.lapsed_runs(EXECUTOR).collect();
+    assert_eq!(lapsed, [task(1).run(1)]);
+    state.apply(start(2));
+    assert_eq!(state.lapsed_runs(EXECUTOR).count(), 0);
+}
+
+fn moment(elapsed_ms: u64) -> Moment {
+    Moment {
+        monotonic: Duration::from_secs(100) + Duration::from_millis(elapsed_ms),
+        wall_ms: 1_700_000_000_000 + elapsed_ms,
+    }
+}
+
+fn announce(leader: &mut Leader, ms: u64, id: &str, leaving: bool) {
+    let announcement = Announcement {
+        incarnation: incarnation(id),
+        sequence: ms + 1,
+        clock_ms: ms,
+        leaving,
+    };
+    let reply_to = ReplyId(ms);
+    leader.handle(
+        moment(ms),
+        Event::Announced {
+            reply_to,
+            announcement,
+        },
+    );
+}
+
+fn submit(leader: &mut Leader, ms: u64, job: u64) {
+    let request = JobRequest {
+        authority: "a.example".into(),
+        path: format!("/q/{}", JobId::new(job)),
+        kind: JobRequestKind::Submit(spec(false)),
+    };
+    let reply_to = ReplyId(1_000 + job);
+    leader.handle(moment(ms), Event::JobRequest { reply_to, request });
+}
+
+/// Answers the order to start a run, with the executor's clock.
+fn answer_start(leader: &mut Leader, ms: u64, (run, executor): (RunId, ExecutorKey)) {
+    let result = Ok(ms);
+    leader.handle(
+        moment(ms),
+        Event::StartResult {
+            executor,
+            run,
+            result,
+        },
+    );
+}
+
+/// Reports the runs on an executor that was polled at `sent`.
+fn report(leader: &mut Leader, (sent, ms): (u64, u64), runs: &[(RunId, ExecutorKey)]) {
+    let Some((_, executor)) = runs.first().copied() else {
+        return;
+    };
+    let running = runs.iter().map(|(run, _)| ListedRun {
+        run: *run,
+        saved: None,
+        percent: 1,
+        load: None,
+    });
+    let report = HoldReport {
+        clock_ms: ms,
+        started_ms: Some(5),
+        running: running.collect(),
+        finished: Vec::new(),
+    };
+    let sent = moment(sent).monotonic;
+    let result = Ok(report);
+    leader.handle(
+        moment(ms),
+        Event::HoldResult {
+            executor,
+            sent,
+            result,
+        },
+    );
+}
+
+/// Another incarnation answers a poll of an executor.
+fn replace(leader: &mut Leader, ms: u64, executor: ExecutorKey) {
+    let sent = moment(ms - 1).monotonic;
+    let result = Err(CallError::OtherIncarnation);
+    leader.handle(
+        moment(ms),
+        Event::HoldResult {
+            executor,
+            sent,
+            result,
+        },
+    );
+}
+
+fn starts(leader: &mut Leader, ms: u64) -> Vec<(RunId, ExecutorKey)> {
+    let commands = leader.decide(moment(ms)).commands;
+    let starts = commands.into_iter().filter_map(|command| match command {
+        Command::Start { run, executor } => Some((run, executor)),
+        _ => None,
+    });
+    starts.collect()
+}
+
+fn leader_with(executors: &[&str]) -> Leader {
+    let mut state = State::default();
+    state.apply(configure());
+    let options = LeaderOptions::new(Duration::from_secs(5));
+    let mut leader = Leader::new(state, options, ClaimWatch::default(), moment(0));
+    for id in executors {
+        announce(&mut leader, 0, id, false);
+    }
+    leader
+}
+
+/// Jobs 1 and 2 start on one executor, which crashes. Both are suspected, and started apart.
+#[test]
+fn suspected_jobs_start_on_executors_of_their_own() {
+    let mut leader = leader_with(&["e1", "e2", "e3"]);
+    submit(&mut leader, 0, 1);
+    submit(&mut leader, 0, 2);
+    let first = starts(&mut leader, 0);
+    assert_eq!(first[0].1, first[1].1, "tasks are packed");
+    for run in &first {
+        answer_start(&mut leader, 10, *run);
+    }
+    replace(&mut leader, 3_000, first[0].1);
+    announce(&mut leader, 3_000, "e2", false);
+    announce(&mut leader, 3_000, "e3", false);
+    let second = starts(&mut leader, 3_000);
+    assert_eq!(second.len(), 1, "one in quarantine: {second:?}");
+    submit(&mut leader, 3_010, 3);
+    let third = starts(&mut leader, 3_010);
+    assert_eq!(third.len(), 1, "{third:?}");
+    assert_ne!(third[0].1, second[0].1, "nothing starts in quarantine");
+    answer_start(&mut leader, 3_020, third[0]);
+    answer_start(&mut leader, 3_020, second[0]);
+    assert!(leader.state().has_suspects(second[0].0.task.job));
+    report(&mut leader, (3_021, 3_230), &second);
+    assert!(!leader.state().has_suspects(second[0].0.task.job));
+    report(&mut leader, (3_021, 3_231), &third);
+    let fourth = starts(&mut leader, 3_240);
+    assert_eq!(fourth.len(), 1, "the other one is next: {fourth:?}");
+    let other = if second[0].0.task.job == JobId::new(1) {
+        2
+    } else {
+        1
+    };
+    assert_eq!(fourth[0].0.task.job, JobId::new(other));
+}
+
+/// An executor that has announced its end, or that is silent and answers again, has not crashed.
+#[rstest]
+#[case::left(true)]
+#[case::crashed(false)]
+fn only_an_unexpected_end_counts(#[case] leaving: bool) {
+    let mut leader = leader_with(&["e1", "e2"]);
+    submit(&mut leader, 0, 1);
+    let first = starts(&mut leader, 0);
+    answer_start(&mut leader, 10, first[0]);
+    if leaving {
+        announce(
+            &mut leader,
+            20,
+            if first[0].1 == EXECUTOR { "e1" } else { "e2" },
+            true,
+        );
+    }
+    replace(&mut leader, 3_000, first[0].1);
+    assert_eq!(leader.state().is_suspected(task(1)), !leaving);
+}
