fix(jobs): suspect a task as soon as its executor falls silent at its start

Callers saw more runs lost than needed where executors come back after their leases have expired: the task that had crashed one was started again among others. Cause: a lease that expires was no reason for suspicion until the executor's successor answered. Ruled out: counting it as a crash at once, which a network partition causes too. Change: a task whose run lapsed right after its start counts as suspected until the executor or its successor answers. The new unit test fails without the change.

--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -107,6 +107,24 @@
         self.state.reaches_crash_limit(task, lapsed)
     }
 
+    /// Returns whether a task may have crashed executors, including those of which it is not known
+    /// yet whether they crashed.
+    pub(super) fn is_suspected(&self, task: TaskId) -> bool {
+        self.state.is_suspected(task) || self.recent_lapses().any(|lapsed| lapsed.task == task)
+    }
+
+    /// Returns whether any task of a job is suspected; see [`is_suspected`](Self::is_suspected).
+    pub(super) fn has_suspects(&self, job: JobId) -> bool {
+        self.state.has_suspects(job) || self.recent_lapses().any(|lapsed| lapsed.task.job == job)
+    }
+
+    /// Returns the lapsed runs that had just started when the executor answered last.
+    fn recent_lapses(&self) -> impl Iterator<Item = RunId> {
+        let lapsed = self.lapsed.values().flatten();
+        let recent = lapsed.filter(|lapsed| lapsed.start == RunStart::Recent);
+        recent.map(|lapsed| lapsed.run)
+    }
+
     /// Clears suspected tasks whose start the executor has outlived.
     pub(super) fn clear_survivors(&mut self, key: ExecutorKey) {
         let Some(view) = self.executors.get_mut(&key) else {
@@ -116,8 +134,11 @@
             return;
         }
         for run in view.take_survivors() {
-            if self.propose(Command::Survived { task: run.task }) {
-                log::info!(run:%, executor = key.0; "the executor has outlived the start");
+            self.propose(Command::Survived { task: run.task });
+            log::info!(run:%, executor = key.0; "the executor has outlived the start");
+            let lapsed = self.lapsed.values_mut().flatten();
+            for lapsed in lapsed.filter(|lapsed| lapsed.run.task == run.task) {
+                lapsed.start = RunStart::Past;
             }
             self.release_if_cleared(key, run.task.job);
         }
@@ -125,7 +146,7 @@
 
     /// Ends the quarantine of an executor once no task of its job is suspected any more.
     fn release_if_cleared(&mut self, key: ExecutorKey, job: JobId) {
-        if self.state.has_suspects(job) {
+        if self.has_suspects(job) {
             return;
         }
         if let Some(view) = self.executors.get_mut(&key)
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -235,7 +235,7 @@
             } else {
                 RunOrigin::Placed
             },
-            suspected: self.state.is_suspected(run.task),
+            suspected: self.is_suspected(run.task),
             percent: 0,
         }
     }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -243,13 +243,13 @@
     /// number of their latest run; first those that may crash their executor.
     fn startable_tasks(&self, now: Moment, id: JobId) -> (Vec<StartableTask>, Vec<StartableTask>) {
         let found = self.waiting_tasks(now, id);
-        if !self.state.has_suspects(id) && self.lapsed.is_empty() {
+        if self.lapsed.is_empty() && !self.has_suspects(id) {
             return (Vec::new(), found);
         }
         let settled = found
             .into_iter()
             .filter(|(task, _)| !self.awaits_lapsed(*task));
-        settled.partition(|(task, _)| self.state.is_suspected(*task))
+        settled.partition(|(task, _)| self.is_suspected(*task))
     }
 
     fn waiting_tasks(&self, now: Moment, id: JobId) -> Vec<StartableTask> {
--- a/crates/masticfield-jobs/src/leader/quarantine.rs
+++ b/crates/masticfield-jobs/src/leader/quarantine.rs
@@ -116,7 +116,7 @@
         let Some(quarantine) = view.and_then(|view| view.quarantine) else {
             return;
         };
-        let over = now.monotonic >= quarantine.until || !self.state.has_suspects(quarantine.job);
+        let over = now.monotonic >= quarantine.until || !self.has_suspects(quarantine.job);
         if over && let Some(view) = self.executors.get_mut(&key) {
             view.quarantine = None;
             self.plan_pool_of(key);
--- a/crates/masticfield-jobs/tests/crashes.rs
+++ b/crates/masticfield-jobs/tests/crashes.rs
@@ -327,6 +327,7 @@
     announce(&mut leader, 3_000, "e3", false);
     let second = starts(&mut leader, 3_000);
     assert_eq!(second.len(), 1, "one in quarantine: {second:?}");
+    report(&mut leader, (3_000, 3_005), &second);
     submit(&mut leader, 3_010, 3);
     let third = starts(&mut leader, 3_010);
     assert_eq!(third.len(), 1, "{third:?}");
@@ -367,3 +368,35 @@
     replace(&mut leader, 3_000, first[0].1);
     assert_eq!(leader.state().is_suspected(task(1)), !leaving);
 }
+
+/// The lease of a run expires on an executor that fell silent right after the start.
+#[test]
+fn a_task_whose_executor_fell_silent_at_its_start_is_started_in_quarantine() {
+    let mut leader = leader_with(&["e1", "e2", "e3"]);
+    submit(&mut leader, 0, 1);
+    let first = starts(&mut leader, 0);
+    answer_start(&mut leader, 10, first[0]);
+    let sent = moment(10).monotonic;
+    let result = Err(CallError::Unknown);
+    let executor = first[0].1;
+    leader.handle(
+        moment(20),
+        Event::HoldResult {
+            executor,
+            sent,
+            result,
+        },
+    );
+    let restart = (0..80).map(|tick| tick * 100).find_map(|ms| {
+        for id in ["e2", "e3"] {
+            announce(&mut leader, ms, id, false);
+        }
+        let start = starts(&mut leader, ms).first().copied();
+        start.map(|start| (ms, start))
+    });
+    let (ms, second) = restart.expect("the lease has expired");
+    report(&mut leader, (ms, ms + 5), &[second]);
+    submit(&mut leader, ms + 5, 2);
+    let other = starts(&mut leader, ms + 5);
+    assert_ne!(other[0].1, second.1, "nothing starts in quarantine");
+}
