fix(jobs): follow the capacity of an executor while it runs

Callers would see tasks start on an executor that has no room for them (rule LIMIT). Cause: what an executor announces of itself was read once, at the first announcement of an incarnation. The same assumption stood in three more places: relays shortened announcements in which only the capacity differed, for 5 s; an order to start was repeated without looking at the capacity; and an executor whose polls are answered was used although its announcements, which alone show the capacity, had not come. Ruled out: taking the capacity from the list of hosts, which is read each 10 s. Change: Command::Resize records an announced capacity; relays shorten only what is the same throughout; an order that no longer fits is stopped, not repeated; tasks start only on executors whose announcements have come within 2.5 intervals. A new leader uses those that answer for one interval, unless their announcements were overdue (Command::Overdue, after 1.6 intervals) or a poll of it has failed.

--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -41,6 +41,8 @@
     unacknowledged: Vec<ListedEnd>,
     /// Number of the last end.
     last_end: u64,
+    /// Former capacities, each with the time at which it ended.
+    former_capacities: Vec<(u64, Resources)>,
 }
 
 /// Whether an executor works as it should.
@@ -109,9 +111,25 @@
             highest_ended: BTreeMap::new(),
             unacknowledged: Vec::new(),
             last_end: 0,
+            former_capacities: Vec::new(),
         }
     }
 
+    /// Changes the capacity, which the next announcement shows.
+    pub(crate) fn set_capacity(&mut self, now: u64, capacity: Resources) {
+        let former = std::mem::replace(&mut self.incarnation.capacity, capacity);
+        self.former_capacities.push((now, former));
+    }
+
+    /// Returns, for each resource, the largest capacity since a time.
+    pub(crate) fn largest_capacity_since(&self, since: u64) -> Resources {
+        let former = self.former_capacities.iter();
+        let recent = former.filter(|(ended, _)| *ended >= since);
+        recent.fold(self.incarnation.capacity, |most, (_, capacity)| {
+            most.most(*capacity)
+        })
+    }
+
     /// Returns the executor's clock, in milliseconds.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/masticfield-emulator/src/fleet.rs
+++ b/crates/masticfield-emulator/src/fleet.rs
@@ -169,6 +169,15 @@
         self
     }
 
+    /// Returns the capacity of a host.
+    pub(crate) const fn host_capacity(&self) -> Resources {
+        Resources {
+            cpu_milli: self.host_cpu_milli,
+            memory_mb: self.host_memory_mb,
+            gpus: 0,
+        }
+    }
+
     /// Returns the configuration of the queues and pools.
     pub fn config(&self) -> QueuesConfig {
         let pool = |name: &Arc<str>, standby| PoolConfig {
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -79,6 +79,10 @@
     pub slow_executors: f64,
     /// Factor on the duration of work on slow executors; a large one stalls their tasks.
     pub slowdown: u32,
+    /// Mean time between changes of the capacity of executors, in milliseconds; 0 for none.
+    ///
+    /// The capacity shrinks to a third to two thirds and grows back after 2 to 8 s.
+    pub capacity_change_interval_ms: u64,
     /// Share of jobs with one task that crashes each executor that starts it.
     pub crashing_jobs: f64,
 }
@@ -111,6 +115,7 @@
                 failing_executors: 0.0,
                 slow_executors: 0.0,
                 slowdown: 0,
+                capacity_change_interval_ms: 0,
                 crashing_jobs: 0.0,
             },
         }
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -42,6 +42,10 @@
 /// Interval of an executor's announcements, in milliseconds.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_500;
 
+/// Time after which a smaller capacity counts, in milliseconds: two announcements may be lost, and
+/// one is on its way.
+const CAPACITY_GRACE_MS: u64 = 3 * ANNOUNCE_INTERVAL_MS;
+
 /// Time for executors to announce themselves before the load begins, in milliseconds.
 const WARMUP_MS: u64 = 5_000;
 
@@ -127,6 +131,10 @@
     CrashExecutor,
     /// A run crashes the executor that has started it.
     CrashByRun(usize, RunId),
+    /// The capacity of a random executor shrinks.
+    ShrinkCapacity,
+    /// An executor has its full capacity again.
+    RestoreCapacity(usize),
     /// A random executor is separated from the leader.
     PartitionExecutor,
     /// Another replica becomes the leader.
@@ -315,6 +323,10 @@
             faults.leader_change_interval_ms,
             ScheduledEvent::ChangeLeader,
         );
+        self.schedule_fault(
+            faults.capacity_change_interval_ms,
+            ScheduledEvent::ShrinkCapacity,
+        );
         self.start_relays();
         self.schedule_fault(faults.relay_fault_interval_ms, ScheduledEvent::DisturbRelay);
         self.schedule(1, ScheduledEvent::Tick);
@@ -403,6 +415,12 @@
                     ScheduledEvent::CrashExecutor,
                 );
             }
+            ScheduledEvent::ShrinkCapacity => {
+                self.shrink_capacity();
+                let mean = self.scenario.faults.capacity_change_interval_ms;
+                self.schedule_fault(mean, ScheduledEvent::ShrinkCapacity);
+            }
+            ScheduledEvent::RestoreCapacity(executor) => self.restore_capacity(executor),
             ScheduledEvent::CrashByRun(executor, run) => self.crash_by_run(executor, run),
             ScheduledEvent::PartitionExecutor => {
                 let executor = self.rng.random_range(0..self.executors.len());
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -158,6 +158,34 @@
     );
 }
 
+/// The capacity of executors shrinks and grows while they run.
+fn capacity_changes(faults: Faults) -> Faults {
+    Faults {
+        capacity_change_interval_ms: 700,
+        ..faults
+    }
+}
+
+#[rstest]
+#[case::alone(no_faults(), 0)]
+#[case::lost_answers(delayed_orders(), 0)]
+#[case::leader_changes(leader_changes(), 0)]
+#[case::crashes_and_partitions(crashes_and_partitions(), 0)]
+#[case::mixed_faults(mixed_faults(), 0)]
+#[case::through_relays(crashes_and_partitions(), 4)]
+fn no_start_takes_an_executor_above_a_capacity_that_has_shrunk(
+    #[case] faults: Faults,
+    #[case] relays: usize,
+) {
+    for seed in seeds() {
+        let scenario = Scenario::new(Fleet::small()).load_ms(15_000).relays(relays);
+        let scenario = scenario.faults(capacity_changes(faults));
+        let report = Simulation::new(scenario, seed).run();
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+    }
+}
+
 /// Executors on which work takes `factor` times as long.
 fn slow_executors(factor: u32) -> Faults {
     Faults {
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -6,7 +6,7 @@
 use super::executor::{ExecutorView, HoldPhase};
 use super::retirement::Retirement;
 use super::{Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Reply, ReplyId};
-use crate::job::RunId;
+use crate::job::{Resources, RunId};
 use crate::schedule::poll_interval;
 use crate::state::{Command, EndKind, ExecutorKey};
 
@@ -16,6 +16,9 @@
 /// Number of announcement intervals without contact after which no task starts on an executor.
 const MISSED_ANNOUNCEMENTS: f64 = 2.5;
 
+/// Number of announcement intervals after which an announcement is overdue.
+const OVERDUE_ANNOUNCEMENTS: f64 = 1.6;
+
 /// Time without contact after which an executor without runs is retired.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -97,6 +100,8 @@
         view.last_announced = Some(now.monotonic);
         view.sequence = announcement.sequence;
         view.record_clock(now.monotonic, announcement.clock_ms);
+        self.update_capacity(key, announcement);
+        self.end_overdue(key);
         if announcement.leaving && self.propose(Command::Leaving { executor: key }) {
             log::info!(
                 executor = announcement.incarnation.id.as_ref(), sequence = announcement.sequence;
@@ -110,6 +115,27 @@
         }
     }
 
+    fn update_capacity(&mut self, key: ExecutorKey, announcement: &Announcement) {
+        let incarnation = &announcement.incarnation;
+        let capacity = incarnation.capacity;
+        let resized = self.propose(Command::Resize {
+            executor: key,
+            capacity,
+        });
+        if resized {
+            let Resources {
+                cpu_milli,
+                memory_mb,
+                gpus,
+            } = capacity;
+            log::info!(
+                executor = incarnation.id.as_ref(), cpu_milli, memory_mb, gpus;
+                "capacity has changed"
+            );
+            self.changed_pools.insert(Arc::clone(&incarnation.pool));
+        }
+    }
+
     /// Records a sign of life of an executor that is known; others announce themselves in full soon.
     pub(super) fn on_repeated_announcement(
         &mut self,
@@ -130,6 +156,35 @@
             view.last_announced = Some(now.monotonic);
             view.sequence = announcement.sequence;
             view.record_clock(now.monotonic, announcement.clock_ms);
+            self.end_overdue(key);
+        }
+    }
+
+    /// Records that announcements of an executor have come again.
+    fn end_overdue(&mut self, key: ExecutorKey) {
+        let overdue = false;
+        self.propose(Command::Overdue {
+            executor: key,
+            overdue,
+        });
+    }
+
+    /// Records in the state that announcements of an executor are overdue, so that the next leader
+    /// knows it.
+    fn check_overdue(&mut self, now: Moment, key: ExecutorKey) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let timeout = self.options.announce_every.mul_f64(OVERDUE_ANNOUNCEMENTS);
+        let overdue = match view.last_announced {
+            Some(at) => now.monotonic > at + timeout,
+            None => view.was_silent || now.monotonic > self.leading_since + timeout,
+        };
+        if overdue && !self.state.is_overdue(key) {
+            self.propose(Command::Overdue {
+                executor: key,
+                overdue,
+            });
         }
     }
 
@@ -233,6 +288,7 @@
             return self.retire(now, key, Retirement::Silent);
         }
         self.check_quarantine(now, key);
+        self.check_overdue(now, key);
         self.retry_orders(now, key);
         self.hold_if_due(now, key);
     }
@@ -256,10 +312,15 @@
         else {
             return false;
         };
-        let announcement_timeout = self.options.announce_every.mul_f64(MISSED_ANNOUNCEMENTS);
-        let last_contact = view.clock.map_or(Duration::ZERO, |clock| clock.received);
-        let has_contact = view.last_announced.is_some() || view.responsive;
-        let fresh = has_contact && now.monotonic < last_contact + announcement_timeout;
+        // Only announcements show the capacity. A new leader relies on the state until executors
+        // have had the time to announce themselves, unless they may have missed announcements.
+        let announce_every = self.options.announce_every;
+        let fresh = if let Some(at) = view.last_announced {
+            now.monotonic < at + announce_every.mul_f64(MISSED_ANNOUNCEMENTS)
+        } else {
+            let in_touch = view.responsive && !view.was_silent && !self.state.is_overdue(key);
+            in_touch && now.monotonic < self.leading_since + announce_every
+        };
         // Until a hold is answered, it is not known what runs on the executor.
         let runs_known = view.failed_holds == 0 && (view.responsive || view.runs.is_empty());
         fresh
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -30,6 +30,8 @@
     pub(super) responsive: bool,
     /// Number of consecutive holds that failed.
     pub(super) failed_holds: u32,
+    /// Whether any hold of this leader has failed.
+    pub(super) was_silent: bool,
     pub(super) hold: HoldPhase,
     /// Number of the last end that is in the state.
     pub(super) acknowledged: u64,
@@ -125,6 +127,7 @@
             former_leases_end,
             responsive: false,
             failed_holds: 0,
+            was_silent: false,
             hold: HoldPhase::Due(Duration::ZERO),
             acknowledged: 0,
             runs: BTreeMap::new(),
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -104,6 +104,7 @@
                     log::info!(executor = key.0; "executor does not answer");
                 }
                 view.failed_holds += 1;
+                view.was_silent = true;
                 view.responsive = false;
                 let idle = view.runs.is_empty();
                 let wait = if idle { IDLE_RETRY_DELAY } else { RETRY_DELAY };
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -51,6 +51,8 @@
     pub(super) lapsed: BTreeMap<ExecutorKey, Vec<CrashedRun>>,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
+    /// Time at which this leadership began.
+    pub(super) leading_since: Duration,
     last_check: Duration,
     last_forget: Duration,
 }
@@ -76,6 +78,7 @@
             last_failures: BTreeMap::new(),
             lapsed: BTreeMap::new(),
             offered_load: BTreeMap::new(),
+            leading_since: now.monotonic,
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
             state,
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -296,13 +296,26 @@
             }
         }
         for run in starts {
-            self.send_start(now, executor, run);
+            if self.exceeds_capacity(executor) {
+                // The capacity has shrunk since the run was placed.
+                self.stop(now, executor, run);
+            } else {
+                self.send_start(now, executor, run);
+            }
         }
         for run in stops {
             self.stop(now, executor, run);
         }
     }
 
+    /// Returns whether the runs on an executor reserve more than its capacity.
+    fn exceeds_capacity(&self, key: ExecutorKey) -> bool {
+        let (view, record) = (self.executors.get(&key), self.state.executor(key));
+        let capacity = record.map(|record| record.incarnation.capacity);
+        view.zip(capacity)
+            .is_some_and(|(view, capacity)| !capacity.covers(view.used))
+    }
+
     /// Records the end of a run, and decides what follows for its job and its executor.
     pub(super) fn end_run(
         &mut self,
--- a/crates/masticfield-jobs/src/relay/announcements.rs
+++ b/crates/masticfield-jobs/src/relay/announcements.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::leader::{Announcement, BriefAnnouncement};
+use crate::state::ExecutorIncarnation;
 
 /// Time after which an unchanged announcement is passed on in full again, in case the leader has
 /// forgotten the executor meanwhile.
@@ -21,9 +22,7 @@
 
 #[derive(Debug, Clone)]
 struct Confirmed {
-    started_ms: u64,
-    pool: Arc<str>,
-    address: Arc<str>,
+    incarnation: ExecutorIncarnation,
     leaving: bool,
     at: Duration,
 }
@@ -40,9 +39,7 @@
         self.confirmed
             .retain(|_, confirmed| now < confirmed.at + FULL_INTERVAL * 2);
         let confirmed = Confirmed {
-            started_ms: incarnation.started_ms,
-            pool: Arc::clone(&incarnation.pool),
-            address: Arc::clone(&incarnation.address),
+            incarnation: incarnation.clone(),
             leaving: announcement.leaving,
             at: now,
         };
@@ -55,10 +52,8 @@
     pub fn brief(&self, now: Duration, announcement: &Announcement) -> Option<BriefAnnouncement> {
         let incarnation = &announcement.incarnation;
         let confirmed = self.confirmed.get(&incarnation.id)?;
-        let unchanged = confirmed.started_ms == incarnation.started_ms
-            && confirmed.pool == incarnation.pool
-            && confirmed.address == incarnation.address
-            && confirmed.leaving == announcement.leaving;
+        let unchanged =
+            confirmed.incarnation == *incarnation && confirmed.leaving == announcement.leaving;
         (unchanged && now < confirmed.at + FULL_INTERVAL).then(|| BriefAnnouncement {
             id: Arc::clone(&incarnation.id),
             started_ms: incarnation.started_ms,
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CrashedRun, ExecutorIncarnation, ExecutorKey, HostClaim, WaveOrder};
-use crate::job::{JobId, JobSpec, RunId, TaskId};
+use crate::job::{JobId, JobSpec, Resources, RunId, TaskId};
 use crate::queue::{QueueId, QueuesConfig};
 
 /// A change of the replicated state.
@@ -120,6 +120,21 @@
         /// Time at which the leader learned of the crash.
         at_ms: u64,
     },
+    /// Records that the capacity of an executor has changed.
+    Resize {
+        /// Executor that has announced it.
+        executor: ExecutorKey,
+        /// Total resources for tasks from now on.
+        capacity: Resources,
+    },
+    /// Records whether announcements of an executor are overdue, so that its capacity may have
+    /// changed.
+    Overdue {
+        /// Executor whose announcements are concerned.
+        executor: ExecutorKey,
+        /// Whether they are overdue, or have come again.
+        overdue: bool,
+    },
     /// Records that an executor has outlived the start of a task that may have crashed others.
     Survived {
         /// Task that was started.
@@ -145,6 +160,8 @@
             Self::Unclaim { .. } => "unclaim",
             Self::Forget { .. } => "forget",
             Self::Crash { .. } => "crash",
+            Self::Resize { .. } => "resize",
+            Self::Overdue { .. } => "overdue",
             Self::Survived { .. } => "survived",
         }
     }
--- a/crates/masticfield-jobs/src/state/executor.rs
+++ b/crates/masticfield-jobs/src/state/executor.rs
@@ -29,14 +29,14 @@
     pub labels: Vec<Arc<str>>,
     /// Rack of the host, if known.
     pub rack: Option<Arc<str>>,
-    /// Total resources for tasks.
+    /// Total resources for tasks; changes while the executor runs.
     pub capacity: Resources,
 }
 
 /// Record of one incarnation of an executor and its runs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExecutorRecord {
-    /// What the executor announced when it was added.
+    /// What the executor announced when it was added, with the capacity that it announced last.
     pub incarnation: ExecutorIncarnation,
     /// Whether the executor has announced that it is leaving.
     pub leaving: bool,
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -34,6 +34,9 @@
     /// Encoded after the rest; see [`State::encode`].
     #[serde(skip)]
     pub(super) crashes: Crashes,
+    /// Executors whose announcements are overdue. Encoded after the rest.
+    #[serde(skip)]
+    pub(super) overdue: BTreeSet<ExecutorKey>,
 }
 
 /// The configuration in force.
@@ -145,6 +148,11 @@
         self.crashes.reaches_limit(task, lapsed, long_running)
     }
 
+    /// Returns whether announcements of an executor are overdue.
+    pub fn is_overdue(&self, executor: ExecutorKey) -> bool {
+        self.overdue.contains(&executor)
+    }
+
     /// Returns the runs whose leases expired on an executor that has not been given a run since.
     pub fn lapsed_runs(&self, executor: ExecutorKey) -> impl Iterator<Item = RunId> {
         self.crashes.lapsed(executor)
@@ -197,6 +205,21 @@
             Command::Unclaim { host } => self.claims.remove(&host).is_some(),
             Command::Forget { before_ms } => self.forget(before_ms),
             Command::Crash { runs, at_ms } => self.crash(&runs, at_ms),
+            Command::Resize { executor, capacity } => {
+                let record = self.executors.get_mut(&executor);
+                record.is_some_and(|record| {
+                    let former = std::mem::replace(&mut record.incarnation.capacity, capacity);
+                    former != capacity
+                })
+            }
+            Command::Overdue { executor, overdue } => {
+                let known = self.executors.contains_key(&executor);
+                if overdue {
+                    known && self.overdue.insert(executor)
+                } else {
+                    self.overdue.remove(&executor)
+                }
+            }
             Command::Survived { task } => self.survived(task),
         }
     }
@@ -238,7 +261,7 @@
         let record = ExecutorRecord {
             incarnation,
             leaving: false,
-            runs: std::collections::BTreeSet::new(),
+            runs: BTreeSet::new(),
         };
         self.executors.insert(key, record);
         true
@@ -249,6 +272,7 @@
             return false;
         };
         self.crashes.forget_executor(key);
+        self.overdue.remove(&key);
         for run in record.runs {
             self.end_run(run, EndKind::Gone, None, at_ms);
         }
--- a/crates/masticfield-jobs/tests/relay.rs
+++ b/crates/masticfield-jobs/tests/relay.rs
@@ -295,6 +295,15 @@
     );
 }
 
+#[test]
+fn an_announcement_of_another_capacity_is_passed_on_in_full() {
+    let mut confirmed = ConfirmedAnnouncements::default();
+    confirmed.confirm(ms(1_000), &announcement(5, 1, false));
+    let mut resized = announcement(5, 2, false);
+    resized.incarnation.capacity.cpu_milli = 1;
+    assert_eq!(confirmed.brief(ms(2_000), &resized), None);
+}
+
 #[test]
 fn a_relayed_call_survives_its_encoding() {
     let call = RelayedCall {
