fix(cli): send a request with an unknown outcome again

Operators saw code 4 for a note that had been accepted, or had lost against another one: a replica that proposes a change and loses its leadership answers that it does not know the outcome. Cause: the command line took that answer for a refusal, though its text asks to send the same note again and every request is idempotent. Ruled out: more rounds over the replicas, which this answer ended. Change: it is treated like an unreachable quorum, and the next replica is asked. Evidence: a_request_with_an_unknown_outcome_is_sent_again failed before.

--- a/crates/masticfield-cli/src/control_client.rs
+++ b/crates/masticfield-cli/src/control_client.rs
@@ -31,8 +31,9 @@
 
 /// Result of sending a request to one replica.
 enum Attempt {
-    /// The replica reaches no quorum; another replica may.
-    NoQuorum,
+    /// The replica reaches no quorum or does not know the outcome; the same request, sent again,
+    /// is carried out once.
+    SendAgain(Problem),
     /// The replica at this address carried out the request and sent this body.
     Response(SocketAddr, Bytes),
     /// The replica does not lead; the leader's address, if the replica knows it.
@@ -98,8 +99,7 @@
                     Attempt::Response(address, json) => {
                         return serde_json::from_slice(&json).context(ResponseSnafu { address });
                     }
-                    Attempt::NoQuorum => {
-                        let problem = Problem::NoQuorum;
+                    Attempt::SendAgain(problem) => {
                         last_error = RefusedSnafu { problem }.build();
                     }
                     Attempt::Refused(problem) => return RefusedSnafu { problem }.fail(),
@@ -138,7 +138,7 @@
         }
         match serde_json::from_slice(&body).context(ResponseSnafu { address })? {
             Problem::NotLeader { leader } => Ok(Attempt::Redirect(leader)),
-            Problem::NoQuorum => Ok(Attempt::NoQuorum),
+            problem @ (Problem::NoQuorum | Problem::Undecided) => Ok(Attempt::SendAgain(problem)),
             problem => Ok(Attempt::Refused(problem)),
         }
     }
