--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -178,7 +178,7 @@
     fn apply_entry(&mut self, applied: &Applied) {
         self.applied_index = applied.index;
         match applied.kind {
-            AppliedKind::Snapshot => match State::decode(&applied.payload) {
+            AppliedKind::Snapshot => match State::from_snapshot(&applied.payload) {
                 Ok(state) => {
                     self.state = state;
                     self.claims = ClaimWatch::new(boot_now());
@@ -208,7 +208,7 @@
         }
         if self.log_bytes > SNAPSHOT_BYTES {
             self.log_bytes = 0;
-            self.replica.snapshot(applied.index, self.state.encode());
+            self.replica.snapshot(applied.index, self.state.to_snapshot());
         }
     }
 
--- a/crates/masticfield-jobs/src/state/snapshot.rs
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -3,12 +3,12 @@
 use super::State;
 
 impl State {
-    /// Encodes the state for a snapshot.
+    /// Encodes the state as a snapshot.
     ///
     /// # Panics
     ///
     /// Panics if the state cannot be encoded, which is a bug in its type.
-    pub fn encode(&self) -> Vec<u8> {
+    pub fn to_snapshot(&self) -> Vec<u8> {
         let encoded = postcard::to_stdvec(self).expect("the state is plain data");
         let supplement = (&self.crashes, &self.overdue);
         postcard::to_extend(&supplement, encoded).expect("the state is plain data")
@@ -22,7 +22,7 @@
     /// # Errors
     ///
     /// Fails if the bytes are not an encoded state.
-    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         if !rest.is_empty() {
             (state.crashes, state.overdue) = postcard::from_bytes(rest)?;
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -31,7 +31,7 @@
     waves: BTreeMap<u64, Wave>,
     /// Outstanding requests to the platform by host, with the executor that each one ends.
     claims: BTreeMap<Arc<str>, (HostClaim, Option<ExecutorKey>)>,
-    /// Encoded after the rest; see [`State::encode`].
+    /// Encoded after the rest; see [`State::to_snapshot`].
     #[serde(skip)]
     pub(super) crashes: Crashes,
     /// Executors whose announcements are overdue. Encoded after the rest.
--- a/crates/masticfield-jobs/tests/crashes.rs
+++ b/crates/masticfield-jobs/tests/crashes.rs
@@ -172,9 +172,9 @@
 fn a_snapshot_keeps_crashes_and_one_without_them_is_read() {
     let mut state = state(1, false);
     let without = postcard::to_stdvec(&state).expect("the state is plain data");
-    assert_eq!(State::decode(&without).as_ref(), Ok(&state));
+    assert_eq!(State::from_snapshot(&without).as_ref(), Ok(&state));
     crash(&mut state, &[(1, RunStart::Recent)]);
-    let decoded = State::decode(&state.encode()).expect("a snapshot");
+    let decoded = State::from_snapshot(&state.to_snapshot()).expect("a snapshot");
     assert!(decoded.is_suspected(task(1)));
     assert_eq!(decoded, state);
 }
