fix(jobs): place suspected tasks also where every executor is unreliable

Callers would see a job that never runs again: a suspected task took only executors in good standing, and one that waits does not let any get back to it. Cause: quarantine demanded the standing that it should only prefer. Found by reading the change. Ruled out: nothing. Change: executors in good standing are preferred. Placing in quarantine works on that one slot instead of a copy of the pool, and a slot that is used up leaves the pool.

--- a/crates/masticfield-jobs/src/leader/quarantine.rs
+++ b/crates/masticfield-jobs/src/leader/quarantine.rs
@@ -14,8 +14,8 @@
 use crate::schedule::{PlacementRequest, ReliabilityStatus, fits};
 use crate::state::ExecutorKey;
 
-/// Share of a pool's usable executors that may be in quarantine, as a divisor; at least one may.
-const MAX_QUARANTINED: usize = 8;
+/// Number of usable executors of a pool for each one that may be in quarantine; at least one may.
+const EXECUTORS_PER_QUARANTINE: usize = 8;
 
 /// Time after which a quarantine ends in any case, unless a task was started in it since.
 const QUARANTINE: Duration = Duration::from_secs(2);
@@ -51,14 +51,15 @@
         if !view.is_some_and(|view| view.is_quiet_for(job)) {
             return Vec::new();
         }
-        let mut alone = pool.clone();
-        alone.slots.retain(|slot| slot.key == key);
+        let Some(index) = pool.slots.iter().position(|slot| slot.key == key) else {
+            return Vec::new();
+        };
+        let mut alone = PoolView {
+            slots: vec![pool.slots.swap_remove(index)],
+            any_reliable: pool.any_reliable,
+        };
         let placements = self.place_tasks(now, tasks, &mut alone);
-        if let Some(slot) = pool.slots.iter_mut().find(|slot| slot.key == key)
-            && let Some(reserved) = alone.slots.pop()
-        {
-            *slot = reserved;
-        }
+        pool.slots.append(&mut alone.slots);
         if !placements.is_empty() {
             self.extend_quarantine(now, key, job);
         }
@@ -73,7 +74,7 @@
         pool: &mut PoolView,
     ) -> Option<ExecutorKey> {
         let quarantined = pool.slots.iter().filter(|slot| slot.quarantine.is_some());
-        if quarantined.count() >= (pool.slots.len() / MAX_QUARANTINED).max(1) {
+        if quarantined.count() >= (pool.slots.len() / EXECUTORS_PER_QUARANTINE).max(1) {
             return None;
         }
         let (first, _, step) = self.step_of(tasks)?;
@@ -82,12 +83,12 @@
             near_rack: None,
         };
         let free = pool.slots.iter().filter(|slot| {
-            let reliable = slot.status == ReliabilityStatus::Good;
-            slot.quarantine.is_none() && reliable && fits(request, &self.candidate(slot, step, &[]))
+            slot.quarantine.is_none() && fits(request, &self.candidate(slot, step, &[]))
         });
         let runs = |key| self.executors.get(&key).map_or(0, |view| view.runs.len());
         let best = free.min_by_key(|slot| {
             (
+                slot.status != ReliabilityStatus::Good,
                 slot.upkeep_due,
                 runs(slot.key),
                 Reverse(slot.free.cpu_milli),
