perf(jobs): index lapsed runs by task

Callers on hundreds of executors would wait for the leader during a network partition. Cause: for each waiting task, planning went through all runs whose leases had expired. A partition leaves thousands of them. Found by reading the change. Ruled out: a limit on the number that is kept, which would lose crashes. Change: the runs are kept by executor and by task, in a type of their own.

--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -25,7 +25,7 @@
         key: ExecutorKey,
         reason: Retirement,
     ) -> Vec<JobId> {
-        let lapsed = self.lapsed.remove(&key).unwrap_or_default();
+        let lapsed = self.lapsed.take(key);
         if !self.has_crashed(key, reason) || self.options.defect == Some(Defect::IgnoreCrashes) {
             return Vec::new();
         }
@@ -82,47 +82,35 @@
             run: *run,
             start: view.start_of(*run),
         });
-        let runs: Vec<_> = runs.collect();
-        self.lapsed.entry(key).or_default().extend(runs);
+        for lapsed in runs {
+            self.lapsed.add(key, lapsed);
+        }
     }
 
     /// Takes over the lapsed runs that former leaders left. It is not known which were starting.
     pub(super) fn take_over_lapsed(&mut self, key: ExecutorKey) {
-        let runs = self.state.lapsed_runs(key);
-        let runs = runs.map(|run| CrashedRun {
-            run,
-            start: RunStart::Past,
-        });
-        let runs: Vec<_> = runs.collect();
-        if !runs.is_empty() {
-            self.lapsed.insert(key, runs);
+        for run in self.state.lapsed_runs(key) {
+            let start = RunStart::Past;
+            self.lapsed.add(key, CrashedRun { run, start });
         }
     }
 
     /// Returns whether a task waits until it is known whether executors have crashed on which its
     /// lease has expired: if they have, the task is to be given up.
     pub(super) fn awaits_lapsed(&self, task: TaskId) -> bool {
-        let lapsed = self.lapsed.values().flatten();
-        let lapsed = lapsed.filter(|lapsed| lapsed.run.task == task);
-        self.state.reaches_crash_limit(task, lapsed)
+        self.state
+            .reaches_crash_limit(task, self.lapsed.of_task(task))
     }
 
     /// Returns whether a task may have crashed executors, including those of which it is not known
     /// yet whether they crashed.
     pub(super) fn is_suspected(&self, task: TaskId) -> bool {
-        self.state.is_suspected(task) || self.recent_lapses().any(|lapsed| lapsed.task == task)
+        self.state.is_suspected(task) || self.lapsed.is_recent(task)
     }
 
     /// Returns whether any task of a job is suspected; see [`is_suspected`](Self::is_suspected).
     pub(super) fn has_suspects(&self, job: JobId) -> bool {
-        self.state.has_suspects(job) || self.recent_lapses().any(|lapsed| lapsed.task.job == job)
-    }
-
-    /// Returns the lapsed runs that had just started when the executor answered last.
-    fn recent_lapses(&self) -> impl Iterator<Item = RunId> {
-        let lapsed = self.lapsed.values().flatten();
-        let recent = lapsed.filter(|lapsed| lapsed.start == RunStart::Recent);
-        recent.map(|lapsed| lapsed.run)
+        self.state.has_suspects(job) || self.lapsed.has_recent(job)
     }
 
     /// Clears suspected tasks whose start the executor has outlived.
@@ -136,10 +124,7 @@
         for run in view.take_survivors() {
             self.propose(Command::Survived { task: run.task });
             log::info!(run:%, executor = key.0; "the executor has outlived the start");
-            let lapsed = self.lapsed.values_mut().flatten();
-            for lapsed in lapsed.filter(|lapsed| lapsed.run.task == run.task) {
-                lapsed.start = RunStart::Past;
-            }
+            self.lapsed.clear(run.task);
             self.release_if_cleared(key, run.task.job);
         }
     }
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -135,7 +135,7 @@
         }
         let first_answer = !view.responsive;
         (view.responsive, view.failed_holds) = (true, 0);
-        self.lapsed.remove(&key);
+        self.lapsed.take(key);
         for listed in &report.running {
             if let Some(run) = view.runs.get_mut(&listed.run) {
                 run.percent = listed.percent;
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -6,12 +6,13 @@
 
 use super::executor::{ExecutorView, RunOrigin, RunPhase, RunView};
 use super::hosts::Hosts;
+use super::lapsed::LapsedRuns;
 use super::pending_job::PendingJob;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::RouteTable;
 use crate::schedule::{OfferedLoad, Rank, lease_end};
-use crate::state::{Command, CrashedRun, ExecutorKey, JobPhase, State};
+use crate::state::{Command, ExecutorKey, JobPhase, State};
 
 /// Interval of checks for changes that no event announces.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -47,8 +48,7 @@
     pub(super) poll_interval: Duration,
     /// Executor and time of the latest failure of each task of an open job.
     pub(super) last_failures: BTreeMap<TaskId, (ExecutorKey, Duration)>,
-    /// Runs whose leases have expired on executors that have not answered since.
-    pub(super) lapsed: BTreeMap<ExecutorKey, Vec<CrashedRun>>,
+    pub(super) lapsed: LapsedRuns,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
     /// Time at which this leadership began.
@@ -76,7 +76,7 @@
             hosts: Hosts::new(claims, now.monotonic),
             poll_interval: Duration::ZERO,
             last_failures: BTreeMap::new(),
-            lapsed: BTreeMap::new(),
+            lapsed: LapsedRuns::default(),
             offered_load: BTreeMap::new(),
             leading_since: now.monotonic,
             last_check: Duration::ZERO,
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -15,6 +15,7 @@
 mod host;
 mod hosts;
 mod intake;
+mod lapsed;
 #[expect(clippy::module_inception, reason = "the file has the type's name")]
 mod leader;
 mod options;
