feat(jobs): a restarted leader knows when hosts were last claimed

Ruled out: wall clocks (differ by up to 6 s between replicas); the host list and the polls (both answered within 0.1 s of the election). Change: leaders commit the time that passes on their monotonic clocks while a claim is recent; the sum dates claims in the state and is a lower bound of each claim's age. The emulator's every other new leader is a replica that has just restarted.

--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -552,6 +552,10 @@
         }
         self.uncommitted = 0;
         self.epoch += 1;
+        if self.epoch.is_multiple_of(2) {
+            // Every other replica that takes over has just restarted and has observed no claims.
+            self.claims = ClaimWatch::new(moment(self.now).monotonic);
+        }
         self.relays = Relays::new(relay_options());
         self.leader = Leader::new(
             self.state.clone(),
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -8,8 +8,8 @@
 use super::host::{HostOperation, HostView, OperationPhase};
 use super::options::AWAY_MARGIN;
 use super::retirement::Retirement;
-use super::{ClaimWatch, Defect, Effect, HostError, Leader, ListedHost, Moment};
-use crate::state::{Command, ExecutorKey, HostClaim};
+use super::{ClaimWatch, Defect, Effect, HostError, HostOptions, Leader, ListedHost, Moment};
+use crate::state::{ClaimTimes, Command, ExecutorKey, HostClaim};
 
 /// Interval of requests for the list while an executor's host is unknown, or a request about a
 /// host was refused.
@@ -30,6 +30,10 @@
 /// Maximum time for which an upkeep waits for finite tasks to end.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time between two commands that date the claims of hosts. A new leader may take a claim to be
+/// later than it was by this much.
+const DATE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Number of consecutive lists without a host after which the host is gone.
 const MAX_MISSING_LISTS: u32 = 2;
 
@@ -43,8 +47,12 @@
     list_pending: bool,
     /// Whether any list was received.
     pub(super) listed: bool,
-    /// Times at which former leaders last claimed hosts.
+    /// Times at which former leaders last claimed hosts, as this replica has observed them.
     claims: ClaimWatch,
+    /// The same from the state when the leadership began, for a replica that has restarted since.
+    former_claims: ClaimTimes,
+    /// Time of the leader's last [`Command::Elapsed`].
+    measured: Duration,
     /// Time at which the leadership began.
     leading_since: Duration,
     /// Number of the latest request about a host.
@@ -60,13 +68,19 @@
 }
 
 impl Hosts {
-    pub(super) fn new(claims: ClaimWatch, leading_since: Duration) -> Self {
+    pub(super) fn new(
+        claims: ClaimWatch,
+        former_claims: ClaimTimes,
+        leading_since: Duration,
+    ) -> Self {
         Self {
             views: BTreeMap::new(),
             list_requested: None,
             list_pending: false,
             listed: false,
             claims,
+            former_claims,
+            measured: leading_since,
             leading_since,
             last_order: 0,
             unsuitable: HashSet::new(),
@@ -83,6 +97,7 @@
         let Some(options) = self.options.hosts else {
             return;
         };
+        self.date_claims(now, options);
         self.request_list_if_due(now);
         if !self.hosts.listed {
             return;
@@ -279,12 +294,30 @@
             return true;
         }
         let host = self.hosts.views.get(name);
-        let (begin, time) = match host.and_then(|host| host.inherited.as_ref()) {
-            Some(HostClaim::Upkeep { .. }) => (self.hosts.leading_since, options.upkeep_over()),
-            Some(HostClaim::Move { .. }) => (self.hosts.leading_since, options.handover),
-            None => (self.hosts.claims.last_claim(name), options.handover),
+        let hosts = &self.hosts;
+        let led = now.monotonic.saturating_sub(hosts.leading_since);
+        let (elapsed, time) = match host.and_then(|host| host.inherited.as_ref()) {
+            Some(HostClaim::Upkeep { .. }) => (led, options.upkeep_over()),
+            Some(HostClaim::Move { .. }) => (led, options.handover),
+            None => {
+                let observed = now.monotonic.saturating_sub(hosts.claims.last_claim(name));
+                let recorded = hosts.former_claims.least_age(name).saturating_add(led);
+                (observed.max(recorded), options.handover)
+            }
         };
-        now.monotonic >= begin + time
+        elapsed >= time
+    }
+
+    /// Commits how much time has passed, as long as the next leader may need it to know for how
+    /// long hosts have not been claimed.
+    fn date_claims(&mut self, now: Moment, options: HostOptions) {
+        let elapsed = now.monotonic.saturating_sub(self.hosts.measured);
+        if elapsed < DATE_INTERVAL || !self.state.claim_times().any_since(options.handover) {
+            return;
+        }
+        self.hosts.measured = now.monotonic;
+        let ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        self.propose(Command::Elapsed { ms });
     }
 
     fn advance_operations(&mut self, now: Moment) {
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -73,7 +73,7 @@
             upcoming: BTreeSet::new(),
             changed_pools: BTreeSet::new(),
             decision: Decision::default(),
-            hosts: Hosts::new(claims, now.monotonic),
+            hosts: Hosts::new(claims, state.claim_times().clone(), now.monotonic),
             poll_interval: Duration::ZERO,
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -140,6 +140,11 @@
         /// Task that was started.
         task: TaskId,
     },
+    /// Records that time has passed on the leader's monotonic clock, to date the claims of hosts.
+    Elapsed {
+        /// Time since the leader's last such command, or since its leadership began.
+        ms: u64,
+    },
 }
 
 impl Command {
@@ -163,6 +168,7 @@
             Self::Resize { .. } => "resize",
             Self::Overdue { .. } => "overdue",
             Self::Survived { .. } => "survived",
+            Self::Elapsed { .. } => "elapsed",
         }
     }
 }
--- a/crates/masticfield-jobs/src/state/mod.rs
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -3,6 +3,7 @@
 //! Every replica applies the same commands in the same order. A command that no longer fits the
 //! state changes nothing.
 
+mod claim_times;
 mod command;
 mod crashes;
 mod entries;
@@ -15,6 +16,7 @@
 mod task;
 mod wave;
 
+pub use claim_times::ClaimTimes;
 pub use command::{Command, EndKind};
 pub use crashes::{CrashedRun, RunStart};
 pub use entries::encode_entries;
--- a/crates/masticfield-jobs/src/state/snapshot.rs
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -10,22 +10,28 @@
     /// Panics if the state cannot be encoded, which is a bug in its type.
     pub fn to_snapshot(&self) -> Vec<u8> {
         let encoded = postcard::to_stdvec(self).expect("the state is plain data");
-        let supplement = (&self.crashes, &self.overdue);
+        let supplement = (&self.crashes, &self.overdue, &self.claim_times);
         postcard::to_extend(&supplement, encoded).expect("the state is plain data")
     }
 
     /// Decodes a snapshot.
     ///
-    /// Snapshots that were written before crashes were counted end without them and without
-    /// overdue announcements.
+    /// Snapshots of earlier versions end before the parts that were added since, which are empty
+    /// then.
     ///
     /// # Errors
     ///
     /// Fails if the bytes are not an encoded state.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if rest.is_empty() {
+            return Ok(state);
+        }
+        let (crashes, rest) = postcard::take_from_bytes(rest)?;
+        let (overdue, rest) = postcard::take_from_bytes(rest)?;
+        (state.crashes, state.overdue) = (crashes, overdue);
         if !rest.is_empty() {
-            (state.crashes, state.overdue) = postcard::from_bytes(rest)?;
+            state.claim_times = postcard::from_bytes(rest)?;
         }
         Ok(state)
     }
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -7,8 +7,8 @@
 
 use super::crashes::{Crashes, Suspects};
 use super::{
-    Command, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey, ExecutorRecord, HostClaim,
-    JobPhase, JobRecord, Wave, WaveOrder,
+    ClaimTimes, Command, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey, ExecutorRecord,
+    HostClaim, JobPhase, JobRecord, Wave, WaveOrder,
 };
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::{QueueConfig, QueueId, QueuesConfig, RouteTable};
@@ -37,6 +37,9 @@
     /// Executors whose announcements are overdue. Encoded after the rest.
     #[serde(skip)]
     pub(super) overdue: BTreeSet<ExecutorKey>,
+    /// Times at which hosts were last claimed. Encoded after the rest.
+    #[serde(skip)]
+    pub(super) claim_times: ClaimTimes,
 }
 
 /// The configuration in force.
@@ -125,6 +128,11 @@
         &self.claims
     }
 
+    /// Returns the times at which hosts were last claimed.
+    pub const fn claim_times(&self) -> &ClaimTimes {
+        &self.claim_times
+    }
+
     /// Returns whether a task may have crashed the executors that it was started on: its job should
     /// start it where no other job can be at fault.
     pub fn is_suspected(&self, task: TaskId) -> bool {
@@ -202,7 +210,13 @@
                 claim,
                 executor,
             } => self.claim(host, (claim, executor)),
-            Command::Unclaim { host } => self.claims.remove(&host).is_some(),
+            Command::Unclaim { host } => {
+                let claimed = self.claims.remove(&host).is_some();
+                if claimed {
+                    self.claim_times.record(&host);
+                }
+                claimed
+            }
             Command::Forget { before_ms } => self.forget(before_ms),
             Command::Crash { runs, at_ms } => self.crash(&runs, at_ms),
             Command::Resize { executor, capacity } => {
@@ -221,6 +235,10 @@
                 }
             }
             Command::Survived { task } => self.survived(task),
+            Command::Elapsed { ms } => {
+                self.claim_times.advance(ms);
+                true
+            }
         }
     }
 
@@ -388,6 +406,7 @@
             .get(&host)
             .is_some_and(|stored| stored.0 == claim.0);
         if !same {
+            self.claim_times.record(&host);
             self.claims.insert(host, claim);
         }
         !same
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -197,6 +197,62 @@
     assert!(ordered >= earliest, "ordered after {ordered} ms");
 }
 
+/// After every replica has restarted, none has observed when hosts were last claimed. Without the
+/// times in the state, no host was moved until a lease had passed since the restart.
+#[rstest]
+#[case::not_claimed(None, 4_000, 0)]
+#[case::claimed_before_the_lease(Some(4_000), 4_000, 0)]
+#[case::claimed_within_the_lease(Some(1_500), 1_500, 1_500)]
+#[case::claimed_since_the_last_measurement(Some(0), 0, 3_000)]
+#[case::not_measured_for_long_enough(None, 1_000, 2_000)]
+fn a_restarted_replica_moves_a_host_by_the_time_of_its_last_claim_in_the_state(
+    #[case] claimed_ms_ago: Option<u64>,
+    #[case] measured_ms: u64,
+    #[case] expected_ms: u64,
+) {
+    let mut state = state();
+    if claimed_ms_ago.is_some() {
+        let claim = HostClaim::Move { pool: "p".into() };
+        state.apply(Command::Claim {
+            host: "h2".into(),
+            claim,
+            executor: None,
+        });
+        state.apply(Command::Unclaim { host: "h2".into() });
+        if claimed_ms_ago != Some(0) {
+            state.apply(Command::Elapsed { ms: 500 });
+        }
+    }
+    state.apply(Command::Elapsed { ms: measured_ms });
+    if claimed_ms_ago == Some(0) {
+        state.apply(Command::Elapsed { ms: 10_000 });
+        let claim = HostClaim::Move { pool: "q".into() };
+        state.apply(Command::Claim {
+            host: "h2".into(),
+            claim,
+            executor: None,
+        });
+        state.apply(Command::Unclaim { host: "h2".into() });
+    }
+    let watch = ClaimWatch::new(LEADING_SINCE);
+    let mut leader = Leader::new(state, options(), watch, moment(0));
+    let hosts = vec![host("h1", "p", Some("e1")), host("h2", "standby", None)];
+    let hosts = Some(hosts);
+    leader.handle(moment(0), Event::HostList { hosts });
+    let ordered = (0..50).map(|tick| tick * 100).find(|ms| {
+        let effects = leader.decide(moment(*ms)).after_commit;
+        effects.iter().any(|effect| {
+            matches!(effect, Effect::OrderHost { host, claim: HostClaim::Move { .. }, .. } if **host == *"h2")
+        })
+    });
+    let ordered = ordered.expect("the pool is short of hosts");
+    let latest = expected_ms + 200;
+    assert!(
+        (expected_ms..=latest).contains(&ordered),
+        "ordered after {ordered} ms"
+    );
+}
+
 /// A host that a former leader sent to upkeep may still be away, and counts towards the cap.
 #[test]
 fn a_new_leader_begins_no_upkeep_while_a_former_leaders_may_be_running() {
