feat(jobs): types of workspaces, their keys and what they have running

Cause: several groups of callers are to share the queues and pools, each with keys and a quota. Parts of the project that build on this need the types first.

Change: `QueuesConfig` has workspaces and public queues, `JobRequest` the digest of a key, `JobRecord` its workspace; the state counts what each workspace has running. Nothing is enforced yet.

Tests of this crate construct the new fields with their defaults; none of their checks has changed.

--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -6,7 +6,7 @@
 
 use masticfield_jobs::leader::{Announcement, Event, JobRequest, Refusal, Reply, ReplyId};
 use masticfield_jobs::protocol::{EntryRequest, ToEntry};
-use masticfield_jobs::queue::{QueuesConfig, RequestLimits};
+use masticfield_jobs::queue::{ConfigContent, QueuesConfig, RequestLimits};
 use masticfield_jobs::relay::{CallResult, RelayOffer};
 use masticfield_jobs::state::WaveOrder;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -33,7 +33,7 @@
         request: Request,
     },
     /// Reads the stored configuration.
-    ReadConfig(oneshot::Sender<Option<Arc<[u8]>>>),
+    ReadConfig(oneshot::Sender<Option<ConfigContent>>),
     /// Reads the progress of a wave, given by its number.
     ReadWave(u64, oneshot::Sender<WaveProgress>),
     /// An entry has connected.
@@ -88,7 +88,7 @@
     /// A request of a caller.
     Job(JobRequest),
     /// Puts a configuration in force; the bytes are the configuration as it was sent.
-    Configure(QueuesConfig, Arc<[u8]>),
+    Configure(QueuesConfig, ConfigContent),
     /// An executor announces itself.
     Announce(Announcement),
     /// The executor with this identifier ends.
@@ -152,7 +152,11 @@
     /// Stores a configuration that was checked and puts it in force.
     ///
     /// `content` is the configuration as it was sent; [`Self::read_config`] returns it.
-    pub async fn configure(&self, config: QueuesConfig, content: impl Into<Arc<[u8]>>) -> Reply {
+    pub async fn configure(
+        &self,
+        config: QueuesConfig,
+        content: impl Into<ConfigContent>,
+    ) -> Reply {
         self.request(Request::Configure(config, content.into()))
             .await
     }
@@ -191,7 +195,7 @@
     ///
     /// Returns none without a configuration, or if this replica does not lead and so may hold an
     /// outdated one.
-    pub async fn read_config(&self) -> Option<Arc<[u8]>> {
+    pub async fn read_config(&self) -> Option<ConfigContent> {
         let (tx, rx) = oneshot::channel();
         drop(self.tx.send(Input::ReadConfig(tx)));
         rx.await.ok().flatten()
--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -261,9 +261,7 @@
             } => self.handle_request(reply_handle, request).await,
             Input::ReadConfig(reply) => {
                 let content = if self.read_barrier().await {
-                    self.state
-                        .config()
-                        .map(|stored| Arc::clone(&stored.content))
+                    self.state.config().map(|stored| stored.content.clone())
                 } else {
                     None
                 };
--- a/crates/masticfield-emulator/src/fleet.rs
+++ b/crates/masticfield-emulator/src/fleet.rs
@@ -197,6 +197,7 @@
             max_attempts: 3,
             stretch: 1.6,
             advice: None,
+            public: false,
         });
         let pools = self.queues.iter().map(|queue| pool(&queue.name, false));
         QueuesConfig {
@@ -204,6 +205,7 @@
             queues: queues.collect(),
             pools: pools.chain([pool(&"standby".into(), true)]).collect(),
             limits: None,
+            workspaces: None,
         }
     }
 }
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -120,6 +120,7 @@
             authority: "fleet.example".into(),
             path: format!("/{}/{job}", queue.name),
             kind: JobRequestKind::Submit(submitted.spec.clone()),
+            key: None,
         };
         let reply_id = self.next_reply_id();
         self.pending_requests.insert(reply_id, (job, false));
@@ -149,6 +150,7 @@
             authority: "fleet.example".into(),
             path: format!("/{}/{job}", queue.name),
             kind: JobRequestKind::Cancel,
+            key: None,
         };
         let reply_id = self.next_reply_id();
         self.pending_requests.insert(reply_id, (job, true));
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -216,8 +216,7 @@
     pub fn new(scenario: Scenario, seed: u64) -> Self {
         let mut state = State::default();
         let config = scenario.fleet.config();
-        let content: Arc<[u8]> = Arc::from(&b"config"[..]);
-        state.apply(Command::Configure { config, content });
+        state.apply(Command::configure(config, b"config"[..].into()));
         let claims = ClaimWatch::default();
         let leader = Leader::new(
             state.clone(),
--- a/crates/masticfield-jobs/src/leader/decision.rs
+++ b/crates/masticfield-jobs/src/leader/decision.rs
@@ -109,6 +109,10 @@
     Pending(u64),
     /// It is not known whether the request was carried out.
     Unknown,
+    /// The queue needs a key, and the request has none that is known.
+    Unauthorized,
+    /// The job belongs to another workspace.
+    Forbidden,
 }
 
 /// Why a request is refused.
@@ -136,6 +140,8 @@
             Self::Status(_) => "status",
             Self::Pending(_) => "pending",
             Self::Unknown => "unknown",
+            Self::Unauthorized => "unauthorized",
+            Self::Forbidden => "forbidden",
         }
     }
 }
--- a/crates/masticfield-jobs/src/leader/event.rs
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::{Resources, RunId};
-use crate::queue::QueuesConfig;
+use crate::queue::{ConfigContent, QueuesConfig};
 use crate::state::{EndKind, ExecutorIncarnation, ExecutorKey, HostClaim, WaveOrder};
 
 use super::{JobRequest, ReplyId};
@@ -38,7 +38,7 @@
         /// The decoded configuration.
         config: QueuesConfig,
         /// The configuration as the operator sent it.
-        content: Arc<[u8]>,
+        content: ConfigContent,
     },
     /// An executor announces itself, which it does periodically.
     Announced {
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -6,7 +6,7 @@
 
 use super::{Effect, Event, Leader, Moment, Refusal, Reply};
 use crate::job::{JobId, JobSpec};
-use crate::queue::QueueId;
+use crate::queue::{KeyDigest, QueueId};
 use crate::schedule::{Admission, Backlog, USEFUL_FACTOR, admit, on_time_ms};
 use crate::state::{Command, JobPhase};
 
@@ -23,6 +23,8 @@
     pub path: String,
     /// Operation to carry out.
     pub kind: JobRequestKind,
+    /// Digest of the key in the request; `None` without a key, or if the text cannot be a key.
+    pub key: Option<KeyDigest>,
 }
 
 /// Operation of a [`JobRequest`].
@@ -172,7 +174,7 @@
         else {
             return;
         };
-        if self.propose(Command::Configure { config, content }) {
+        if self.propose(Command::configure(config, content)) {
             self.on_config_change(now);
         }
         self.after_commit(Effect::Reply {
--- a/crates/masticfield-jobs/src/queue/config.rs
+++ b/crates/masticfield-jobs/src/queue/config.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu, ensure};
 
-use super::RequestLimits;
+use super::workspace::check_workspaces;
+use super::{RequestLimits, WorkspaceConfig};
 
 /// The complete configuration; a new version replaces the earlier one as a whole.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -19,6 +20,10 @@
     pub pools: Vec<PoolConfig>,
     /// Limits of callers' requests; `None` leaves the entries' defaults.
     pub limits: Option<RequestLimits>,
+    /// All workspaces; `None` if requests need no key. Encoded apart from the rest, so that logs
+    /// without workspaces remain readable; see [`ConfigAccess`](crate::state::ConfigAccess).
+    #[serde(skip)]
+    pub workspaces: Option<Vec<WorkspaceConfig>>,
 }
 
 /// Configuration of a queue.
@@ -47,6 +52,9 @@
     pub stretch: f64,
     /// Set if an advice service selects the executors of this queue's steps.
     pub advice: Option<AdviceConfig>,
+    /// Whether requests need no key. Encoded apart from the rest, like the workspaces.
+    #[serde(skip)]
+    pub public: bool,
 }
 
 /// Timing of the advice service, which selects the executors that a step may run on.
@@ -75,6 +83,7 @@
 
 /// Error of [`QueuesConfig::check`].
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum InvalidConfig {
     /// A queue refers to a pool that is not configured.
     #[snafu(display("queue {queue} names the unknown pool {pool}"))]
@@ -102,10 +111,36 @@
         /// Name that is used twice.
         name: Arc<str>,
     },
+    /// A workspace has no name.
+    #[snafu(display("the name of workspace {index} is empty"))]
+    EmptyWorkspaceName {
+        /// Zero-based position of the workspace.
+        index: usize,
+    },
+    /// Two workspaces have the same name.
+    #[snafu(display("the name {name} is used by two workspaces"))]
+    DuplicateWorkspace {
+        /// Name that is used twice.
+        name: Arc<str>,
+    },
+    /// The weight of a workspace is negative or not a number.
+    #[snafu(display("workspace {workspace} has an invalid weight"))]
+    InvalidWeight {
+        /// Name of the workspace.
+        workspace: Arc<str>,
+    },
+    /// A key belongs to two workspaces, or twice to one.
+    #[snafu(display("a key of workspace {workspace} is also a key of workspace {other}"))]
+    DuplicateKey {
+        /// Name of the workspace.
+        workspace: Arc<str>,
+        /// Name of the workspace that has the key already.
+        other: Arc<str>,
+    },
 }
 
 impl QueuesConfig {
-    /// Checks the rules that span several queues or pools.
+    /// Checks the rules that span several queues, pools or workspaces.
     ///
     /// # Errors
     ///
@@ -136,6 +171,6 @@
             );
             ensure!(queue.timeout_ms > 0, ZeroTimeoutSnafu { queue: name() });
         }
-        Ok(())
+        check_workspaces(self.workspaces.as_deref().unwrap_or_default())
     }
 }
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CrashedRun, ExecutorIncarnation, ExecutorKey, HostClaim, WaveOrder};
+use super::{ConfigAccess, CrashedRun, ExecutorIncarnation, ExecutorKey, HostClaim, WaveOrder};
 use crate::job::{JobId, JobSpec, Resources, RunId, TaskId};
-use crate::queue::{QueueId, QueuesConfig};
+use crate::queue::{ConfigContent, QueueId, QueuesConfig, WorkspaceId};
 
 /// A change of the replicated state.
 ///
@@ -19,7 +19,7 @@
         /// The decoded configuration.
         config: QueuesConfig,
         /// The configuration as the operator sent it.
-        content: Arc<[u8]>,
+        content: ConfigContent,
     },
     /// Adds a job unless one with the same identifier exists.
     Submit {
@@ -140,9 +140,43 @@
         /// Task that was started.
         task: TaskId,
     },
+    /// [`Configure`](Self::Configure) for a configuration with workspaces or public queues.
+    ConfigureAccess {
+        /// The decoded configuration, without what `access` has.
+        config: QueuesConfig,
+        /// The configuration as the operator sent it.
+        content: ConfigContent,
+        /// Workspaces and public queues.
+        access: ConfigAccess,
+    },
+    /// [`Submit`](Self::Submit) for a job of a workspace.
+    SubmitFor {
+        /// Workspace that the job belongs to.
+        workspace: WorkspaceId,
+        /// Identifier that the caller chose.
+        job: JobId,
+        /// Queue that the job was submitted to.
+        queue: QueueId,
+        /// The job as submitted.
+        spec: JobSpec,
+        /// Time of the submission.
+        at_ms: u64,
+    },
 }
 
 impl Command {
+    /// Creates the command that puts a configuration in force.
+    pub fn configure(mut config: QueuesConfig, content: ConfigContent) -> Self {
+        match ConfigAccess::take(&mut config) {
+            None => Self::Configure { config, content },
+            Some(access) => Self::ConfigureAccess {
+                config,
+                content,
+                access,
+            },
+        }
+    }
+
     /// Returns the name used in logs.
     pub const fn name(&self) -> &'static str {
         match self {
@@ -163,6 +197,8 @@
             Self::Resize { .. } => "resize",
             Self::Overdue { .. } => "overdue",
             Self::Survived { .. } => "survived",
+            Self::ConfigureAccess { .. } => "configure-access",
+            Self::SubmitFor { .. } => "submit-for",
         }
     }
 }
--- a/crates/masticfield-jobs/src/state/job.rs
+++ b/crates/masticfield-jobs/src/state/job.rs
@@ -4,7 +4,7 @@
 
 use super::{EndKind, OccurrenceRecord, TaskRecord};
 use crate::job::{JobSpec, RunId, TaskId};
-use crate::queue::QueueId;
+use crate::queue::{QueueId, WorkspaceId};
 
 /// Record of a job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +25,10 @@
     pub active_runs: u32,
     /// Wall-clock time when the job ended, in milliseconds since the Unix epoch.
     pub ended_ms: Option<u64>,
+    /// Workspace that the job belongs to; `None` if it was submitted without a key. Encoded after
+    /// the rest of the state.
+    #[serde(skip)]
+    pub workspace: Option<WorkspaceId>,
 }
 
 /// Whether a job is open, and how it ended otherwise.
@@ -81,6 +85,7 @@
             started: false,
             active_runs: 0,
             ended_ms: None,
+            workspace: None,
         }
     }
 
--- a/crates/masticfield-jobs/src/state/mod.rs
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -14,6 +14,7 @@
 mod state;
 mod task;
 mod wave;
+mod workspaces;
 
 pub use command::{Command, EndKind};
 pub use crashes::{CrashedRun, RunStart};
@@ -24,3 +25,4 @@
 pub use state::{State, StoredConfig};
 pub use task::{OccurrenceRecord, StepRecord, TaskRecord};
 pub use wave::{Wave, WaveOrder};
+pub use workspaces::ConfigAccess;
--- a/crates/masticfield-jobs/src/state/snapshot.rs
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -11,21 +11,28 @@
     pub fn to_snapshot(&self) -> Vec<u8> {
         let encoded = postcard::to_stdvec(self).expect("the state is plain data");
         let supplement = (&self.crashes, &self.overdue);
-        postcard::to_extend(&supplement, encoded).expect("the state is plain data")
+        let encoded = postcard::to_extend(&supplement, encoded).expect("the state is plain data");
+        postcard::to_extend(&self.access_record(), encoded).expect("the state is plain data")
     }
 
     /// Decodes a snapshot.
     ///
     /// Snapshots that were written before crashes were counted end without them and without
-    /// overdue announcements.
+    /// overdue announcements; those that were written before there were workspaces end without
+    /// these.
     ///
     /// # Errors
     ///
     /// Fails if the bytes are not an encoded state.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        let (mut state, mut rest) = postcard::take_from_bytes::<Self>(bytes)?;
         if !rest.is_empty() {
-            (state.crashes, state.overdue) = postcard::from_bytes(rest)?;
+            let supplement;
+            (supplement, rest) = postcard::take_from_bytes(rest)?;
+            (state.crashes, state.overdue) = supplement;
+        }
+        if !rest.is_empty() {
+            state.restore_access(postcard::from_bytes(rest)?);
         }
         Ok(state)
     }
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -6,12 +6,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::crashes::{Crashes, Suspects};
+use super::workspaces::Workspaces;
 use super::{
-    Command, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey, ExecutorRecord, HostClaim,
-    JobPhase, JobRecord, Wave, WaveOrder,
+    Command, ConfigAccess, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey, ExecutorRecord,
+    HostClaim, JobPhase, JobRecord, Wave, WaveOrder,
 };
 use crate::job::{JobId, RunId, TaskId};
-use crate::queue::{QueueConfig, QueueId, QueuesConfig, RouteTable};
+use crate::queue::{ConfigContent, QueueConfig, QueueId, QueuesConfig, RouteTable, WorkspaceId};
 
 /// Maximum attempts of a task whose queue has no configuration.
 const DEFAULT_ATTEMPTS: u32 = 2;
@@ -19,13 +20,13 @@
 /// The replicated state; changes only by [`State::apply`].
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
-    config: Option<StoredConfig>,
+    pub(super) config: Option<StoredConfig>,
     /// Authority and path prefix of every queue that was ever configured, by [`QueueId`].
     queue_routes: Vec<(Arc<str>, Arc<str>)>,
     /// Latest configuration of each queue, including queues that were removed since.
-    queues: BTreeMap<QueueId, QueueConfig>,
-    jobs: BTreeMap<JobId, JobRecord>,
-    executors: BTreeMap<ExecutorKey, ExecutorRecord>,
+    pub(super) queues: BTreeMap<QueueId, QueueConfig>,
+    pub(super) jobs: BTreeMap<JobId, JobRecord>,
+    pub(super) executors: BTreeMap<ExecutorKey, ExecutorRecord>,
     /// Highest key that an executor has had.
     last_executor: u32,
     waves: BTreeMap<u64, Wave>,
@@ -37,6 +38,9 @@
     /// Executors whose announcements are overdue. Encoded after the rest.
     #[serde(skip)]
     pub(super) overdue: BTreeSet<ExecutorKey>,
+    /// Encoded after the rest.
+    #[serde(skip)]
+    pub(super) workspaces: Workspaces,
 }
 
 /// The configuration in force.
@@ -45,7 +49,7 @@
     /// The decoded configuration.
     pub config: Arc<QueuesConfig>,
     /// The configuration as the operator sent it.
-    pub content: Arc<[u8]>,
+    pub content: ConfigContent,
 }
 
 impl State {
@@ -161,19 +165,27 @@
     /// Applies a command; returns whether it changed the state.
     pub fn apply(&mut self, command: Command) -> bool {
         match command {
-            Command::Configure { config, content } => self.configure(config, content),
+            Command::Configure { config, content } => {
+                self.configure(config, content, ConfigAccess::default())
+            }
+            Command::ConfigureAccess {
+                config,
+                content,
+                access,
+            } => self.configure(config, content, access),
             Command::Submit {
                 job,
                 queue,
                 spec,
                 at_ms,
-            } => {
-                let new = !self.jobs.contains_key(&job);
-                if new {
-                    self.jobs.insert(job, JobRecord::new(queue, spec, at_ms));
-                }
-                new
-            }
+            } => self.submit(job, JobRecord::new(queue, spec, at_ms), None),
+            Command::SubmitFor {
+                workspace,
+                job,
+                queue,
+                spec,
+                at_ms,
+            } => self.submit(job, JobRecord::new(queue, spec, at_ms), Some(workspace)),
             Command::Cancel { job, at_ms } => self.cancel(job, at_ms),
             Command::Enlist {
                 executor,
@@ -224,10 +236,25 @@
         }
     }
 
-    fn configure(&mut self, config: QueuesConfig, content: Arc<[u8]>) -> bool {
+    fn submit(&mut self, id: JobId, job: JobRecord, workspace: Option<WorkspaceId>) -> bool {
+        let new = !self.jobs.contains_key(&id);
+        if new {
+            self.jobs.insert(id, JobRecord { workspace, ..job });
+        }
+        new
+    }
+
+    fn configure(
+        &mut self,
+        mut config: QueuesConfig,
+        content: ConfigContent,
+        access: ConfigAccess,
+    ) -> bool {
         if self.config.is_some() && config.version <= self.version() {
             return false;
         }
+        access.restore(&mut config);
+        self.workspaces.configure(config.workspaces.as_deref());
         for queue in &config.queues {
             let known = self.queue_id(&queue.authority, &queue.prefix);
             let id = known.unwrap_or_else(|| {
@@ -297,6 +324,7 @@
         task.runs.push((run.number, executor));
         job.started = true;
         job.active_runs += 1;
+        self.workspaces.add_run(job, run);
         record.runs.insert(run);
         self.crashes.forget_executor(executor);
         true
@@ -328,6 +356,7 @@
         if !job.remove_run(run) {
             return;
         }
+        self.workspaces.remove_run(job, run);
         if let (Some(saved), Some(task)) = (saved, job.task_mut(run.task)) {
             task.saved = Some(saved);
         }
--- a/crates/masticfield-jobs/tests/crashes.rs
+++ b/crates/masticfield-jobs/tests/crashes.rs
@@ -1,6 +1,5 @@
 //! Tasks that crash executors: how crashes are counted, and where suspected tasks start.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use masticfield_jobs::job::{JobId, JobSpec, Resources, RunId, StepSpec, TaskId};
@@ -30,6 +29,7 @@
             max_attempts: 2,
             stretch: 1.6,
             advice: None,
+            public: false,
         }],
         pools: vec![PoolConfig {
             name: "p".into(),
@@ -38,10 +38,11 @@
             standby: false,
         }],
         limits: None,
+        workspaces: None,
     };
     Command::Configure {
         config,
-        content: Arc::from(&b"config"[..]),
+        content: b"config"[..].into(),
     }
 }
 
@@ -234,6 +235,7 @@
         authority: "a.example".into(),
         path: format!("/q/{}", JobId::new(job)),
         kind,
+        key: None,
     };
     let reply_to = ReplyId(1_000 + job);
     leader.handle(moment(ms), Event::JobRequest { reply_to, request });
--- a/crates/masticfield-jobs/tests/extreme_values.rs
+++ b/crates/masticfield-jobs/tests/extreme_values.rs
@@ -1,6 +1,5 @@
 //! Values that a broken or foreign sender may give. None may take the leader down.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec, Timetable};
@@ -86,9 +85,11 @@
             max_attempts: 2,
             stretch,
             advice: None,
+            public: false,
         }],
         pools: vec![pool("p", false), pool("standby", true)],
         limits: None,
+        workspaces: None,
     }
 }
 
@@ -116,7 +117,7 @@
     ) {
         let mut state = State::default();
         let config = config(target_ms, stretch);
-        state.apply(Command::Configure { config, content: Arc::from(&b"c"[..]) });
+        state.apply(Command::Configure { config, content: b"c"[..].into() });
         let options = LeaderOptions::new(Duration::from_secs(5)).hosts(HostOptions {
             move_time: Duration::from_millis(1_500),
             upkeep_time: Duration::from_secs(2),
@@ -154,6 +155,7 @@
                     authority: "a.example".into(),
                     path: format!("/q/{}", JobId::new(number)),
                     kind: JobRequestKind::Submit(spec.clone()),
+                    key: None,
                 },
             });
         }
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -52,9 +52,11 @@
             max_attempts: 2,
             stretch: 1.6,
             advice: None,
+            public: false,
         }],
         pools: vec![pool("p", false), pool("standby", true)],
         limits: None,
+        workspaces: None,
     }
 }
 
@@ -62,7 +64,7 @@
     let mut state = State::default();
     state.apply(Command::Configure {
         config: config(),
-        content: Arc::from(&b"config"[..]),
+        content: b"config"[..].into(),
     });
     state.apply(Command::Enlist {
         executor: EXECUTOR,
@@ -109,6 +111,7 @@
             authority: "a.example".into(),
             path: format!("/q/{}", JobId::new(job)),
             kind: JobRequestKind::Submit(spec),
+            key: None,
         },
     }
 }
@@ -397,7 +400,7 @@
     let mut state = State::default();
     state.apply(Command::Configure {
         config: config(),
-        content: Arc::from(&b"config"[..]),
+        content: b"config"[..].into(),
     });
     for id in ["e1", "e2"] {
         state.apply(Command::Enlist {
--- a/crates/masticfield-jobs/tests/schedule.rs
+++ b/crates/masticfield-jobs/tests/schedule.rs
@@ -39,6 +39,7 @@
         max_attempts: 2,
         stretch: 1.6,
         advice: None,
+        public: false,
     }
 }
 
--- a/crates/masticfield-jobs/tests/state.rs
+++ b/crates/masticfield-jobs/tests/state.rs
@@ -22,6 +22,7 @@
         max_attempts: 2,
         stretch: 1.6,
         advice: None,
+        public: false,
     }
 }
 
@@ -37,6 +38,7 @@
         queues: vec![queue("q", "/q/", "p")],
         pools: vec![pool("p")],
         limits: None,
+        workspaces: None,
     }
 }
 
