feat(jobs): enforce the keys and quotas of workspaces at the leader

Cause: a configuration could declare workspaces, but every request was served and every run started.

Change: the leading replica checks the key of each submission (also a repeated one), cancellation and read against the configuration in force. Access is compared by workspace, and by the job's own queue as well as by the queue in the path, so that the path of a public queue opens no other job. A run starts only if the sum of its workspace stays within the quota; the check is in `Leader::start`, through which every run starts, and before placement. Jobs that the quota cannot serve in time, and those with a task or a gang above it, are refused at once. Work that waits for a quota neither counts as ahead of other workspaces' jobs nor makes the pool grow. Gauges per workspace, and one log line per refusal.

A leader whose lease has expired answered requests that need no commit, such as a repeated submission; it would have decided by an outdated configuration. Such replies are now unknown, and entries repeat the request at the next leader.

Ruled out: counting what steps reserve, because best-effort tasks reserve no processor time and the sum would be below what runs; a lookup of the former leader's answers, as unanswered starts are in the state.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -506,7 +506,12 @@
         let metrics = &self.observer.metrics;
         let effects = leadership.submit(&self.replica, decision, metrics);
         self.work.add(WorkPart::Propose, started);
-        if let Some(effects) = effects {
+        if let Some(mut effects) = effects {
+            // Nothing was committed with these effects, so that only the lease shows that no other
+            // replica leads, which may have another configuration.
+            if !self.replica.status().holds_lease() {
+                withdraw_replies(&mut effects);
+            }
             self.execute(effects);
         }
     }
@@ -606,6 +611,15 @@
     }
 }
 
+/// Makes replies unknown, so that entries repeat the requests at the next leader.
+fn withdraw_replies(effects: &mut [Effect]) {
+    for effect in effects {
+        if let Effect::Reply { reply, .. } = effect {
+            *reply = Reply::Unknown;
+        }
+    }
+}
+
 /// Waits for the oldest proposal in flight; returns its effects, or none if it failed.
 async fn next_committed(leadership: Option<&mut Leadership>) -> Option<Vec<Effect>> {
     let leadership = leadership?;
--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -15,6 +15,12 @@
 /// Maximum number of pools with gauges of their own, as a configuration may have any number.
 const MAX_POOLS: usize = 64;
 
+/// Maximum number of labels of workspaces, with [`OTHER_WORKSPACES`].
+const MAX_WORKSPACES: usize = 64;
+
+/// Label of the workspaces beyond the maximum, by name, whose values are added up.
+const OTHER_WORKSPACES: &str = "other";
+
 /// Metrics of jobs, runs, calls and commits.
 ///
 /// The leader counts jobs and runs when their commands are committed, so that proposals that a
@@ -49,6 +55,7 @@
     is_leader: IntGauge,
     config_version: IntGauge,
     pools: IntGaugeVec,
+    workspaces: IntGaugeVec,
 }
 
 impl JobMetrics {
@@ -135,8 +142,9 @@
                 ),
                 &["pool", "what"],
             )?,
+            workspaces: workspace_gauges()?,
         };
-        let all: [Box<dyn Collector>; 14] = [
+        let all: [Box<dyn Collector>; 15] = [
             Box::new(metrics.relayed_calls.clone()),
             Box::new(metrics.executor_crashes.clone()),
             Box::new(metrics.state_differences.clone()),
@@ -151,6 +159,7 @@
             Box::new(metrics.is_leader.clone()),
             Box::new(metrics.config_version.clone()),
             Box::new(metrics.pools.clone()),
+            Box::new(metrics.workspaces.clone()),
         ];
         for metric in all {
             registry.register(metric)?;
@@ -232,6 +241,7 @@
         self.is_leader.set(i64::from(leader.is_some()));
         self.config_version.set(gauge_value(version));
         self.pools.reset();
+        self.workspaces.reset();
         let Some(leader) = leader else {
             return;
         };
@@ -250,9 +260,44 @@
                 gauge.set(gauge_value(value));
             }
         }
+        self.update_workspaces(leader);
+    }
+
+    fn update_workspaces(&self, leader: &Leader) {
+        let all = leader.workspace_stats();
+        for (index, (workspace, stats)) in all.into_iter().enumerate() {
+            let own_label = index + 1 < MAX_WORKSPACES;
+            let workspace = if own_label {
+                &*workspace
+            } else {
+                OTHER_WORKSPACES
+            };
+            let values = [
+                ("cpu-milli-running", stats.running.cpu_milli),
+                ("memory-mb-running", stats.running.memory_mb),
+                ("gpus-running", stats.running.gpus),
+                ("cpu-milli-quota", stats.quota.cpu_milli),
+                ("memory-mb-quota", stats.quota.memory_mb),
+                ("gpus-quota", stats.quota.gpus),
+                ("jobs-waiting", stats.jobs_waiting),
+                ("jobs-refused", stats.jobs_refused),
+            ];
+            for (what, value) in values {
+                let gauge = self.workspaces.with_label_values(&[workspace, what]);
+                gauge.add(gauge_value(value));
+            }
+        }
     }
 }
 
+fn workspace_gauges() -> Result<IntGaugeVec, prometheus::Error> {
+    let opts = Opts::new(
+        "masticfield_workspace",
+        "Running resources, quota, and jobs that wait or were refused, by workspace",
+    );
+    IntGaugeVec::new(opts, &["workspace", "what"])
+}
+
 /// Returns the name of the outcome of a call to an executor.
 const fn outcome_name(outcome: Result<(), CallError>) -> &'static str {
     match outcome {
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Effect, Event, Leader, Moment, Refusal, Reply};
+use super::{Defect, Effect, Event, Leader, Moment, Refusal, Reply};
 use crate::job::{JobId, JobSpec};
-use crate::queue::{KeyDigest, QueueId};
+use crate::queue::{KeyDigest, QueueId, WorkspaceId};
 use crate::schedule::{Admission, Backlog, USEFUL_FACTOR, admit, on_time_ms};
 use crate::state::{Command, JobPhase};
 
@@ -38,6 +38,17 @@
     Read,
 }
 
+impl JobRequestKind {
+    /// Returns the name used in logs.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Cancel => "cancel",
+            Self::Read => "read",
+        }
+    }
+}
+
 /// Maximum retry time that is returned to callers, in milliseconds.
 const MAX_RETRY_AFTER_MS: u64 = 10_000;
 
@@ -58,15 +69,25 @@
         let Ok(job) = route.rest.parse::<JobId>() else {
             return Reply::NoQueue;
         };
+        let workspace = match self.check_key(queue, job, &request) {
+            Ok(workspace) => workspace,
+            Err(reply) => return reply,
+        };
         match request.kind {
-            JobRequestKind::Submit(spec) => self.submit(now, job, queue, spec),
+            JobRequestKind::Submit(spec) => self.submit(now, job, (queue, workspace), spec),
             JobRequestKind::Cancel => self.cancel(now, job),
             // Reads are answered by `read` from the committed state and do not get here.
             JobRequestKind::Read => Reply::Unknown,
         }
     }
 
-    fn submit(&mut self, now: Moment, job: JobId, queue: QueueId, spec: JobSpec) -> Reply {
+    fn submit(
+        &mut self,
+        now: Moment,
+        job: JobId,
+        (queue, workspace): (QueueId, Option<WorkspaceId>),
+        spec: JobSpec,
+    ) -> Reply {
         if self.state.job(job).is_some() {
             return Reply::Done;
         }
@@ -81,7 +102,12 @@
             // Starts in such a queue need tickets, which are not implemented yet.
             return Reply::Refused(Refusal::NotReady);
         }
-        self.record_offered(now, queue, &spec);
+        if let Some(refusal) = self.refuse_for_quota(job, queue, workspace, &spec) {
+            return Reply::Refused(refusal);
+        }
+        if self.adds_load(workspace, &spec) {
+            self.record_offered(now, queue, &spec);
+        }
         let (backlog, slack_ms) = self.admission_inputs(now, queue, &spec);
         let slack = slack_ms.map_or(Duration::MAX, Duration::from_millis);
         if let Admission::Refuse { retry_after } = admit(backlog, slack) {
@@ -103,12 +129,7 @@
             work = backlog.work, cores = backlog.cores, coming = backlog.incoming, slack_ms;
             "job accepted"
         );
-        self.propose(Command::Submit {
-            job,
-            queue,
-            spec,
-            at_ms: now.wall_ms,
-        });
+        self.propose(Command::submit(workspace, job, queue, spec, now.wall_ms));
         self.update_pending(now, job);
         Reply::Done
     }
@@ -124,15 +145,40 @@
         let Some(config) = self.state.queue(queue) else {
             return (Backlog::default(), None);
         };
-        let backlog = self.backlog(now, &config.pool);
-        if spec.is_long_running() || spec.timetable.is_some() {
-            return (backlog, None);
-        }
-        let useful_ms = on_time_ms(spec, config).saturating_mul(USEFUL_FACTOR);
-        (
-            backlog,
-            Some(useful_ms.saturating_sub(spec.critical_path_ms())),
-        )
+        let useful_ms = self.useful_ms(queue, spec);
+        let slack_ms = useful_ms.map(|useful| useful.saturating_sub(spec.critical_path_ms()));
+        let slack = slack_ms.map_or(Duration::MAX, Duration::from_millis);
+        (self.backlog(now, &config.pool, slack), slack_ms)
+    }
+
+    /// Returns the time within which a new job must end to be of use, in milliseconds; `None` for a
+    /// job that is always of use.
+    fn useful_ms(&self, queue: QueueId, spec: &JobSpec) -> Option<u64> {
+        let config = self.state.queue(queue)?;
+        let always = spec.is_long_running() || spec.timetable.is_some();
+        (!always).then(|| on_time_ms(spec, config).saturating_mul(USEFUL_FACTOR))
+    }
+
+    fn refuse_for_quota(
+        &mut self,
+        job: JobId,
+        queue: QueueId,
+        workspace: Option<WorkspaceId>,
+        spec: &JobSpec,
+    ) -> Option<Refusal> {
+        let workspace = workspace?;
+        let refusal = self.quota_refusal(workspace, spec, self.useful_ms(queue, spec))?;
+        *self.quota_refusals.entry(workspace).or_default() += 1;
+        let retry_after = refusal.retry_after.unwrap_or(Duration::MAX);
+        let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+        let retry_after_ms = retry_after_ms.min(MAX_RETRY_AFTER_MS);
+        let name = self.state.workspace(workspace);
+        let name = name.map(|workspace| workspace.name.as_ref());
+        log::info!(
+            job:%, queue = queue.0, workspace = name, reason = refusal.reason, retry_after_ms;
+            "job refused for its quota"
+        );
+        Some(Refusal::Busy { retry_after_ms })
     }
 
     fn cancel(&mut self, now: Moment, job: JobId) -> Reply {
@@ -174,6 +220,9 @@
         else {
             return;
         };
+        if self.options.defect == Some(Defect::KeyOfOldConfig) {
+            self.former_keys = self.state.keys().collect();
+        }
         if self.propose(Command::configure(config, content)) {
             self.on_config_change(now);
         }
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -10,7 +10,7 @@
 use super::pending_job::PendingJob;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
-use crate::queue::RouteTable;
+use crate::queue::{KeyDigest, RouteTable, WorkspaceId};
 use crate::schedule::{OfferedLoad, Rank, lease_end};
 use crate::state::{Command, ExecutorKey, JobPhase, State};
 
@@ -51,6 +51,12 @@
     pub(super) lapsed: LapsedRuns,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
+    /// Jobs refused for the quota of each workspace.
+    pub(super) quota_refusals: BTreeMap<WorkspaceId, u64>,
+    /// Jobs that were logged as waiting for their quota.
+    pub(super) quota_waits: BTreeSet<JobId>,
+    /// Keys of the configuration before the one in force; kept only for a defect in tests.
+    pub(super) former_keys: HashMap<KeyDigest, WorkspaceId>,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
     last_check: Duration,
@@ -78,6 +84,9 @@
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
             offered_load: BTreeMap::new(),
+            quota_refusals: BTreeMap::new(),
+            quota_waits: BTreeSet::new(),
+            former_keys: HashMap::new(),
             leading_since: now.monotonic,
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
@@ -258,5 +267,6 @@
                 .is_some_and(|job| job.phase == JobPhase::Open)
         };
         self.last_failures.retain(|task, _| open(task.job));
+        self.quota_waits.retain(|job| open(*job));
     }
 }
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -5,6 +5,7 @@
 //! state, to which every proposed command is applied at once; it is dropped when the replica stops
 //! leading.
 
+mod access;
 mod announce;
 mod claim_watch;
 mod crashes;
@@ -27,6 +28,7 @@
 mod pool_view;
 mod pools;
 mod quarantine;
+mod quotas;
 mod reads;
 mod retirement;
 mod track;
@@ -44,4 +46,5 @@
 pub use options::Defect;
 pub use options::{HostOptions, LeaderOptions};
 pub use pool_stats::PoolStats;
+pub use quotas::WorkspaceStats;
 pub use reads::read;
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -47,6 +47,12 @@
     HandoverAtOnce,
     /// Crashes of executors are not counted against the tasks that they ran.
     IgnoreCrashes,
+    /// Runs start regardless of the quota of their workspace.
+    IgnoreQuota,
+    /// Only runs whose order to start was answered count towards a quota.
+    CountOnlyAnswered,
+    /// Keys of the configuration before the one in force are still accepted.
+    KeyOfOldConfig,
 }
 
 /// Timing of the platform's hosts.
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -27,7 +27,7 @@
 impl Leader {
     /// Places a task: records the run, and orders the executor to start it after the commit.
     pub(super) fn start(&mut self, now: Moment, run: RunId, executor: ExecutorKey) {
-        if !self.propose(Command::Start { run, executor }) {
+        if !self.may_start(run.task) || !self.propose(Command::Start { run, executor }) {
             return;
         }
         let view = self.new_run_view(now, run, RunPhase::Ordered);
--- a/crates/masticfield-jobs/src/leader/pending_job.rs
+++ b/crates/masticfield-jobs/src/leader/pending_job.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
+use super::quotas::{ResourceSeconds, quota_work};
 use crate::job::{JobSpec, Resources};
-use crate::queue::QueueConfig;
+use crate::queue::{QueueConfig, WorkspaceId};
 use crate::schedule::{Rank, Timeliness, on_time_ms, rank, residual_demand, timeliness};
 use crate::state::{JobRecord, OccurrenceRecord};
 
@@ -23,6 +24,9 @@
     pub(super) spread_hosts: u32,
     /// Work of the waiting tasks, in core-seconds; 0 for a long-running job.
     pub(super) work: f64,
+    pub(super) workspace: Option<WorkspaceId>,
+    /// Work of the waiting tasks that counts against the quota of the workspace.
+    pub(super) quota_work: ResourceSeconds,
     accepted_ms: u64,
     /// Time from the acceptance within which the job is on time; `None` for one that never is late.
     on_time_ms: Option<u64>,
@@ -77,6 +81,8 @@
             demand,
             spread_hosts,
             work: waiting_work(job, spec),
+            workspace: job.workspace,
+            quota_work: quota_work(job, spec),
             accepted_ms: job.accepted_ms,
             on_time_ms: (!never_late).then(|| on_time_ms(spec, queue)),
             remaining_ms: remaining.max().unwrap_or_default(),
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::executor::RunPhase;
 use super::pending_job::{PendingJob, remaining_path_ms};
@@ -90,6 +91,7 @@
                 max_free = view.max_free();
             }
         }
+        self.note_quota_waits(pool);
         for key in usable {
             self.hold_if_due(now, key);
         }
@@ -100,7 +102,11 @@
     /// A cheap check that spares planning most jobs in a surge.
     fn may_fit(&self, id: JobId, max_free: Resources) -> bool {
         let job = self.pending_jobs.get(&id);
-        job.is_some_and(|job| max_free.covers(job.least_need))
+        job.is_some_and(|job| {
+            max_free.covers(job.least_need)
+                && (job.workspace.is_none()
+                    || self.quota_room(job.workspace).covers(job.least_need))
+        })
     }
 
     /// Sorts jobs, given by rank, in the configured order; the sort keeps the rank between equal
@@ -146,19 +152,22 @@
     fn plan_job(&mut self, now: Moment, id: JobId, pool: &mut PoolView) -> bool {
         let mut any = false;
         for gang in self.startable_gangs(now, id) {
-            any |= self.start_gang(now, &gang, pool);
+            any |=
+                self.within_quota(&gang).len() == gang.len() && self.start_gang(now, &gang, pool);
         }
         let (suspects, startable) = self.startable_tasks(now, id);
         let same_step = |(a, _): &(TaskId, u32), (b, _): &(TaskId, u32)| {
             (a.occurrence, a.step) == (b.occurrence, b.step)
         };
         for tasks in suspects.chunk_by(same_step) {
+            let tasks = self.within_quota(tasks);
             for (task, last_run, executor) in self.place_suspects(now, tasks, pool) {
                 self.place(now, task.run(last_run + 1), executor);
                 any = true;
             }
         }
         for tasks in startable.chunk_by(same_step) {
+            let tasks = self.within_quota(tasks);
             for (task, last_run, executor) in self.place_tasks(now, tasks, pool) {
                 self.place(now, task.run(last_run + 1), executor);
                 any = true;
@@ -304,8 +313,9 @@
         }
     }
 
-    /// Returns the work that waits in a pool ahead of a new job, and the cores to process it.
-    pub(super) fn backlog(&self, now: Moment, pool: &Arc<str>) -> Backlog {
+    /// Returns the work that waits in a pool ahead of a new job that must start within `slack`, and
+    /// the cores to process it.
+    pub(super) fn backlog(&self, now: Moment, pool: &Arc<str>, slack: Duration) -> Backlog {
         let mut cores = 0.0;
         for key in self.pool_executors.get(pool).into_iter().flatten() {
             let record = self.state.executor(*key).filter(|record| !record.leaving);
@@ -316,9 +326,7 @@
             let reserved = view.map_or(Resources::default(), |view| view.long_running_used);
             cores += record.incarnation.capacity.saturating_sub(reserved).cores();
         }
-        let pending = self.pending.get(pool).into_iter().flatten();
-        let jobs = pending.filter_map(|(_, id)| self.pending_jobs.get(id));
-        let work = jobs.map(|job| job.work).sum();
+        let work = self.work_ahead(pool, slack);
         let incoming = self.incoming_cores(now, pool);
         Backlog {
             work,
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -9,7 +9,7 @@
 use super::{Leader, Moment};
 use crate::job::{JobSpec, Resources};
 use crate::queue::QueueId;
-use crate::schedule::{PoolLoad, ReliabilityStatus, Timeliness, required_hosts};
+use crate::schedule::{PoolLoad, ReliabilityStatus, required_hosts};
 use crate::state::HostClaim;
 
 /// Time for which a pool keeps surplus hosts before it releases them to standby. Releasing a host
@@ -138,13 +138,7 @@
                 load.running = load.running.saturating_add(view.used);
             }
         }
-        let pending = self.pending.get(pool).into_iter().flatten();
-        let jobs = pending.filter_map(|(_, id)| self.pending_jobs.get(id));
-        // Additional hosts do not help a job that is late anyway.
-        for job in jobs.filter(|job| job.timeliness(now.wall_ms) == Timeliness::OnTime) {
-            load.waiting = load.waiting.saturating_add(job.demand);
-            load.spread_hosts = load.spread_hosts.max(job.spread_hosts);
-        }
+        (load.waiting, load.spread_hosts) = self.waiting_demand(now, pool);
         let offered = self.offered_load.get(pool);
         load.offered_cores = offered.map_or(0.0, |offered| offered.forecast(now.monotonic));
         load
--- a/crates/masticfield-jobs/src/leader/reads.rs
+++ b/crates/masticfield-jobs/src/leader/reads.rs
@@ -1,7 +1,8 @@
 //! Reads of jobs and queues, answered from the committed state.
 
+use super::access::{check_access, log_refusal};
 use super::{JobRequest, Refusal, Reply};
-use crate::job::JobId;
+use crate::job::{JobId, ParseIdError};
 use crate::queue::{QueueId, RouteTable};
 use crate::state::{JobStatus, State};
 
@@ -13,16 +14,28 @@
     let Some(route) = routes.find(&request.authority, &request.path) else {
         return Reply::NoQueue;
     };
-    if route.rest.is_empty() {
-        return Reply::Pending(pending(state, route.queue));
-    }
-    let Ok(job) = route.rest.parse::<JobId>() else {
+    let Ok(job) = parse_job(route.rest) else {
         return Reply::NoQueue;
     };
+    if let Err(reply) = check_access(state, route.queue, job, request.key.as_ref()) {
+        log_refusal(state, request, &reply);
+        return reply;
+    }
+    let Some(job) = job else {
+        return Reply::Pending(pending(state, route.queue));
+    };
     let record = state.job(job);
     record.map_or(Reply::NoJob, |record| Reply::Status(record.status()))
 }
 
+/// Parses the identifier of a job; `None` for an empty text.
+fn parse_job(text: &str) -> Result<Option<JobId>, ParseIdError> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    text.parse().map(Some)
+}
+
 fn pending(state: &State, queue: QueueId) -> u64 {
     let of_queue = state.jobs().filter(|(_, job)| job.queue == queue);
     let waiting = of_queue.filter(|(_, job)| job.status() == JobStatus::Queued);
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -177,6 +177,31 @@
         }
     }
 
+    /// Creates the command that adds a job, which may belong to a workspace.
+    pub const fn submit(
+        workspace: Option<WorkspaceId>,
+        job: JobId,
+        queue: QueueId,
+        spec: JobSpec,
+        at_ms: u64,
+    ) -> Self {
+        match workspace {
+            None => Self::Submit {
+                job,
+                queue,
+                spec,
+                at_ms,
+            },
+            Some(workspace) => Self::SubmitFor {
+                workspace,
+                job,
+                queue,
+                spec,
+                at_ms,
+            },
+        }
+    }
+
     /// Returns the name used in logs.
     pub const fn name(&self) -> &'static str {
         match self {
--- a/crates/masticfield-jobs/src/state/workspaces.rs
+++ b/crates/masticfield-jobs/src/state/workspaces.rs
@@ -31,6 +31,8 @@
     by_key: Arc<HashMap<KeyDigest, WorkspaceId>>,
     /// Resources of the runs that have not ended, by [`WorkspaceId`].
     running: Vec<Resources>,
+    /// The part of `running` that long-running tasks have.
+    long_running: Vec<Resources>,
 }
 
 /// What a snapshot has about workspaces.
@@ -87,24 +89,31 @@
         }
         self.by_key = Arc::new(by_key);
         self.running.resize(self.known.len(), Resources::default());
+        let count = self.known.len();
+        self.long_running.resize(count, Resources::default());
     }
 
     /// Counts a run that starts.
     pub(super) fn add_run(&mut self, job: &JobRecord, run: RunId) {
-        if let Some(running) = self.running_mut(job) {
-            *running = running.saturating_add(need(job, run));
+        for sum in self.sums_mut(job, run) {
+            *sum = sum.saturating_add(need(job, run));
         }
     }
 
     /// Stops counting a run that has ended.
     pub(super) fn remove_run(&mut self, job: &JobRecord, run: RunId) {
-        if let Some(running) = self.running_mut(job) {
-            *running = running.saturating_sub(need(job, run));
+        for sum in self.sums_mut(job, run) {
+            *sum = sum.saturating_sub(need(job, run));
         }
     }
 
-    fn running_mut(&mut self, job: &JobRecord) -> Option<&mut Resources> {
-        self.running.get_mut(job.workspace?.0 as usize)
+    /// Returns the sums that a run is part of.
+    fn sums_mut(&mut self, job: &JobRecord, run: RunId) -> impl Iterator<Item = &mut Resources> {
+        let index = job.workspace.map(|workspace| workspace.0 as usize);
+        let running = index.and_then(|index| self.running.get_mut(index));
+        let index = index.filter(|_| job.is_long_running(run.task));
+        let long_running = index.and_then(|index| self.long_running.get_mut(index));
+        running.into_iter().chain(long_running)
     }
 }
 
@@ -146,15 +155,46 @@
         running.copied().unwrap_or_default()
     }
 
-    /// Counts the resources of a workspace's runs anew; for checks of [`Self::running_of`].
+    /// Returns the part of [`Self::running_of`] that long-running tasks have.
+    pub fn long_running_of(&self, workspace: WorkspaceId) -> Resources {
+        let sum = self.workspaces.long_running.get(workspace.0 as usize);
+        sum.copied().unwrap_or_default()
+    }
+
+    /// Returns the quota of a workspace, in which 0 sets no limit; `None` if no quotas apply.
+    ///
+    /// A workspace that was removed keeps its last quota for the work that it still has.
+    pub fn quota_of(&self, workspace: WorkspaceId) -> Option<Resources> {
+        let known = self.workspace(workspace).filter(|_| self.has_workspaces());
+        known.map(|workspace| workspace.quota)
+    }
+
+    /// Returns the keys of the configuration in force with their workspaces.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = (KeyDigest, WorkspaceId)> {
+        let keys = self.workspaces.by_key.iter();
+        keys.map(|(key, workspace)| (*key, *workspace))
+    }
+
+    /// Returns whether the sums of the workspaces agree with a full count of their runs.
     #[doc(hidden)]
-    pub fn count_running_of(&self, workspace: WorkspaceId) -> Resources {
+    pub fn counts_are_exact(&self) -> bool {
+        let counted = self.count_runs();
+        let sums = &self.workspaces;
+        (counted.running, counted.long_running) == (sums.running.clone(), sums.long_running.clone())
+    }
+
+    /// Counts the runs of all workspaces anew.
+    fn count_runs(&self) -> Workspaces {
+        let mut counted = self.workspaces.clone();
+        counted.running.fill(Resources::default());
+        counted.long_running.fill(Resources::default());
         let runs = self.executors.values().flat_map(|executor| &executor.runs);
-        let needs = runs.filter_map(|run| {
-            let job = self.jobs.get(&run.task.job)?;
-            (job.workspace == Some(workspace)).then(|| need(job, *run))
-        });
-        needs.fold(Resources::default(), Resources::saturating_add)
+        for run in runs {
+            if let Some(job) = self.jobs.get(&run.task.job) {
+                counted.add_run(job, *run);
+            }
+        }
+        counted
     }
 
     /// Returns what a snapshot has about workspaces.
@@ -191,9 +231,6 @@
             record.access.restore(config);
             self.workspaces.configure(config.workspaces.as_deref());
         }
-        for position in 0..self.workspaces.known.len() {
-            let id = WorkspaceId(u32::try_from(position).unwrap_or(u32::MAX));
-            self.workspaces.running[position] = self.count_running_of(id);
-        }
+        self.workspaces = self.count_runs();
     }
 }
