--- a/crates/masticfield-jobs/src/state/mod.rs
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -15,6 +15,7 @@
 mod state;
 mod task;
 mod wave;
+mod workspaces;
 
 pub use claim_times::ClaimTimes;
 pub use command::{Command, EndKind};
@@ -26,3 +27,4 @@
 pub use state::{State, StoredConfig};
 pub use task::{OccurrenceRecord, StepRecord, TaskRecord};
 pub use wave::{Wave, WaveOrder};
+pub use workspaces::ConfigAccess;
--- a/crates/masticfield-jobs/src/state/snapshot.rs
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -10,7 +10,9 @@
     /// Panics if the state cannot be encoded, which is a bug in its type.
     pub fn to_snapshot(&self) -> Vec<u8> {
         let encoded = postcard::to_stdvec(self).expect("the state is plain data");
-        let supplement = (&self.crashes, &self.overdue, &self.claim_times);
+        let supplement = (&self.crashes, &self.overdue);
+        let encoded = postcard::to_extend(&supplement, encoded).expect("the state is plain data");
+        let supplement = (self.access_record(), &self.claim_times);
         postcard::to_extend(&supplement, encoded).expect("the state is plain data")
     }
 
@@ -23,15 +25,16 @@
     ///
     /// Fails if the bytes are not an encoded state.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        if rest.is_empty() {
-            return Ok(state);
+        let (mut state, mut rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            let supplement;
+            (supplement, rest) = postcard::take_from_bytes(rest)?;
+            (state.crashes, state.overdue) = supplement;
         }
-        let (crashes, rest) = postcard::take_from_bytes(rest)?;
-        let (overdue, rest) = postcard::take_from_bytes(rest)?;
-        (state.crashes, state.overdue) = (crashes, overdue);
         if !rest.is_empty() {
-            state.claim_times = postcard::from_bytes(rest)?;
+            let access;
+            (access, state.claim_times) = postcard::from_bytes(rest)?;
+            state.restore_access(access);
         }
         Ok(state)
     }
--- a/crates/masticfield-jobs/tests/claim_times.rs
+++ b/crates/masticfield-jobs/tests/claim_times.rs
@@ -92,10 +92,13 @@
     let mut state = State::default();
     state.apply(Command::Elapsed { ms: 9_000 });
     let with = state.to_snapshot();
-    let empty = State::default().to_snapshot();
-    // The empty claim times are the last three bytes: the measured time and two empty collections.
-    let without = &empty[..empty.len() - 3];
-    let decoded = State::from_snapshot(without).expect("a snapshot");
+    // Earlier versions end after the crashes and the overdue announcements: three empty collections.
+    let without = [
+        postcard::to_stdvec(&State::default()).expect("plain data"),
+        vec![0; 3],
+    ]
+    .concat();
+    let decoded = State::from_snapshot(&without).expect("a snapshot");
     assert_eq!(
         decoded.claim_times().least_age(&"h1".into()),
         Duration::ZERO
