feat(replica): keep replicas without disk space running

A new start needs an operator, and a group of five has lost a voter until then.

Storage knows up to which byte the last sync succeeded. After StorageFull, QuotaExceeded or FileTooLarge it truncates the log to that byte, removes later segments and temporary files, and reads the state back once 256 KiB can be written. The consensus handles the time between as a crash: writes that were not durable and messages that wait for them are dropped, the replica is a follower that neither votes nor stores, and it answers a leader with NotStored, which counts as contact only. All other errors stop the replica as before.

Ruled out: keeping the unstored writes in memory and retrying them (unbounded, and a former leader could acknowledge them late); a mirror of the stored state in memory; treating every write error as lack of space.

Before: the process ends. Seeded defect AcknowledgeWithoutSpace is found.

--- a/crates/masticfield-control/src/actor/control_actor.rs
+++ b/crates/masticfield-control/src/actor/control_actor.rs
@@ -32,6 +32,9 @@
 /// Number of commands between two snapshots of the state.
 const SNAPSHOT_INTERVAL: u64 = 50_000;
 
+/// The same while the disk has hardly more space than a snapshot needs.
+const EARLY_SNAPSHOT_INTERVAL: u64 = SNAPSHOT_INTERVAL / 4;
+
 /// Applies committed commands to the state and serves reads of it.
 #[derive(Debug, Actor)]
 pub(crate) struct ControlActor {
@@ -112,15 +115,20 @@
         }
     }
 
-    /// Gives the replica a snapshot if [`SNAPSHOT_INTERVAL`] commands were applied since the last.
+    /// Gives the replica a snapshot if [`SNAPSHOT_INTERVAL`] commands were applied since the last, or
+    /// fewer if the disk is nearly full.
     fn snapshot_if_due(&mut self, index: u64) {
-        if index < self.snapshot_index + SNAPSHOT_INTERVAL {
+        if index < self.snapshot_index + EARLY_SNAPSHOT_INTERVAL {
             return;
         }
         // The replica is dropped only while the process stops.
         let Some(replica) = self.replica.upgrade() else {
             return;
         };
+        let is_early = index < self.snapshot_index + SNAPSHOT_INTERVAL;
+        if is_early && !replica.status().needs_compaction {
+            return;
+        }
         self.snapshot_index = index;
         match self.state.to_snapshot() {
             Ok(snapshot) => replica.snapshot(index, snapshot),
--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -29,6 +29,10 @@
 /// Bytes of log entries after which a snapshot of the state is stored.
 const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
 
+/// The same while the disk has hardly more space than a snapshot needs. Fewer bytes would not free
+/// enough to be worth a snapshot, which is then a large part of the disk.
+const EARLY_SNAPSHOT_BYTES: usize = SNAPSHOT_BYTES / 4;
+
 /// Maximum number of proposals in flight. Under load the next proposal collects the inputs that
 /// arrive until one is committed, so that many decisions share one sync and one round trip.
 const MAX_IN_FLIGHT: usize = 2;
@@ -213,7 +217,12 @@
         if self.state.version() != self.version {
             self.update_config();
         }
-        if self.log_bytes > SNAPSHOT_BYTES {
+        let limit = if self.replica.status().needs_compaction {
+            EARLY_SNAPSHOT_BYTES
+        } else {
+            SNAPSHOT_BYTES
+        };
+        if self.log_bytes > limit {
             self.log_bytes = 0;
             self.replica
                 .snapshot(applied.index, self.state.to_snapshot());
@@ -355,6 +364,12 @@
         let Some(leadership) = &mut self.leadership else {
             return reply_handle.send(Reply::Refused(Refusal::NotReady));
         };
+        // Nothing can be stored before a majority has space again, so the refusal is accurate.
+        if self.replica.status().majority_lacks_space && !matches!(request, Request::Announce(_)) {
+            let reply = Reply::Refused(Refusal::NotReady);
+            self.observer.metrics.count_reply(&reply);
+            return reply_handle.send(reply);
+        }
         let id = leadership.register(reply_handle);
         leadership
             .leader
@@ -485,7 +500,7 @@
                 .map(|leadership| &leadership.leader);
             self.observer
                 .metrics
-                .update_gauges(now, self.version, leader);
+                .update_gauges(now, self.version, leader, self.replica.status());
         }
     }
 
--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -4,6 +4,7 @@
 
 use masticfield_jobs::leader::{CallError, HostError, Leader, Moment, Reply};
 use masticfield_jobs::state::JobPhase;
+use masticfield_replica::ReplicaStatus;
 use prometheus::core::Collector;
 use prometheus::{
     CounterVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
@@ -47,6 +48,7 @@
     state_differences: IntCounter,
     pub(super) work: CounterVec,
     is_leader: IntGauge,
+    storage: IntGaugeVec,
     config_version: IntGauge,
     pools: IntGaugeVec,
 }
@@ -124,6 +126,7 @@
             )?,
             work: WorkTimes::register(registry)?,
             is_leader: IntGauge::new("masticfield_leads", "Whether this replica leads")?,
+            storage: register_storage(registry)?,
             config_version: IntGauge::new(
                 "masticfield_queues_version",
                 "Version of the configuration in force",
@@ -228,7 +231,22 @@
     }
 
     /// Sets the gauges; those of the pools exist only while this replica leads.
-    pub(super) fn update_gauges(&self, now: Moment, version: u64, leader: Option<&Leader>) {
+    pub(super) fn update_gauges(
+        &self,
+        now: Moment,
+        version: u64,
+        leader: Option<&Leader>,
+        status: ReplicaStatus,
+    ) {
+        let storage = [
+            ("no-space", status.lacks_space),
+            ("majority-without-space", status.majority_lacks_space),
+            ("early-snapshots", status.needs_compaction),
+        ];
+        for (what, value) in storage {
+            let gauge = self.storage.with_label_values(&[what]);
+            gauge.set(i64::from(value));
+        }
         self.is_leader.set(i64::from(leader.is_some()));
         self.config_version.set(gauge_value(version));
         self.pools.reset();
@@ -253,6 +271,15 @@
     }
 }
 
+/// Creates and registers the gauges of the storage.
+fn register_storage(registry: &Registry) -> Result<IntGaugeVec, prometheus::Error> {
+    let help = "Whether the data folder lacks space, whether those of a majority do (as known to \
+                the leader), and whether snapshots are taken early";
+    let storage = IntGaugeVec::new(Opts::new("masticfield_storage", help), &["what"])?;
+    registry.register(Box::new(storage.clone()))?;
+    Ok(storage)
+}
+
 /// Returns the name of the outcome of a call to an executor.
 const fn outcome_name(outcome: Result<(), CallError>) -> &'static str {
     match outcome {
--- a/crates/masticfield-control/src/metrics/gauges.rs
+++ b/crates/masticfield-control/src/metrics/gauges.rs
@@ -39,6 +39,11 @@
             ("committed", status.committed),
             ("leads", u64::from(status.leader == Some(status.id))),
             ("storage-failed", u64::from(status.storage_failed)),
+            ("no-space", u64::from(status.lacks_space)),
+            (
+                "majority-without-space",
+                u64::from(status.majority_lacks_space),
+            ),
         ];
         for (what, value) in values {
             self.replica
--- a/crates/masticfield-replica/src/consensus/leader.rs
+++ b/crates/masticfield-replica/src/consensus/leader.rs
@@ -165,7 +165,9 @@
             return;
         };
         match result {
+            AppendResult::NotStored => return progress.pause(),
             AppendResult::Matched(index) => {
+                progress.has_space = true;
                 progress.advance(index.min(last));
                 self.advance_commit();
             }
@@ -173,6 +175,7 @@
                 prev_index,
                 retry_from,
             } => {
+                progress.has_space = true;
                 if !progress.reject(prev_index, retry_from) {
                     return;
                 }
@@ -281,6 +284,13 @@
         can_send.then_some(progress.next_index)
     }
 
+    pub(super) fn progress(&self, peer: Identity) -> Option<&Progress> {
+        match &self.role {
+            Role::Leader(state) => state.progress.get(&peer),
+            _ => None,
+        }
+    }
+
     pub(super) fn progress_mut(&mut self, peer: Identity) -> Option<&mut Progress> {
         match &mut self.role {
             Role::Leader(state) => state.progress.get_mut(&peer),
--- a/crates/masticfield-replica/src/consensus/message.rs
+++ b/crates/masticfield-replica/src/consensus/message.rs
@@ -101,6 +101,8 @@
         /// Index from which the leader should try next.
         retry_from: u64,
     },
+    /// The follower has no space to store anything; the response only shows that it is alive.
+    NotStored,
 }
 
 /// Part of a snapshot in transfer to a follower.
--- a/crates/masticfield-replica/src/consensus/mod.rs
+++ b/crates/masticfield-replica/src/consensus/mod.rs
@@ -25,6 +25,7 @@
 
 mod election;
 mod follower;
+mod full_disk;
 mod leader;
 mod log;
 mod membership_change;
--- a/crates/masticfield-replica/src/consensus/progress.rs
+++ b/crates/masticfield-replica/src/consensus/progress.rs
@@ -19,6 +19,8 @@
     pub(super) last_contact: Duration,
     /// Latest time of sending among the messages that the member has answered.
     pub(super) answered_sent_at: Option<Duration>,
+    /// Whether the member can store entries; without space it gets heartbeats only.
+    pub(super) has_space: bool,
 }
 
 /// How a leader sends entries to a member.
@@ -55,6 +57,7 @@
             },
             last_contact: now,
             answered_sent_at: None,
+            has_space: true,
         }
     }
 
@@ -94,8 +97,22 @@
         true
     }
 
+    /// Records that the member cannot store anything.
+    ///
+    /// It responds to a heartbeat otherwise once it can, from which replication continues.
+    pub(super) fn pause(&mut self) {
+        self.has_space = false;
+        self.next_index = self.match_index + 1;
+        self.mode = ReplicationMode::Probe {
+            awaiting_response: true,
+        };
+    }
+
     /// Whether another message with entries may be sent now.
     pub(super) fn can_send(&self, last_index: u64) -> bool {
+        if !self.has_space {
+            return false;
+        }
         match &self.mode {
             ReplicationMode::Probe { awaiting_response } => !awaiting_response,
             ReplicationMode::Stream { in_flight } => {
--- a/crates/masticfield-replica/src/consensus/replica.rs
+++ b/crates/masticfield-replica/src/consensus/replica.rs
@@ -32,6 +32,8 @@
     pub(super) election_deadline: Duration,
     pub(super) election_jitter: Duration,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
+    /// Whether nothing can be stored at present, for lack of space.
+    pub(super) lacks_space: bool,
 }
 
 impl Replica {
@@ -53,6 +55,7 @@
             election_deadline: Duration::ZERO,
             election_jitter: Duration::ZERO,
             incoming_snapshot: None,
+            lacks_space: false,
         }
     }
 
@@ -92,6 +95,16 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Hard state of this replica, which may not be durable yet.
+    pub const fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
+    /// Whether nothing can be stored at present, for lack of space.
+    pub const fn lacks_space(&self) -> bool {
+        self.lacks_space
+    }
+
     /// Current term; 0 before a group is formed.
     pub const fn term(&self) -> u64 {
         self.hard_state.term
@@ -114,6 +127,13 @@
         let mut output = Output::default();
         let previous = self.hard_state;
         match event {
+            Event::NoSpace => self.on_no_space(now),
+            Event::SpaceAvailable(stored) => self.on_space_available(now, stored),
+            Event::Received(envelope) if self.lacks_space => {
+                self.receive_without_space(now, envelope, &mut output);
+            }
+            // Everything else would have to be stored, as would the start of an election.
+            _ if self.lacks_space => {}
             Event::Tick { jitter } => self.tick(now, jitter, &mut output),
             Event::Received(envelope) => self.receive(now, envelope, &mut output),
             Event::Propose(payloads) => self.propose(now, payloads, &mut output),
--- a/crates/masticfield-replica/src/consensus/step.rs
+++ b/crates/masticfield-replica/src/consensus/step.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::{Envelope, MembershipChange, MembershipChangeError};
-use crate::{Membership, Write};
+use crate::{Membership, PersistentState, Write};
 
 /// Input of one step.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -32,6 +32,14 @@
     ///
     /// All members must have agreed on the same initial membership.
     Bootstrap(Membership),
+    /// Writes of earlier steps failed for lack of space, and none can be made until
+    /// [`Event::SpaceAvailable`].
+    ///
+    /// The caller discards the writes that are not durable and the messages that wait for them.
+    /// Of the writes of later steps only the latest hard state has to be stored.
+    NoSpace,
+    /// Writes can be made again; this is the state that is stored.
+    SpaceAvailable(PersistentState),
 }
 
 /// What the caller has to do after a step.
--- a/crates/masticfield-replica/src/consensus/timing.rs
+++ b/crates/masticfield-replica/src/consensus/timing.rs
@@ -38,6 +38,8 @@
     VoteForShorterLog,
     /// Votes are granted within the election timeout of the last contact with a leader.
     VoteDespiteLeader,
+    /// A follower without space acknowledges the entries that it holds in memory.
+    AcknowledgeWithoutSpace,
 }
 
 impl Timing {
--- a/crates/masticfield-replica/src/error.rs
+++ b/crates/masticfield-replica/src/error.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 
 use crate::MAX_PAYLOAD_BYTES;
+use crate::storage::is_lack_of_space;
 
 /// Error of starting a replica or inspecting its data folder.
 #[derive(Debug, Snafu)]
@@ -72,6 +73,13 @@
     },
 }
 
+impl OpenError {
+    /// Whether the data folder cannot be written for lack of space.
+    pub fn is_lack_of_space(&self) -> bool {
+        matches!(self, Self::Io { source, .. } if is_lack_of_space(source))
+    }
+}
+
 /// Error of a proposal. Only [`ProposeError::Undecided`] leaves open whether it is committed.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(crate)))]
--- a/crates/masticfield-replica/src/options.rs
+++ b/crates/masticfield-replica/src/options.rs
@@ -8,7 +8,7 @@
 use masticfield_wire::Keys;
 
 use crate::consensus::Timing;
-use crate::storage::SyncFn;
+use crate::storage::{FileOps, SyncFn, WriteFn};
 
 /// Options of a replica: its identifier, data folder, peers and timeouts.
 #[derive(Clone)]
@@ -21,7 +21,8 @@
     timing: Timing,
     target_voters: Option<usize>,
     may_bootstrap: bool,
-    sync: Option<SyncFn>,
+    files: FileOps,
+    disk_bytes: Option<u64>,
     keys: Option<Keys>,
 }
 
@@ -37,7 +38,8 @@
             timing: Timing::default(),
             target_voters: None,
             may_bootstrap: true,
-            sync: None,
+            files: FileOps::default(),
+            disk_bytes: None,
             keys: None,
         }
     }
@@ -104,7 +106,23 @@
     /// Sets how writes are made durable, so that tests can let the disk fail.
     #[must_use]
     pub fn sync(mut self, sync: SyncFn) -> Self {
-        self.sync = Some(sync);
+        self.files = self.files.with_sync(sync);
+        self
+    }
+
+    /// Sets how files are written, so that tests can let the disk be full.
+    #[must_use]
+    pub fn write(mut self, write: WriteFn) -> Self {
+        self.files = self.files.with_write(write);
+        self
+    }
+
+    /// Sets the size of the disk in bytes, so that the replica asks for snapshots before it is full.
+    ///
+    /// See [`ReplicaStatus::needs_compaction`](crate::ReplicaStatus::needs_compaction).
+    #[must_use]
+    pub const fn disk_bytes(mut self, bytes: u64) -> Self {
+        self.disk_bytes = Some(bytes);
         self
     }
 
@@ -144,8 +162,12 @@
         self.keys.clone()
     }
 
-    pub(crate) fn sync_fn(&self) -> Option<SyncFn> {
-        self.sync.clone()
+    pub(crate) fn file_ops(&self) -> FileOps {
+        self.files.clone()
+    }
+
+    pub(crate) const fn disk_size(&self) -> Option<u64> {
+        self.disk_bytes
     }
 
     pub(crate) fn bound_listener(&self) -> Option<&TcpListener> {
--- a/crates/masticfield-replica/src/runtime/mod.rs
+++ b/crates/masticfield-replica/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 
 mod deliver;
 mod disk_writer;
+mod full_disk;
 mod known_peers;
 mod link;
 mod listen;
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -1,7 +1,6 @@
 //! Task that drives the consensus of a replica.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +12,8 @@
 use tokio::time::MissedTickBehavior;
 
 use super::deliver::Delivery;
-use super::disk_writer::DiskWriter;
+use super::disk_writer::{DiskError, DiskWriter, Done};
+use super::full_disk::NoSpace;
 use super::known_peers::KnownPeers;
 use super::link::Link;
 use super::message::{Hello, PeerMessage};
@@ -21,6 +21,7 @@
 use super::traffic::TrafficCounter;
 use crate::consensus::{Appended, Envelope, Event, MembershipChangeError, Output, Replica, Timing};
 use crate::reconciler::{self, MemberContact};
+use crate::storage::StorageSize;
 use crate::{Applied, AppliedKind, EntryBody, Identity, Membership, ReplicaStatus, Write};
 
 /// Interval of the ticks by which timeouts are checked.
@@ -47,6 +48,12 @@
     pub(super) pending_messages: Vec<Envelope>,
     /// Messages to send once the submitted batch is durable; `None` if no batch is submitted.
     pub(super) syncing_messages: Option<Vec<Envelope>>,
+    /// Set while the data folder cannot be written for lack of space.
+    pub(super) no_space: Option<NoSpace>,
+    /// Size of the data folder after the last write.
+    pub(super) size: StorageSize,
+    /// Size of the disk, in bytes; `None` if it is not known.
+    pub(super) disk_bytes: Option<u64>,
     pub(super) links: BTreeMap<ReplicaId, Link>,
     /// Configured peers.
     pub(super) peers: Vec<(ReplicaId, SocketAddr)>,
@@ -90,12 +97,12 @@
         self.connect_and_bootstrap();
         loop {
             tokio::select! {
-                result = self.disk.next_result(), if self.syncing_messages.is_some() => {
-                    if let Err(error) = result {
-                        return self.report_disk_failure(&error);
-                    }
-                    self.on_synced();
-                }
+                result = self.disk.next_result(), if self.is_disk_busy() => match result {
+                    Ok(Done::Stored(size)) => self.on_synced(size),
+                    Ok(Done::Recovered(stored)) => self.on_recovered(stored),
+                    Err(DiskError::NoSpace { reason }) => self.on_no_space(&reason),
+                    Err(error) => return self.report_disk_failure(&error),
+                },
                 _ = received.recv_many(&mut message_batch, MAX_BATCH) => {
                     message_batch.drain(..).for_each(|message| self.handle_message(message));
                 }
@@ -110,6 +117,7 @@
                     self.step(Event::Tick { jitter });
                     self.repeat_hello();
                     self.reconcile_members();
+                    self.retry_disk();
                 }
                 () = self.deliveries.closed() => return,
             }
@@ -131,8 +139,10 @@
             appended,
             refused,
         } = self.replica.step(now, event);
-        self.pending_writes.extend(writes);
-        self.pending_messages.extend(send_after_sync);
+        if self.no_space.is_none() {
+            self.pending_writes.extend(writes);
+            self.pending_messages.extend(send_after_sync);
+        }
         for envelope in send {
             self.send(envelope);
         }
@@ -269,7 +279,11 @@
                 reply: None,
             }));
         }
-        let committed = self.replica.commit_index() - self.delivered_index;
+        // The log is replaced by an earlier one after a lack of space.
+        let committed = self
+            .replica
+            .commit_index()
+            .saturating_sub(self.delivered_index);
         let entries = log.entries_from(self.delivered_index + 1).iter();
         for entry in entries.take(usize::try_from(committed).unwrap_or(usize::MAX)) {
             self.delivered_index = entry.index;
@@ -308,7 +322,8 @@
     ///
     /// Messages that wait for no write are sent at once.
     fn submit_writes(&mut self) {
-        while self.syncing_messages.is_none()
+        while self.no_space.is_none()
+            && self.syncing_messages.is_none()
             && !(self.pending_writes.is_empty() && self.pending_messages.is_empty())
         {
             let messages = std::mem::take(&mut self.pending_messages);
@@ -321,7 +336,13 @@
         }
     }
 
-    fn on_synced(&mut self) {
+    /// Whether a result of the disk thread is due.
+    fn is_disk_busy(&self) -> bool {
+        self.syncing_messages.is_some() || self.no_space.is_some_and(|state| state.attempting)
+    }
+
+    fn on_synced(&mut self, size: StorageSize) {
+        self.size = size;
         let messages = self.syncing_messages.take().unwrap_or_default();
         self.send_synced(messages);
     }
@@ -349,6 +370,11 @@
             committed: self.last_payload_index,
             lease_until,
             storage_failed: false,
+            lacks_space: replica.lacks_space(),
+            majority_lacks_space: replica.majority_lacks_space(),
+            needs_compaction: self
+                .disk_bytes
+                .is_some_and(|disk| self.size.needs_compaction(disk)),
             is_voter: replica.log().members().is_voter(replica.identity()),
         };
         self.status.send_if_modified(|status| {
@@ -374,7 +400,7 @@
     }
 
     /// Reports that the replica stops, as it is not known what the disk holds after a failed write.
-    fn report_disk_failure(&mut self, error: &io::Error) {
+    fn report_disk_failure(&mut self, error: &DiskError) {
         log::error!(error:%; "the data folder cannot be written; the replica stops");
         self.status.send_modify(|status| {
             status.storage_failed = true;
--- a/crates/masticfield-replica/src/status.rs
+++ b/crates/masticfield-replica/src/status.rs
@@ -31,6 +31,10 @@
 
 /// A replica's view of its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the conditions are independent of each other"
+)]
 pub struct ReplicaStatus {
     /// Identifier of this replica.
     pub id: ReplicaId,
@@ -46,8 +50,21 @@
     /// the clock on each use. The state that it reads is complete once it has applied `committed`.
     /// Receivers of the status are not woken when the lease is only extended.
     pub lease_until: Option<Duration>,
-    /// Whether the replica has stopped because its disk is full or has failed.
+    /// Whether the replica has stopped because its disk has failed.
     pub storage_failed: bool,
+    /// Whether the data folder cannot be written for lack of space.
+    ///
+    /// The replica neither leads nor votes nor stores entries until there is space.
+    pub lacks_space: bool,
+    /// Whether this replica leads, but so many voters lack space that nothing can be committed.
+    ///
+    /// It still answers reads under its lease. Payloads that are proposed are committed later, or
+    /// not at all if another replica takes the lead.
+    pub majority_lacks_space: bool,
+    /// Whether a snapshot should be taken now, as the disk has hardly more space than it needs.
+    ///
+    /// Set only with [`ReplicaOptions::disk_bytes`](crate::ReplicaOptions::disk_bytes).
+    pub needs_compaction: bool,
     /// Whether the replica is a voter of its group.
     pub is_voter: bool,
 }
--- a/crates/masticfield-replica/src/storage/atomic_file.rs
+++ b/crates/masticfield-replica/src/storage/atomic_file.rs
@@ -1,38 +1,52 @@
 //! Files that are replaced atomically and carry a checksum.
 
 use std::fs::{self, File};
-use std::io::{self, Write as _};
+use std::io;
 use std::path::Path;
-use std::sync::Arc;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
+use super::file_ops::FileOps;
 use crate::OpenError;
 use crate::error::IoSnafu;
 
-/// Makes the content of a file durable; [`File::sync_data`] unless a test sets another function.
-pub type SyncFn = Arc<dyn Fn(&File) -> io::Result<()> + Send + Sync>;
-
 /// Size of the checksum before the body, in bytes.
 const CHECKSUM_BYTES: usize = 4;
 
+/// Extension of the temporary files, whose content is not valid yet.
+pub(super) const PARTIAL_EXTENSION: &str = "partial";
+
 /// Writes a value to a temporary file, syncs it, renames it to `name`, and syncs the folder.
+///
+/// Returns the size of the file in bytes.
 pub(super) fn replace<T: Serialize>(
     dir: &Path,
     name: &str,
     value: &T,
-    sync: &SyncFn,
-) -> io::Result<()> {
+    files: &FileOps,
+) -> io::Result<u64> {
     let body = postcard::to_stdvec(value).map_err(io::Error::other)?;
-    let partial = dir.join(format!("{name}.partial"));
-    let mut file = File::create(&partial)?;
-    file.write_all(&crc32fast::hash(&body).to_le_bytes())?;
-    file.write_all(&body)?;
-    sync(&file)?;
+    let partial = dir.join(format!("{name}.{PARTIAL_EXTENSION}"));
+    let file = File::create(&partial)?;
+    files.write_all(&file, &crc32fast::hash(&body).to_le_bytes())?;
+    files.write_all(&file, &body)?;
+    files.sync(&file)?;
     fs::rename(&partial, dir.join(name))?;
-    sync_folder(dir)
+    sync_folder(dir)?;
+    Ok((CHECKSUM_BYTES + body.len()) as u64)
+}
+
+/// Removes the temporary files of a folder, which a crash or a full disk has left.
+pub(super) fn remove_partial_files(dir: &Path) -> io::Result<()> {
+    for entry in fs::read_dir(dir)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|end| end == PARTIAL_EXTENSION) {
+            fs::remove_file(path)?;
+        }
+    }
+    Ok(())
 }
 
 /// Makes the creation, renaming and removal of files in a folder durable.
--- a/crates/masticfield-replica/src/storage/mod.rs
+++ b/crates/masticfield-replica/src/storage/mod.rs
@@ -5,6 +5,9 @@
 //! of the format. A batch of writes becomes durable with one sync. Opening the folder truncates an
 //! incomplete record at the end of the log; any earlier damage is an error.
 //!
+//! A write that fails for lack of space leaves the folder usable: [`Storage::recover`] removes what
+//! was partly written and reads the state back.
+//!
 //! # Examples
 //!
 //! ```
@@ -23,11 +26,12 @@
 //! ```
 
 mod atomic_file;
+mod file_ops;
 mod folder;
 mod inspect;
 mod record;
 mod segment;
 
-pub use atomic_file::SyncFn;
-pub use folder::{FORMAT_VERSION, Storage};
+pub use file_ops::{FileOps, SyncFn, WriteFn, is_lack_of_space};
+pub use folder::{FORMAT_VERSION, Storage, StorageSize};
 pub use inspect::{Inspection, inspect};
--- a/crates/masticfield-replica/src/storage/segment.rs
+++ b/crates/masticfield-replica/src/storage/segment.rs
@@ -18,6 +18,9 @@
     pub(super) path: PathBuf,
     /// Highest index of an entry in the segment; 0 if it holds none.
     pub(super) highest_index: u64,
+    /// Length of the valid part of the file, in bytes; for the last segment see
+    /// [`Replayed::valid_bytes`].
+    pub(super) bytes: u64,
 }
 
 /// Result of replaying all segments.
@@ -44,6 +47,7 @@
             first_sequence,
             path,
             highest_index: 0,
+            bytes: 0,
         }
     }
 
@@ -78,7 +82,8 @@
     Ok(!list(dir)?.is_empty())
 }
 
-fn list(dir: &Path) -> Result<Vec<Segment>, OpenError> {
+/// Segments of a folder by their file names, oldest first.
+pub(super) fn list(dir: &Path) -> Result<Vec<Segment>, OpenError> {
     let mut segments = Vec::new();
     for entry in fs::read_dir(dir).context(IoSnafu { path: dir })? {
         let name = entry.context(IoSnafu { path: dir })?.file_name();
@@ -132,6 +137,7 @@
             Parsed::Invalid => return Err(corrupt(offset)),
         }
     }
-    replayed.valid_bytes = offset as u64;
+    segment.bytes = offset as u64;
+    replayed.valid_bytes = segment.bytes;
     Ok(())
 }
--- a/crates/masticfield-replica/tests/replication/action.rs
+++ b/crates/masticfield-replica/tests/replication/action.rs
@@ -40,9 +40,36 @@
     Compact(usize),
     /// Makes the next change by which a replica that lost its disk rejoins.
     Repair,
+    /// Fills the disk of a replica, which refuses all writes until it is freed.
+    FillDisk(usize),
+    /// Frees the disk of a replica.
+    FreeDisk(usize),
 }
 
-/// Random sequences of actions.
+/// Random sequences of actions that include full disks.
+pub fn actions_with_full_disks() -> impl Strategy<Value = Vec<Action>> {
+    let number = || 0..64_usize;
+    let action = prop_oneof![
+        20 => (5..100_u64).prop_map(Action::Advance),
+        12 => (2..40_u64).prop_map(Action::Run),
+        20 => Just(Action::DeliverAll),
+        16 => Just(Action::SyncAll),
+        6 => number().prop_map(Action::Sync),
+        8 => number().prop_map(Action::Deliver),
+        3 => number().prop_map(Action::Drop),
+        4 => number().prop_map(Action::Crash),
+        1 => (number(), 50..1_500_u64).prop_map(|(replica, ms)| Action::Freeze(replica, ms)),
+        3 => (number(), number()).prop_map(|(from, to)| Action::Cut(from, to)),
+        3 => Just(Action::Heal),
+        14 => Just(Action::Propose),
+        3 => number().prop_map(Action::Compact),
+        6 => number().prop_map(Action::FillDisk),
+        7 => number().prop_map(Action::FreeDisk),
+    ];
+    vec(action, 150..300)
+}
+
+/// Random sequences of actions without full disks.
 pub fn actions() -> impl Strategy<Value = Vec<Action>> {
     let number = || 0..64_usize;
     let action = prop_oneof![
--- a/crates/masticfield-replica/tests/replication/main.rs
+++ b/crates/masticfield-replica/tests/replication/main.rs
@@ -8,7 +8,7 @@
 use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
 use rstest::rstest;
 
-use action::{Action, actions};
+use action::{Action, actions, actions_with_full_disks};
 use cluster::Cluster;
 
 /// Number of action sequences that a property is tested with.
@@ -44,6 +44,29 @@
     assert_matches!(result, Ok(()));
 }
 
+/// Guards against votes, acknowledgements and commits by replicas that could not store them, and
+/// against a group that stays idle once there is space.
+#[rstest]
+#[case::three(3)]
+#[case::five(5)]
+fn nothing_committed_is_lost_with_full_disks(#[case] size: u64) {
+    let cases = CASES / u32::try_from(size).unwrap() * 3;
+    let result = runner(cases).run(&actions_with_full_disks(), |actions| {
+        run(size, None, &actions).map_err(proptest::test_runner::TestCaseError::fail)
+    });
+    assert_matches!(result, Ok(()));
+}
+
+#[test]
+fn acknowledgement_without_space_is_found() {
+    let defect = Some(Defect::AcknowledgeWithoutSpace);
+    let result = runner(50 * CASES).run(&actions_with_full_disks(), |actions| {
+        run(3, defect, &actions).map_err(proptest::test_runner::TestCaseError::fail)
+    });
+    let error = result.expect_err("an invariant is violated without the guard");
+    assert_matches!(&error, TestError::Fail(reason, _) => println!("{reason}"));
+}
+
 #[rstest]
 #[case::acknowledge_before_sync(Defect::AcknowledgeBeforeSync)]
 #[case::vote_for_shorter_log(Defect::VoteForShorterLog)]
