fix(jobs): count unavailable tasks of a step before every order that ends one

Only the drain of a host counted the other tasks. These ways past the count were found by reading every caller of `stop` and `order_host`:

- all long-running tasks on a leaving executor were stopped at once;
- a run that was not confirmed, or was starting for too long, was stopped without the count: an order to start that is not answered may have been carried out;
- an order to stop was repeated after other tasks had become unavailable;
- a task counted as serving however old the report that showed it (a hold may wait for long);
- a request about a host whose outcome is not known was repeated without a look at the tasks that the host may have got since, and a new leader let tasks start on hosts that a former leader had claimed until the first list;
- a host whose executor had ended counted as drained by a list that was requested before that;
- a new executor got long-running tasks while no list showed its host, which may be claimed.

Ruled out: finite tasks, jobs that have ended, and orders of a former leader (a report to the new leader shows that the executor has seen its fence).

Change: `schedule::may_interrupt` is the one decision; a task counts as unavailable unless a report of the last 3.5 s shows it at work (`noticeMs` is 4.5 s or more; an order takes up to 2 s). `may_stop` stands before each order. Tasks on a leaving executor are stopped in turn.

Emulator: executors may announce that they leave; the check also counts tasks on executors that have been cut off for 4.5 s.

`Defect::StopWithoutCount` is detected.

--- a/crates/masticfield-emulator/src/checker.rs
+++ b/crates/masticfield-emulator/src/checker.rs
@@ -8,7 +8,7 @@
 pub(crate) const CANCEL_GRACE_MS: u64 = 3_000;
 
 /// Time after which a long-running task that does not run counts as missing, in milliseconds.
-const OUTAGE_GRACE_MS: u64 = 4_500;
+pub(crate) const OUTAGE_GRACE_MS: u64 = 4_500;
 
 /// Number of executors that a task may crash without a limit on its starts.
 const CRASHES_BEFORE_LIMIT: u32 = 3;
@@ -158,7 +158,10 @@
 
     /// Checks that an order may end a run: with it, no more long-running tasks of the step may be
     /// missing than the step allows.
-    pub(crate) fn check_ordered_end(&mut self, now: u64, run: RunId) {
+    ///
+    /// A task is missing if an order has ended its run, or if it has not run, or only on executors
+    /// that are `cut_off`, for [`OUTAGE_GRACE_MS`].
+    pub(crate) fn check_ordered_end(&mut self, now: u64, run: RunId, cut_off: &BTreeSet<usize>) {
         let task = run.task;
         let job = self.jobs.get(&task.job);
         let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step)));
@@ -168,11 +171,17 @@
         let (count, may_miss) = (step.count, step.may_miss);
         let others = (0..count).filter(|index| *index != task.index);
         let missing = others.filter(|index| {
-            let outage = self.outages.get(&TaskId {
+            let other = TaskId {
                 index: *index,
                 ..task
-            });
-            outage.is_some_and(|(since, ordered)| *ordered || now >= since + OUTAGE_GRACE_MS)
+            };
+            let outage = self.outages.get(&other);
+            let over =
+                outage.is_some_and(|(since, ordered)| *ordered || now >= since + OUTAGE_GRACE_MS);
+            let running = self.running.get(&other).filter(|runs| !runs.is_empty());
+            let unreachable = running
+                .is_some_and(|runs| runs.iter().all(|(executor, _)| cut_off.contains(executor)));
+            over || unreachable
         });
         let missing = u32::try_from(missing.count()).unwrap_or(u32::MAX);
         if missing >= may_miss {
--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -20,6 +20,10 @@
     pub(crate) up: bool,
     /// Time until which a network partition separates the executor from the leader.
     pub(crate) partitioned_until: u64,
+    /// Time at which the latest network partition began.
+    pub(crate) partitioned_since: u64,
+    /// Whether the executor announces that it is leaving.
+    pub(crate) leaving: bool,
     /// Index of the host.
     pub(crate) host: usize,
     pub(crate) health: Health,
@@ -99,6 +103,8 @@
             incarnation,
             up: true,
             partitioned_until: 0,
+            partitioned_since: 0,
+            leaving: false,
             host,
             health: Health::Healthy,
             sequence: 0,
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -85,6 +85,10 @@
     pub capacity_change_interval_ms: u64,
     /// Share of jobs with one task that crashes each executor that starts it.
     pub crashing_jobs: f64,
+    /// Mean time between executors that announce that they are leaving, in milliseconds; 0 for none.
+    ///
+    /// Such an executor ends after 6 to 10 s, whether or not its tasks have been moved.
+    pub leave_interval_ms: u64,
 }
 
 impl Scenario {
@@ -117,6 +121,7 @@
                 slowdown: 0,
                 capacity_change_interval_ms: 0,
                 crashing_jobs: 0.0,
+                leave_interval_ms: 0,
             },
         }
     }
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -13,6 +13,7 @@
     ANNOUNCE_INTERVAL_MS, CALL_TIMEOUT_MS, CAPACITY_GRACE_MS, CRASH_DELAY_MS, CRASH_RETURN_MS,
     NETWORK_DELAY_MS, PendingHold, START_WALL_MS, ScheduledEvent, Simulation,
 };
+use crate::checker::OUTAGE_GRACE_MS;
 use crate::executor::{ActiveRun, Executor, Health};
 use crate::fleet::round_to_u64;
 
@@ -153,7 +154,7 @@
                 if stopped.is_ok() {
                     let needed = was_running && self.is_needed(*run);
                     if needed {
-                        self.checker.check_ordered_end(now, *run);
+                        self.check_ordered_end(*run);
                     }
                     self.checker.record_end(now, index, *run);
                 }
@@ -322,7 +323,7 @@
             incarnation: executor.incarnation.clone(),
             sequence: executor.sequence,
             clock_ms: executor.clock(self.now),
-            leaving: false,
+            leaving: executor.leaving,
         };
         let reachable = executor.partitioned_until <= self.now;
         self.advance(index);
@@ -404,6 +405,41 @@
         self.schedule(after, ScheduledEvent::HostReturns(host));
     }
 
+    /// Lets a random executor announce that it is leaving; it ends after 6 to 10 s.
+    pub(super) fn let_executor_leave(&mut self) {
+        let index = self.rng.random_range(0..self.executors.len());
+        let host = self.executors[index].host;
+        if !self.executors[index].up || self.hosts[host].executor != Some(index) {
+            return;
+        }
+        self.executors[index].leaving = true;
+        let after = self.rng.random_range(6_000..10_000);
+        self.schedule(after, ScheduledEvent::EndLeaving(index));
+    }
+
+    /// Ends an executor that was leaving, if it is still up; its host starts another one.
+    pub(super) fn end_leaving(&mut self, index: usize) {
+        if self.executors[index].up {
+            self.advance(index);
+            self.end_executor(index);
+            let host = self.executors[index].host;
+            let after = self.rng.random_range(1_000..3_000);
+            self.schedule(after, ScheduledEvent::HostReturns(host));
+        }
+    }
+
+    /// Checks that an order may end a run; see [`Checker::check_ordered_end`].
+    ///
+    /// [`Checker::check_ordered_end`]: crate::checker::Checker::check_ordered_end
+    pub(super) fn check_ordered_end(&mut self, run: RunId) {
+        let now = self.now;
+        let cut_off = (0..).zip(&self.executors).filter(|(_, executor)| {
+            executor.partitioned_until > now && now >= executor.partitioned_since + OUTAGE_GRACE_MS
+        });
+        let cut_off = cut_off.map(|(index, _)| index).collect();
+        self.checker.check_ordered_end(now, run, &cut_off);
+    }
+
     /// Crashes the executor that has started a run of a task that crashes executors.
     pub(super) fn crash_by_run(&mut self, index: usize, run: RunId) {
         let host = self.executors[index].host;
--- a/crates/masticfield-emulator/src/simulation/hosts.rs
+++ b/crates/masticfield-emulator/src/simulation/hosts.rs
@@ -166,7 +166,7 @@
             self.advance(executor);
             let runs: Vec<_> = self.executors[executor].running.keys().copied().collect();
             for run in runs {
-                self.checker.check_ordered_end(self.now, run);
+                self.check_ordered_end(run);
             }
             self.end_executor(executor);
         }
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -129,6 +129,10 @@
     HoldTimeout(usize),
     /// A random executor crashes.
     CrashExecutor,
+    /// A random executor announces that it is leaving.
+    LetExecutorLeave,
+    /// An executor that was leaving ends.
+    EndLeaving(usize),
     /// A run crashes the executor that has started it.
     CrashByRun(usize, RunId),
     /// The capacity of a random executor shrinks.
@@ -327,6 +331,7 @@
             faults.capacity_change_interval_ms,
             ScheduledEvent::ShrinkCapacity,
         );
+        self.schedule_fault(faults.leave_interval_ms, ScheduledEvent::LetExecutorLeave);
         self.start_relays();
         self.schedule_fault(faults.relay_fault_interval_ms, ScheduledEvent::DisturbRelay);
         self.schedule(1, ScheduledEvent::Tick);
@@ -415,6 +420,12 @@
                     ScheduledEvent::CrashExecutor,
                 );
             }
+            ScheduledEvent::LetExecutorLeave => {
+                self.let_executor_leave();
+                let mean = self.scenario.faults.leave_interval_ms;
+                self.schedule_fault(mean, ScheduledEvent::LetExecutorLeave);
+            }
+            ScheduledEvent::EndLeaving(executor) => self.end_leaving(executor),
             ScheduledEvent::ShrinkCapacity => {
                 self.shrink_capacity();
                 let mean = self.scenario.faults.capacity_change_interval_ms;
@@ -425,6 +436,9 @@
             ScheduledEvent::PartitionExecutor => {
                 let executor = self.rng.random_range(0..self.executors.len());
                 let duration = self.rng.random_range(500..9_000);
+                if self.executors[executor].partitioned_until <= self.now {
+                    self.executors[executor].partitioned_since = self.now;
+                }
                 self.executors[executor].partitioned_until = self.now + duration;
                 self.schedule_fault(
                     self.scenario.faults.partition_interval_ms,
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -239,12 +239,28 @@
     }
 }
 
-/// Executors crash and come back while upkeep of their hosts is due. A request for upkeep that the
+/// Executors announce that they are leaving.
+fn leaving(faults: Faults) -> Faults {
+    Faults {
+        leave_interval_ms: 1_000,
+        ..faults
+    }
+}
+
+/// Executors crash, are cut off, leave and come back while upkeep of their hosts is due and hosts
+/// move. None of the orders may take more tasks of a step away than it allows, counting those that
+/// are away for other reasons. A request for upkeep that the
 /// platform has refused must not be repeated once the host has tasks again.
 #[rstest]
 #[case::no_faults(no_faults())]
 #[case::crashes_and_partitions(crashes_and_partitions())]
 #[case::lost_answers(delayed_orders())]
+#[case::leader_changes(leader_changes())]
+#[case::mixed_faults(mixed_faults())]
+#[case::capacity_changes(capacity_changes(crashes_and_partitions()))]
+#[case::leaving(leaving(no_faults()))]
+#[case::leaving_and_crashes(leaving(crashes_and_partitions()))]
+#[case::leaving_and_all_else(leaving(mixed_faults()))]
 fn upkeep_keeps_enough_long_running_tasks(#[case] faults: Faults) {
     for seed in seeds() {
         let report = simulate_upkeep(faults, seed);
@@ -347,6 +363,7 @@
 #[case::leases(Defect::LapseAtOnce, crashes_and_partitions(), 0)]
 #[case::availability(Defect::RepeatRefused, crashes_and_partitions(), 250)]
 #[case::handover(Defect::HandoverAtOnce, leader_changes(), 0)]
+#[case::count_of_tasks(Defect::StopWithoutCount, leaving(no_faults()), 0)]
 #[case::crashes(Defect::IgnoreCrashes, crashing_tasks(no_faults()), 0)]
 fn each_left_out_guard_is_detected(
     #[case] defect: Defect,
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -22,6 +22,9 @@
 /// Time without contact after which an executor without runs is retired.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Maximum time for which a new executor gets no long-running tasks while its host is not listed.
+const HOST_UNKNOWN_TIMEOUT: Duration = Duration::from_secs(3);
+
 impl Leader {
     pub(super) fn on_announcement(
         &mut self,
@@ -80,6 +83,9 @@
             .insert(key);
         let mut view = ExecutorView::new(Duration::ZERO);
         view.cordoned = self.has_operation(&incarnation.id);
+        if self.may_be_claimed(incarnation) {
+            view.host_unknown_until = now.monotonic + HOST_UNKNOWN_TIMEOUT;
+        }
         self.executors.insert(key, view);
         log::info!(
             executor = incarnation.id.as_ref(), born_ms = incarnation.started_ms,
@@ -107,7 +113,7 @@
                 executor = announcement.incarnation.id.as_ref(), sequence = announcement.sequence;
                 "executor leaves"
             );
-            self.evacuate(now, key);
+            self.drain(now, key, true);
         }
         if is_first {
             self.changed_pools
@@ -220,6 +226,7 @@
             at_ms: now.wall_ms,
         });
         self.executors.remove(&key);
+        self.restart_drain(now, &id);
         if let Some(executors) = self.pool_executors.get_mut(&pool) {
             executors.remove(&key);
         }
@@ -287,6 +294,13 @@
         } else if silent && view.runs.is_empty() {
             return self.retire(now, key, Retirement::Silent);
         }
+        // One that has reported its end takes its tasks with it, whatever is ordered.
+        let about_to_end = self.executors.get(&key);
+        let about_to_end = about_to_end.is_none_or(|view| view.left_at.is_some());
+        let record = self.state.executor(key);
+        if !about_to_end && record.is_some_and(|record| record.leaving) {
+            self.drain(now, key, true);
+        }
         self.check_quarantine(now, key);
         self.check_overdue(now, key);
         self.retry_orders(now, key);
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -51,6 +51,9 @@
     pub(super) backoff_until: Duration,
     /// Whether no task starts on the executor, because its host is draining.
     pub(super) cordoned: bool,
+    /// Time until which no long-running task starts on the executor, as its host is not listed yet
+    /// and may be one that the platform has been asked to take away.
+    pub(super) host_unknown_until: Duration,
     /// Time at which the executor reported that it is about to end.
     pub(super) left_at: Option<Duration>,
     pub(super) reliability: Reliability,
@@ -89,6 +92,8 @@
     pub(super) suspected: bool,
     /// Latest progress, in percent.
     pub(super) percent: u32,
+    /// Time of the latest report, if that report shows that the task serves.
+    pub(super) served_at: Option<Duration>,
 }
 
 /// Who placed a run.
@@ -138,6 +143,7 @@
             unknown_runs: BTreeMap::new(),
             backoff_until: Duration::ZERO,
             cordoned: false,
+            host_unknown_until: Duration::ZERO,
             left_at: None,
             reliability: Reliability::default(),
             suspects: 0,
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::crashes::START_WINDOW;
-use super::executor::{HoldPhase, RunPhase};
+use super::executor::{HoldPhase, RunPhase, SERVING_PERCENT};
 use super::retirement::Retirement;
 use super::{Call, CallError, HoldReport, Leader, Moment, Rejection};
 use crate::job::RunId;
@@ -139,6 +139,8 @@
         for listed in &report.running {
             if let Some(run) = view.runs.get_mut(&listed.run) {
                 run.percent = listed.percent;
+                let serves = listed.percent >= SERVING_PERCENT;
+                run.served_at = serves.then_some(now.monotonic);
                 run.baseline
                     .get_or_insert((report.clock_ms, listed.percent));
                 if matches!(run.phase, RunPhase::Inherited | RunPhase::Ordered) {
--- a/crates/masticfield-jobs/src/leader/host.rs
+++ b/crates/masticfield-jobs/src/leader/host.rs
@@ -24,7 +24,7 @@
     pub(super) operation: Option<HostOperation>,
     /// Claim of a former leader that was outstanding when the leadership began.
     pub(super) inherited: Option<HostClaim>,
-    /// Time at which a list that contains the host was last received.
+    /// Time at which the latest list that contains the host was requested.
     pub(super) last_listed: Duration,
     /// Number of consecutive lists that did not contain the host.
     pub(super) missing_lists: u32,
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -9,7 +9,7 @@
 use super::options::AWAY_MARGIN;
 use super::retirement::Retirement;
 use super::{ClaimWatch, Defect, Effect, HostError, Leader, ListedHost, Moment};
-use crate::state::{Command, ExecutorKey, HostClaim};
+use crate::state::{Command, ExecutorIncarnation, ExecutorKey, HostClaim};
 
 /// Interval of requests for the list while an executor's host is unknown, or a request about a
 /// host was refused.
@@ -115,7 +115,14 @@
             .any(|(_, record)| !known.contains(&record.incarnation.id));
         let refused = self.hosts.views.values().any(|host| {
             let operation = host.operation.as_ref();
-            operation.is_some_and(|operation| matches!(operation.phase, OperationPhase::Refused(_)))
+            operation.is_some_and(|operation| match operation.phase {
+                OperationPhase::Refused(_) => true,
+                // The host is drained once a list shows that it has no other executor.
+                OperationPhase::Draining => {
+                    host.executor.is_some() && self.executor_of(host).is_none()
+                }
+                OperationPhase::Ordered(_) | OperationPhase::Retry(_) => false,
+            })
         });
         let down = |name: &Arc<str>| {
             let host = self.hosts.views.get(name);
@@ -190,10 +197,10 @@
                 started_at: now.monotonic,
                 phase: OperationPhase::Retry(now.monotonic),
             }),
-            last_listed: now.monotonic,
+            last_listed: requested,
             missing_lists: 0,
         });
-        view.last_listed = now.monotonic;
+        view.last_listed = requested;
         let made_before = requested <= view.taken_at || listed.executor == view.executor;
         if view.is_away(now.monotonic) && made_before {
             // The list was made before the host went away.
@@ -207,11 +214,17 @@
         view.pool = listed.pool;
         view.kind = listed.kind;
         view.capacity = listed.capacity;
+        let listed_executor = listed.executor.clone();
         view.executor = listed.executor;
         view.up = listed.up;
         if has_operation {
             self.set_cordoned(&listed.name, true);
         }
+        if let Some(key) = listed_executor.and_then(|id| self.key_by_id.get(&id).copied())
+            && let Some(view) = self.executors.get_mut(&key)
+        {
+            view.host_unknown_until = Duration::ZERO;
+        }
     }
 
     /// Returns the key of a host's executor, if the executor is known.
@@ -319,7 +332,7 @@
                     && self.is_drained(now, name, false)
                     && self.is_within_wave_cap(now, name)
             }
-            OperationPhase::Retry(due) => now.monotonic >= due,
+            OperationPhase::Retry(due) => now.monotonic >= due && self.is_drained_again(now, name),
             OperationPhase::Ordered(_) => false,
         };
         if due && self.is_handed_over(now, name) {
@@ -356,6 +369,57 @@
         }
     }
 
+    /// Stops the long-running tasks that a host has got since its operation was requested, and
+    /// returns whether it has none.
+    ///
+    /// A host may come back with a new executor while the outcome of a request is not known.
+    /// Repeating a move that has been carried out ends nothing.
+    fn is_drained_again(&mut self, now: Moment, name: &Arc<str>) -> bool {
+        let Some(host) = self.hosts.views.get(name) else {
+            return false;
+        };
+        if self.options.defect == Some(Defect::RepeatRefused) {
+            return true;
+        }
+        let operation = host.operation.as_ref();
+        let moved = operation.is_some_and(
+            |operation| matches!(&operation.claim, HostClaim::Move { pool } if *pool == host.pool),
+        );
+        match self.executor_of(host) {
+            Some(key) if !moved => self.drain(now, key, true),
+            _ => true,
+        }
+    }
+
+    /// Makes the drain of a host whose executor has ended wait for a list that shows the next one.
+    pub(super) fn restart_drain(&mut self, now: Moment, id: &Arc<str>) {
+        let mut hosts = self.hosts.views.values_mut();
+        let host = hosts.find(|host| host.executor.as_ref() == Some(id));
+        if let Some(operation) = host.and_then(|host| host.operation.as_mut()) {
+            match &mut operation.phase {
+                OperationPhase::Draining => operation.started_at = now.monotonic,
+                OperationPhase::Refused(due) => *due = now.monotonic.max(*due),
+                OperationPhase::Ordered(_) | OperationPhase::Retry(_) => {}
+            }
+        }
+    }
+
+    /// Returns whether a new executor may be on a host that the platform has been asked to take
+    /// away: no list shows its host, and the executor of such a host of its pool has ended.
+    pub(super) fn may_be_claimed(&self, incarnation: &ExecutorIncarnation) -> bool {
+        let mut hosts = self.hosts.views.values();
+        let listed = hosts.any(|host| host.executor.as_ref() == Some(&incarnation.id));
+        if self.options.defect == Some(Defect::RepeatRefused) {
+            return false;
+        }
+        let mut hosts = self.hosts.views.values();
+        !listed
+            && hosts.any(|host| {
+                let operation = host.operation.is_some() && host.pool == incarnation.pool;
+                operation && self.executor_of(host).is_none()
+            })
+    }
+
     /// Returns whether a pool is a standby pool, whose hosts are switched off.
     pub(super) fn is_standby_pool(&self, pool: &Arc<str>) -> bool {
         let config = self.state.config();
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -207,6 +207,9 @@
                 .or_default()
                 .insert(key);
             let mut view = ExecutorView::new(former_leases_end);
+            // The former leader's request may still take its host away.
+            let mut claims = self.state.claims().values();
+            view.cordoned = claims.any(|(_, executor)| *executor == Some(key));
             for run in runs {
                 view.add_run(run, self.new_run_view(now, run, RunPhase::Inherited));
             }
@@ -240,6 +243,7 @@
             },
             suspected: self.is_suspected(run.task),
             percent: 0,
+            served_at: None,
         }
     }
 
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -41,12 +41,15 @@
     StepsInAnyOrder,
     /// Leases are treated as expired as soon as an executor does not answer.
     LapseAtOnce,
-    /// A refused request for upkeep is repeated without draining the host again.
+    /// A request about a host is repeated without draining the host again, and tasks start on it
+    /// meanwhile.
     RepeatRefused,
     /// Requests about hosts are sent while a former leader's may still be in effect.
     HandoverAtOnce,
     /// Crashes of executors are not counted against the tasks that they ran.
     IgnoreCrashes,
+    /// Long-running tasks are stopped without regard to the other tasks of their step.
+    StopWithoutCount,
 }
 
 /// Timing of the platform's hosts.
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -168,9 +168,8 @@
         } else {
             MAX_START_ATTEMPTS
         };
-        if view.pending_starts < tries {
-            view.phase = RunPhase::Retry(now.monotonic + START_RETRY_DELAY);
-        } else {
+        view.phase = RunPhase::Retry(now.monotonic + START_RETRY_DELAY);
+        if view.pending_starts >= tries && self.may_stop(now, run) {
             self.stop(now, executor, run);
         }
     }
@@ -199,7 +198,11 @@
         }
         if pending_starts > 0 {
             // An earlier order may still be carried out.
-            self.stop(now, executor, run);
+            if self.may_stop(now, run) {
+                self.stop(now, executor, run);
+            } else if let Some(view) = self.run_mut(executor, run) {
+                view.phase = RunPhase::Retry(now.monotonic + REJECTION_BACKOFF);
+            }
         } else if reason == Rejection::Malformed {
             self.end_run(now, executor, run, EndKind::Failed, None);
         } else {
@@ -296,15 +299,20 @@
             }
         }
         for run in starts {
-            if self.exceeds_capacity(executor) {
+            if !self.exceeds_capacity(executor) {
+                self.send_start(now, executor, run);
+            } else if self.may_stop(now, run) {
                 // The capacity has shrunk since the run was placed.
                 self.stop(now, executor, run);
-            } else {
-                self.send_start(now, executor, run);
+            } else if let Some(view) = self.run_mut(executor, run) {
+                view.phase = RunPhase::Retry(now.monotonic + START_RETRY_DELAY);
             }
         }
         for run in stops {
-            self.stop(now, executor, run);
+            // Other tasks of the step may have become unavailable since the first order.
+            if self.may_stop(now, run) {
+                self.stop(now, executor, run);
+            }
         }
     }
 
--- a/crates/masticfield-jobs/src/leader/placement.rs
+++ b/crates/masticfield-jobs/src/leader/placement.rs
@@ -40,7 +40,8 @@
                 let excluded =
                     has_failed && pool.any_reliable && slot.status != ReliabilityStatus::Good;
                 let quarantined = slot.quarantine.is_some_and(|job| job != task.job);
-                avoided_executor != Some(slot.key) && !excluded && !quarantined
+                let claimed = step.long_running && slot.host_unknown;
+                avoided_executor != Some(slot.key) && !excluded && !quarantined && !claimed
             });
             let fitting = fitting.map(|slot| self.candidate(slot, step, &siblings));
             let request = PlacementRequest {
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::executor::RunPhase;
 use super::pending_job::{PendingJob, remaining_path_ms};
 use super::pool_view::PoolView;
 use super::{Defect, Leader, Moment};
@@ -286,24 +285,6 @@
         found
     }
 
-    /// Stops the long-running tasks on an executor that is leaving, so that they start elsewhere.
-    pub(super) fn evacuate(&mut self, now: Moment, key: ExecutorKey) {
-        let Some(view) = self.executors.get(&key) else {
-            return;
-        };
-        let long_running = view.runs.iter().filter(|(_, run)| {
-            let stopping = matches!(
-                run.phase,
-                RunPhase::Stopping(_) | RunPhase::StopAcknowledged(_)
-            );
-            run.long_running && !stopping
-        });
-        let long_running: Vec<_> = long_running.map(|(run, _)| *run).collect();
-        for run in long_running {
-            self.stop(now, key, run);
-        }
-    }
-
     /// Returns the work that waits in a pool ahead of a new job, and the cores to process it.
     pub(super) fn backlog(&self, now: Moment, pool: &Arc<str>) -> Backlog {
         let mut cores = 0.0;
--- a/crates/masticfield-jobs/src/leader/pool_view.rs
+++ b/crates/masticfield-jobs/src/leader/pool_view.rs
@@ -32,6 +32,9 @@
     pub(super) status: ReliabilityStatus,
     /// Whether the host is still due for upkeep in a wave that is under way.
     pub(super) upkeep_due: bool,
+    /// Whether no long-running task may start on the executor; see
+    /// [`ExecutorView::host_unknown_until`](super::executor::ExecutorView::host_unknown_until).
+    pub(super) host_unknown: bool,
     /// Job whose tasks alone may start on the executor.
     pub(super) quarantine: Option<JobId>,
 }
@@ -96,6 +99,7 @@
             best_effort: view.best_effort,
             status,
             upkeep_due: self.hosts.upkeep_due.contains(&key),
+            host_unknown: now.monotonic < view.host_unknown_until,
             quarantine: view.quarantine.map(|quarantine| quarantine.job),
         });
         PoolView {
--- a/crates/masticfield-jobs/src/leader/track.rs
+++ b/crates/masticfield-jobs/src/leader/track.rs
@@ -123,6 +123,9 @@
             );
         }
         for run in to_move {
+            if !self.may_stop(now, run) {
+                continue;
+            }
             log::info!(run:%, executor = key.0; "run moved, as it makes too little progress");
             self.stop(now, key, run);
         }
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{RunPhase, SERVING_PERCENT};
+use super::executor::RunPhase;
 use super::host::OperationPhase;
-use super::{Leader, Moment};
+use super::{Defect, Leader, Moment};
 use crate::job::RunId;
-use crate::schedule::{hosts_at_once, is_urgent};
+use crate::schedule::{hosts_at_once, is_urgent, may_interrupt};
 use crate::state::{ExecutorKey, HostClaim, Wave};
 
 /// Time before the end of a wave from which on its remaining hosts are not moved to other pools. A
@@ -159,51 +159,52 @@
             return ignore_finite || view.runs.is_empty();
         }
         for (run, phase) in long_running {
-            if matches!(phase, RunPhase::Confirmed(_)) && self.may_stop(run) {
+            if matches!(phase, RunPhase::Confirmed(_)) && self.may_stop(now, run) {
                 self.stop(now, key, run);
             }
         }
         false
     }
 
-    /// Returns whether a long-running task may be stopped: of the other tasks of its step, fewer
-    /// than the step's `may_miss` (at least 1) are not serving.
-    fn may_stop(&self, run: RunId) -> bool {
+    /// Returns whether a run may be stopped, as far as its step's `may_miss` (at least 1) is
+    /// concerned; always true for a finite task and for a job that has ended.
+    ///
+    /// Holds for every order that may end a run of a task that is still needed, also if it is not
+    /// known whether the run has started.
+    pub(super) fn may_stop(&self, now: Moment, run: RunId) -> bool {
         let task = run.task;
-        let Some(job) = self.state.job(task.job) else {
+        let job = self.state.job(task.job).filter(|job| job.needs(run));
+        let spec = job.and_then(|job| job.spec.as_ref());
+        let step = spec.and_then(|spec| spec.steps.get(usize::from(task.step)));
+        let (Some(job), Some(step)) = (job, step.filter(|step| step.long_running)) else {
             return true;
         };
-        let Some(spec) = job.spec.as_ref() else {
+        if self.options.defect == Some(Defect::StopWithoutCount) {
             return true;
-        };
-        let step = &spec.steps[usize::from(task.step)];
+        }
         let tasks = &job.occurrences[task.occurrence as usize].steps[usize::from(task.step)].tasks;
         let others = tasks
             .iter()
             .zip(0..)
             .filter(|(_, index)| *index != task.index);
-        let not_serving = others.filter(|(other, index)| {
-            let other_id = crate::job::TaskId {
-                index: *index,
-                ..task
-            };
-            let mut runs = other.runs.iter();
-            !runs.any(|(number, executor)| self.is_serving(*executor, other_id.run(*number)))
+        let last_served = others.map(|(other, index)| {
+            let other_id = crate::job::TaskId { index, ..task };
+            let runs = other.runs.iter();
+            let served = runs.filter_map(|(number, executor)| {
+                self.last_served(*executor, other_id.run(*number))
+            });
+            served.max()
         });
-        let not_serving = u32::try_from(not_serving.count()).unwrap_or(u32::MAX);
-        not_serving < step.may_miss.max(1)
+        may_interrupt(now.monotonic, last_served, step.may_miss)
     }
 
-    /// Returns whether a long-running task is known to serve.
-    fn is_serving(&self, executor: ExecutorKey, run: RunId) -> bool {
+    /// Returns when a run was last known to serve; `None` if it is not known to serve now.
+    fn last_served(&self, executor: ExecutorKey, run: RunId) -> Option<Duration> {
         let view = self.executors.get(&executor);
-        let Some(view) = view.filter(|view| view.failed_holds == 0) else {
-            return false;
-        };
-        let run = view.runs.get(&run);
-        run.is_some_and(|run| {
-            matches!(run.phase, RunPhase::Confirmed(_)) && run.percent >= SERVING_PERCENT
-        })
+        let view = view.filter(|view| view.failed_holds == 0 && view.left_at.is_none())?;
+        let run = view.runs.get(&run)?;
+        run.served_at
+            .filter(|_| matches!(run.phase, RunPhase::Confirmed(_)))
     }
 }
 
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -4,6 +4,7 @@
 //! such as [`OfferedLoad`] and [`Reliability`], are owned by the leader.
 
 mod admission;
+mod availability;
 mod job_order;
 mod lease;
 mod offered_load;
@@ -16,6 +17,7 @@
 mod upkeep;
 
 pub use admission::{Admission, Backlog, admit};
+pub use availability::may_interrupt;
 pub use job_order::JobOrder;
 pub use lease::{ClockReading, lease_end};
 pub use offered_load::OfferedLoad;
--- a/crates/masticfield-jobs/tests/schedule.rs
+++ b/crates/masticfield-jobs/tests/schedule.rs
@@ -8,7 +8,7 @@
 use masticfield_jobs::schedule::{
     Admission, Backlog, Candidate, ClockReading, OfferedLoad, PlacementRequest, PoolLoad, Progress,
     Reliability, ReliabilityStatus, Timeliness, admit, assess_progress, choose, hosts_at_once,
-    is_urgent, poll_interval, rank, required_hosts, residual_demand, timeliness,
+    is_urgent, may_interrupt, poll_interval, rank, required_hosts, residual_demand, timeliness,
 };
 use masticfield_jobs::state::ExecutorKey;
 use rstest::rstest;
@@ -392,3 +392,28 @@
 fn many_busy_executors_are_polled_less_often(#[case] busy: usize, #[case] interval_ms: u128) {
     assert_eq!(poll_interval(busy).as_millis(), interval_ms);
 }
+
+/// Three tasks of one step were unavailable at the same time where one was allowed. A task that is
+/// not known to be at work counts, whatever the reason, and so does one whose last report is old.
+#[rstest]
+#[case::all_serve(&[Some(9_900), Some(9_000)], 1, true)]
+#[case::one_unknown(&[Some(9_900), None], 1, false)]
+#[case::one_unknown_of_two(&[Some(9_900), None], 2, true)]
+#[case::two_unknown_of_two(&[None, None], 2, false)]
+#[case::report_just_recent_enough(&[Some(6_500)], 1, true)]
+#[case::report_too_old(&[Some(6_400)], 1, false)]
+#[case::one_too_old_one_unknown(&[Some(6_400), None, Some(9_000)], 2, false)]
+#[case::zero_counts_as_one(&[Some(9_900)], 0, true)]
+#[case::zero_counts_as_one_unavailable(&[None], 0, false)]
+#[case::only_task(&[], 1, true)]
+fn a_task_is_interrupted_only_if_enough_others_are_known_to_serve(
+    #[case] last_served_ms: &[Option<u64>],
+    #[case] may_miss: u32,
+    #[case] allowed: bool,
+) {
+    let now = Duration::from_secs(10);
+    let last_served = last_served_ms
+        .iter()
+        .map(|ms| ms.map(Duration::from_millis));
+    assert_eq!(may_interrupt(now, last_served, may_miss), allowed);
+}
