--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -41,7 +41,8 @@
     StepsInAnyOrder,
     /// Leases are treated as expired as soon as an executor does not answer.
     LapseAtOnce,
-    /// A refused request for upkeep is repeated without draining the host again.
+    /// A request about a host is repeated without draining the host again, and tasks start on it
+    /// meanwhile.
     RepeatRefused,
     /// Requests about hosts are sent while a former leader's may still be in effect.
     HandoverAtOnce,
@@ -53,6 +54,8 @@
     CountOnlyAnswered,
     /// Keys of the configuration before the one in force are still accepted.
     KeyOfOldConfig,
+    /// Long-running tasks are stopped without regard to the other tasks of their step.
+    StopWithoutCount,
 }
 
 /// Timing of the platform's hosts.
