feat(jobs): shed load by value and share capacity among workspaces

Cause: in a surge, jobs are accepted that end late, and late jobs are processed together with new ones; nothing divides capacity among workspaces.

Change: schedule::load_shedding orders waiting jobs and admits new ones by value, priority, due time and work; schedule::shares decides which jobs are within the share of their workspace, and orders others by start-time fair queueing. The leader uses both only if its option and the configuration ask for it. The emulator has callers that come back after a refusal, estimates that are off, long runs, workspaces, and the value of the results to callers.

--- a/crates/masticfield-emulator/src/checker.rs
+++ b/crates/masticfield-emulator/src/checker.rs
@@ -20,6 +20,10 @@
 #[derive(Debug, Clone)]
 pub(crate) struct SubmittedJob {
     pub(crate) spec: JobSpec,
+    /// Index of the queue.
+    pub(crate) queue: usize,
+    /// Index of the workspace, if there are any.
+    pub(crate) workspace: Option<u32>,
     /// Time of the first submission.
     pub(crate) submitted_at: u64,
     /// Time from the submission within which the job is on time, in milliseconds.
--- a/crates/masticfield-emulator/src/fleet.rs
+++ b/crates/masticfield-emulator/src/fleet.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 
 use masticfield_jobs::job::{JobSpec, Resources, StepSpec};
-use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
+use masticfield_jobs::queue::{KeyDigest, PoolConfig, QueueConfig, QueuesConfig, WorkspaceConfig};
+
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::scenario::Scenario;
+
 /// Hosts and queues, with a pool of hosts for each queue and a standby pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fleet {
@@ -126,6 +129,25 @@
         fleet
     }
 
+    /// Returns a quarter of the fleet of the users whose queues surge in turn to four to five times
+    /// their mean load: 74 hosts and 14 on standby.
+    pub fn surging() -> Self {
+        let mut fleet = Self::with_surges(
+            [16, 18, 19, 21],
+            [8.2, 1.45, 9.8, 1.7],
+            (590.0, 1_400.0),
+            (2.3, 5.0),
+        );
+        fleet.standby_hosts = 14;
+        fleet.host_cpu_milli = 24_000;
+        for queue in &mut fleet.queues {
+            queue.tasks_per_step = 8.0;
+            queue.long_running_jobs = 3;
+            queue.long_running_tasks = 8;
+        }
+        fleet
+    }
+
     fn with_surges(
         hosts: [u32; 4],
         jobs_per_s: [f64; 4],
@@ -210,6 +232,24 @@
     }
 }
 
+/// Returns the configuration of a scenario's workspaces; `None` without any.
+pub(crate) fn workspaces(scenario: &Scenario) -> Option<Vec<WorkspaceConfig>> {
+    let rates = scenario.fleet.queues.iter().map(|queue| queue.jobs_per_s);
+    let total: f64 = rates.sum();
+    let configs = (0..scenario.workspaces).map(|index| WorkspaceConfig {
+        name: format!("workspace-{index}").into(),
+        keys: workspace_key(index).into_iter().collect(),
+        weight: total / f64::from(scenario.workspaces),
+        quota: Resources::default(),
+    });
+    (scenario.workspaces > 0).then(|| configs.collect())
+}
+
+/// Returns the digest of a workspace's key.
+pub(crate) fn workspace_key(index: u32) -> Option<KeyDigest> {
+    KeyDigest::new(&format!("key-{index}")).ok()
+}
+
 impl QueueLoad {
     /// Returns a random job of this queue, with steps that run one after the other.
     pub(crate) fn job(&self, rng: &mut ChaCha8Rng) -> JobSpec {
--- a/crates/masticfield-emulator/src/lib.rs
+++ b/crates/masticfield-emulator/src/lib.rs
@@ -23,6 +23,6 @@
 mod simulation;
 
 pub use fleet::{Fleet, QueueLoad};
-pub use report::Report;
+pub use report::{QueueShare, Report, Shares};
 pub use scenario::{Faults, RelayDefect, Scenario};
 pub use simulation::Simulation;
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -1,5 +1,8 @@
 //! Results of a simulation.
 
+use crate::checker::{Checker, SubmittedJob};
+use crate::scenario::Scenario;
+
 /// Results of a simulation.
 ///
 /// Jobs with long-running tasks are not counted; they have no end.
@@ -50,4 +53,107 @@
     pub host_seconds: f64,
     /// Events that the leader handled.
     pub events: u64,
+    /// Service by queue, job size and workspace.
+    pub shares: Shares,
+}
+
+/// Service by queue, job size and workspace.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Shares {
+    /// Part of the value of all jobs that callers got, from 0 to 1.
+    ///
+    /// The value of a job is 0.3 plus 0.7 times the ratio of its work to the mean work of its queue,
+    /// and at most 4. A late job has 7% of it up to three times its objective, and none after that.
+    pub value: f64,
+    /// Service of each queue.
+    pub queues: Vec<QueueShare>,
+    /// Jobs submitted and on time, by workspace.
+    pub workspaces: Vec<(u32, u32)>,
+}
+
+/// Service of a queue.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct QueueShare {
+    /// Part of the value that callers got.
+    pub value: f64,
+    /// Part of the jobs that were on time.
+    pub on_time: f64,
+    /// Part of the largest tenth of the jobs that were on time.
+    pub largest_tenth: f64,
+    /// Part of the fifth below the largest tenth that were on time.
+    pub next_fifth: f64,
+}
+
+/// Part of its value that a late job has up to three times its objective.
+const LATE_VALUE: f64 = 0.07;
+
+/// Maximum value of a job, as a multiple of the usual value.
+const MAX_VALUE: f64 = 4.0;
+
+impl Shares {
+    pub(crate) fn of(scenario: &Scenario, checker: &Checker) -> Self {
+        let finite = checker.jobs.values();
+        let finite = finite.filter(|job| !job.spec.is_long_running() && job.cancelled_at.is_none());
+        let finite: Vec<_> = finite.collect();
+        let (mut got, mut owed, mut queues) = (0.0, 0.0, Vec::new());
+        for index in 0..scenario.fleet.queues.len() {
+            let jobs = finite.iter().filter(|job| job.queue == index).copied();
+            let (share, queue_got, queue_owed) = queue_share(jobs.collect());
+            queues.push(share);
+            got += queue_got;
+            owed += queue_owed;
+        }
+        let workspaces = (0..scenario.workspaces).map(|index| {
+            let jobs = finite.iter().filter(|job| job.workspace == Some(index));
+            jobs.fold((0, 0), |(all, on_time), job| {
+                (all + 1, on_time + u32::from(is_on_time(job)))
+            })
+        });
+        Self {
+            value: part(got, owed),
+            queues,
+            workspaces: workspaces.collect(),
+        }
+    }
+}
+
+fn part(got: f64, owed: f64) -> f64 {
+    if owed > 0.0 { got / owed } else { 1.0 }
+}
+
+fn is_on_time(job: &SubmittedJob) -> bool {
+    let took = job.ended_at.map(|ended_at| ended_at - job.submitted_at);
+    job.completed && took.is_some_and(|took| took <= job.objective_ms)
+}
+
+/// Returns the service of a queue's jobs, and the value that their callers got and could get.
+#[expect(clippy::cast_precision_loss, reason = "numbers of jobs")]
+fn queue_share(mut jobs: Vec<&SubmittedJob>) -> (QueueShare, f64, f64) {
+    jobs.sort_by(|a, b| b.spec.work().total_cmp(&a.spec.work()));
+    let work: f64 = jobs.iter().map(|job| job.spec.work()).sum();
+    let mean = part(work, jobs.len() as f64);
+    let (mut got, mut owed) = (0.0, 0.0);
+    for job in &jobs {
+        let value = (0.3 + 0.7 * job.spec.work() / mean).min(MAX_VALUE);
+        owed += value;
+        let took = job.ended_at.map(|ended_at| ended_at - job.submitted_at);
+        let useful = took.is_some_and(|took| took <= 3 * job.objective_ms);
+        if is_on_time(job) {
+            got += value;
+        } else if job.completed && useful {
+            got += LATE_VALUE * value;
+        }
+    }
+    let on_time = |jobs: &[&SubmittedJob]| {
+        let count = jobs.iter().filter(|job| is_on_time(job)).count();
+        part(count as f64, jobs.len() as f64)
+    };
+    let (tenth, third) = (jobs.len() / 10, jobs.len() * 3 / 10);
+    let share = QueueShare {
+        value: part(got, owed),
+        on_time: on_time(&jobs),
+        largest_tenth: on_time(&jobs[..tenth]),
+        next_fifth: on_time(&jobs[tenth..third]),
+    };
+    (share, got, owed)
 }
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -25,6 +25,16 @@
     pub fixed_load: bool,
     /// Order in which waiting jobs get free capacity.
     pub order: JobOrder,
+    /// Whether the leader may shed load; see `LeaderOptions::load_shedding`.
+    pub load_shedding: bool,
+    /// Whether callers whose jobs are refused submit them again after the time that they are told,
+    /// as long as the result is of use.
+    pub retries: bool,
+    /// Number of workspaces of equal weight, which together are entitled to the mean rate of all
+    /// queues; with 0 there are no workspaces.
+    pub workspaces: u32,
+    /// Factor on the rate of the first workspace during the load.
+    pub greed: f64,
     /// Number of relays; with 0 the leader calls executors itself.
     pub relays: usize,
     /// Guard of the relays to leave out.
@@ -85,6 +95,10 @@
     pub capacity_change_interval_ms: u64,
     /// Share of jobs with one task that crashes each executor that starts it.
     pub crashing_jobs: f64,
+    /// Share by which estimates may be off in either direction; 0 for the usual 0.15.
+    pub estimate_error: f64,
+    /// Share of the runs of finite tasks that take seven times as long.
+    pub long_runs: f64,
 }
 
 impl Scenario {
@@ -96,6 +110,10 @@
             settle_ms: 60_000,
             upkeep_window_ms: 0,
             upkeep_cap: 3,
+            load_shedding: false,
+            retries: false,
+            workspaces: 0,
+            greed: 1.0,
             relays: 0,
             relay_defect: None,
             fixed_load: false,
@@ -117,6 +135,8 @@
                 slowdown: 0,
                 capacity_change_interval_ms: 0,
                 crashing_jobs: 0.0,
+                estimate_error: 0.0,
+                long_runs: 0.0,
             },
         }
     }
@@ -154,6 +174,28 @@
         self
     }
 
+    /// Sets whether the leader may shed load.
+    #[must_use]
+    pub const fn load_shedding(mut self, enabled: bool) -> Self {
+        self.load_shedding = enabled;
+        self
+    }
+
+    /// Lets callers whose jobs are refused submit them again.
+    #[must_use]
+    pub const fn retries(mut self) -> Self {
+        self.retries = true;
+        self
+    }
+
+    /// Adds workspaces of equal weight, of which the first sends `greed` times its usual load.
+    #[must_use]
+    pub const fn workspaces(mut self, count: u32, greed: f64) -> Self {
+        self.workspaces = count;
+        self.greed = greed;
+        self
+    }
+
     /// Leaves out a guard of the leader, to show that the checks detect its absence.
     #[must_use]
     pub const fn defect(mut self, defect: Defect) -> Self {
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -7,7 +7,7 @@
 
 use super::{ScheduledEvent, Simulation, WARMUP_MS, load_factor};
 use crate::checker::SubmittedJob;
-use crate::fleet::{QueueLoad, round_to_u64};
+use crate::fleet::{QueueLoad, round_to_u64, workspace_key};
 
 impl Simulation {
     /// Returns the source of random choices for the callers' jobs.
@@ -71,11 +71,14 @@
         // As in the configuration of the queues: `stretch` and `target_ms`.
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a job")]
         let objective_ms = round_to_u64(spec.critical_path_ms() as f64 * 1.6) + 600;
+        let workspace = self.choose_workspace();
         let crashing_task = self.choose_crashing_task(job, &spec);
         self.checker.jobs.insert(
             job,
             SubmittedJob {
                 spec,
+                queue: index,
+                workspace,
                 crashing_task,
                 submitted_at: self.now,
                 objective_ms,
@@ -94,6 +97,19 @@
         }
     }
 
+    /// Returns the workspace of a new job, if there are any.
+    fn choose_workspace(&mut self) -> Option<u32> {
+        let (count, greed) = (self.scenario.workspaces, self.scenario.greed);
+        if count == 0 {
+            return None;
+        }
+        let others = f64::from(count - 1);
+        if self.caller_rng().random_bool(greed / (greed + others)) {
+            return Some(0);
+        }
+        Some(self.caller_rng().random_range(1..count.max(2)))
+    }
+
     /// Returns the task of a new job that is to crash executors, if any.
     fn choose_crashing_task(&mut self, job: JobId, spec: &JobSpec) -> Option<TaskId> {
         let share = self.scenario.faults.crashing_jobs;
@@ -106,9 +122,11 @@
         Some(TaskId::new(job, 0, step, index))
     }
 
-    /// Repeats the submission of a job, always to the first queue.
+    /// Repeats the submission of a job, to the first queue unless callers come back after a refusal.
     pub(super) fn resubmit(&mut self, job: JobId) {
-        self.send_submission(job, 0);
+        let submitted = self.checker.jobs.get(&job);
+        let queue = submitted.map_or(0, |submitted| submitted.queue);
+        self.send_submission(job, if self.scenario.retries { queue } else { 0 });
     }
 
     pub(super) fn send_submission(&mut self, job: JobId, index: usize) {
@@ -120,7 +138,7 @@
             authority: "fleet.example".into(),
             path: format!("/{}/{job}", queue.name),
             kind: JobRequestKind::Submit(submitted.spec.clone()),
-            key: None,
+            key: submitted.workspace.and_then(workspace_key),
         };
         let reply_id = self.next_reply_id();
         self.pending_requests.insert(reply_id, (job, false));
@@ -175,8 +193,17 @@
             Reply::Done if is_cancel => {
                 submitted.cancelled_at.get_or_insert(self.now);
             }
-            Reply::Done => submitted.accepted = true,
-            Reply::Refused(Refusal::Busy { .. }) if !submitted.accepted => submitted.refused = true,
+            Reply::Done => {
+                submitted.accepted = true;
+                submitted.refused = false;
+            }
+            Reply::Refused(Refusal::Busy { retry_after_ms }) if !submitted.accepted => {
+                submitted.refused = true;
+                let useful_until = submitted.submitted_at + 3 * submitted.objective_ms;
+                if self.scenario.retries && self.now + retry_after_ms < useful_until {
+                    self.schedule(*retry_after_ms, ScheduledEvent::Resubmit(job));
+                }
+            }
             Reply::NoJob | Reply::Refused(_) => {}
             other => self.checker.violations.push(format!(
                 "{}: unexpected reply about {job}: {other:?}",
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -19,6 +19,9 @@
 /// Time after which a run fails on an executor that fails every run, in milliseconds.
 const FAILED_RUN_MS: u64 = 40;
 
+/// Factor on the duration of a run that takes unusually long.
+const LONG_RUN_FACTOR: f64 = 7.0;
+
 impl Simulation {
     /// Starts an executor on a host; it announces itself soon unless the host is on standby.
     pub(super) fn start_executor(&mut self, host: usize) {
@@ -194,13 +197,23 @@
         }
     }
 
-    /// Returns a run that starts now, with a random duration of 0.85 to 1.15 times its estimate.
+    /// Returns a run that starts now, with a random duration: 0.85 to 1.15 times its estimate, unless
+    /// the scenario says otherwise.
     pub(super) fn new_run(&mut self, index: usize, run: RunId) -> ActiveRun {
         let health = self.executors[index].health;
         let submitted = self.checker.jobs.get(&run.task.job);
         let step =
             submitted.and_then(|submitted| submitted.spec.steps.get(usize::from(run.task.step)));
-        let factor = 0.85 + 0.3 * self.rng.random::<f64>();
+        let faults = self.scenario.faults;
+        let error = if faults.estimate_error > 0.0 {
+            faults.estimate_error
+        } else {
+            0.15
+        };
+        let mut factor = 1.0 - error + 2.0 * error * self.rng.random::<f64>();
+        if faults.long_runs > 0.0 && self.rng.random_bool(faults.long_runs) {
+            factor *= LONG_RUN_FACTOR;
+        }
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a task")]
         let duration = step.map_or(0, |step| round_to_u64(step.estimate_ms as f64 * factor));
         let long_running = step.is_some_and(|step| step.long_running);
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -20,9 +20,9 @@
 
 use crate::checker::Checker;
 use crate::executor::Executor;
-use crate::fleet::round_to_u64;
+use crate::fleet::{self, round_to_u64};
 use crate::host::Host;
-use crate::report::Report;
+use crate::report::{Report, Shares};
 use crate::scenario::Scenario;
 
 use relays::{CallAtRelay, RelayNode};
@@ -215,7 +215,8 @@
     /// Creates a simulation; all random choices depend on `seed`.
     pub fn new(scenario: Scenario, seed: u64) -> Self {
         let mut state = State::default();
-        let config = scenario.fleet.config();
+        let mut config = scenario.fleet.config();
+        config.workspaces = fleet::workspaces(&scenario);
         state.apply(Command::configure(config, b"config"[..].into()));
         let claims = ClaimWatch::default();
         let leader = Leader::new(
@@ -625,6 +626,7 @@
                 None => {}
             }
         }
+        self.report.shares = Shares::of(&self.scenario, &self.checker);
         self.report.worth = if owed > 0.0 { earned / owed } else { 1.0 };
         self.report.over_capacity = self.checker.over_capacity;
         self.report.duplicate_runs = self.checker.duplicate_runs;
@@ -636,7 +638,8 @@
 fn leader_options(scenario: &Scenario) -> LeaderOptions {
     let options = LeaderOptions::new(Duration::from_secs(5))
         .with_defect(scenario.defect)
-        .order(scenario.order);
+        .order(scenario.order)
+        .load_shedding(scenario.load_shedding);
     options.hosts(HostOptions {
         move_time: Duration::from_millis(MOVE_MS),
         upkeep_time: Duration::from_secs(2),
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -6,8 +6,8 @@
 
 use super::{Effect, Event, Leader, Moment, Refusal, Reply};
 use crate::job::{JobId, JobSpec};
-use crate::queue::{KeyDigest, QueueId};
-use crate::schedule::{Admission, Backlog, USEFUL_FACTOR, admit, on_time_ms};
+use crate::queue::{KeyDigest, QueueId, WorkspaceId};
+use crate::schedule::{Admission, Backlog, JobOrder, USEFUL_FACTOR, admit, on_time_ms};
 use crate::state::{Command, JobPhase};
 
 /// Identifier of a pending reply, assigned by the sender of the event.
@@ -39,7 +39,7 @@
 }
 
 /// Maximum retry time that is returned to callers, in milliseconds.
-const MAX_RETRY_AFTER_MS: u64 = 10_000;
+pub(super) const MAX_RETRY_AFTER_MS: u64 = 10_000;
 
 impl Leader {
     pub(super) fn on_job_request(&mut self, now: Moment, reply_to: ReplyId, request: JobRequest) {
@@ -59,14 +59,26 @@
             return Reply::NoQueue;
         };
         match request.kind {
-            JobRequestKind::Submit(spec) => self.submit(now, job, queue, spec),
+            JobRequestKind::Submit(spec) => {
+                let workspace = request
+                    .key
+                    .and_then(|key| self.state.workspace_of_key(&key));
+                self.submit(now, job, queue, workspace, spec)
+            }
             JobRequestKind::Cancel => self.cancel(now, job),
             // Reads are answered by `read` from the committed state and do not get here.
             JobRequestKind::Read => Reply::Unknown,
         }
     }
 
-    fn submit(&mut self, now: Moment, job: JobId, queue: QueueId, spec: JobSpec) -> Reply {
+    fn submit(
+        &mut self,
+        now: Moment,
+        job: JobId,
+        queue: QueueId,
+        workspace: Option<WorkspaceId>,
+        spec: JobSpec,
+    ) -> Reply {
         if self.state.job(job).is_some() {
             return Reply::Done;
         }
@@ -82,6 +94,12 @@
             return Reply::Refused(Refusal::NotReady);
         }
         self.record_offered(now, queue, &spec);
+        if self.load_shedding.enabled {
+            return self.submit_by_value(now, job, queue, workspace, spec);
+        }
+        if self.options.order == JobOrder::ValueDensity {
+            self.record_size(queue, spec.work());
+        }
         let (backlog, slack_ms) = self.admission_inputs(now, queue, &spec);
         let slack = slack_ms.map_or(Duration::MAX, Duration::from_millis);
         if let Admission::Refuse { retry_after } = admit(backlog, slack) {
@@ -103,14 +121,36 @@
             work = backlog.work, cores = backlog.cores, coming = backlog.incoming, slack_ms;
             "job accepted"
         );
-        self.propose(Command::Submit {
-            job,
-            queue,
-            spec,
-            at_ms: now.wall_ms,
+        self.store_job(now, job, queue, workspace, spec);
+        Reply::Done
+    }
+
+    /// Stores an accepted job.
+    pub(super) fn store_job(
+        &mut self,
+        now: Moment,
+        job: JobId,
+        queue: QueueId,
+        workspace: Option<WorkspaceId>,
+        spec: JobSpec,
+    ) {
+        let at_ms = now.wall_ms;
+        self.propose(match workspace {
+            Some(workspace) => Command::SubmitFor {
+                workspace,
+                job,
+                queue,
+                spec,
+                at_ms,
+            },
+            None => Command::Submit {
+                job,
+                queue,
+                spec,
+                at_ms,
+            },
         });
         self.update_pending(now, job);
-        Reply::Done
     }
 
     /// Returns the backlog ahead of a new job, and how long the job can wait and still be useful,
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -7,7 +7,9 @@
 use super::executor::{ExecutorView, RunOrigin, RunPhase, RunView};
 use super::hosts::Hosts;
 use super::lapsed::LapsedRuns;
+use super::load_shedding::LoadShedding;
 use super::pending_job::PendingJob;
+use super::shares::Shares;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::RouteTable;
@@ -51,6 +53,8 @@
     pub(super) lapsed: LapsedRuns,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
+    pub(super) load_shedding: LoadShedding,
+    pub(super) shares: Shares,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
     last_check: Duration,
@@ -78,6 +82,8 @@
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
             offered_load: BTreeMap::new(),
+            load_shedding: LoadShedding::default(),
+            shares: Shares::default(),
             leading_since: now.monotonic,
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
@@ -175,6 +181,7 @@
 
     pub(super) fn on_config_change(&mut self, now: Moment) {
         self.load_routes();
+        self.configure_load_shedding();
         let mut jobs: Vec<_> = self.pending_jobs.keys().copied().collect();
         jobs.sort_unstable();
         for job in jobs {
@@ -193,6 +200,8 @@
     /// Builds the leader's views of all executors, runs and jobs in the state.
     fn take_over(&mut self, now: Moment) {
         self.load_routes();
+        self.configure_load_shedding();
+        self.rebuild_shares(now);
         let former_leases_end = lease_end(now.monotonic, self.options.lease);
         let executors: Vec<_> = self.state.executors().map(|(key, _)| key).collect();
         for key in executors {
@@ -258,5 +267,7 @@
                 .is_some_and(|job| job.phase == JobPhase::Open)
         };
         self.last_failures.retain(|task, _| open(task.job));
+        self.load_shedding.forget(now, open);
+        self.shares.forget(open);
     }
 }
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -18,6 +18,7 @@
 mod lapsed;
 #[expect(clippy::module_inception, reason = "the file has the type's name")]
 mod leader;
+mod load_shedding;
 mod options;
 mod orders;
 mod pending_job;
@@ -29,6 +30,7 @@
 mod quarantine;
 mod reads;
 mod retirement;
+mod shares;
 mod track;
 mod upkeep;
 
@@ -40,6 +42,7 @@
 };
 pub use intake::{JobRequest, JobRequestKind, ReplyId};
 pub use leader::Leader;
+pub use load_shedding::ShedStats;
 #[doc(hidden)]
 pub use options::Defect;
 pub use options::{HostOptions, LeaderOptions};
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -22,6 +22,9 @@
     pub stop_time: Duration,
     /// Order in which waiting jobs get free capacity.
     pub order: JobOrder,
+    /// Whether waiting and new jobs compete by their value when capacity is scarce, provided that
+    /// the configuration has workspaces or queues of different priorities.
+    pub load_shedding: bool,
     /// Timing of the platform's hosts; `None` disables moves and upkeep.
     pub hosts: Option<HostOptions>,
     /// Guard to leave out, in tests.
@@ -78,6 +81,7 @@
             keep_ended: Duration::from_secs(150),
             stop_time: Duration::from_millis(500),
             order: JobOrder::OnTimeFirst,
+            load_shedding: false,
             hosts: None,
             defect: None,
         }
@@ -105,6 +109,13 @@
         self
     }
 
+    /// Sets whether jobs compete by their value; see [`LeaderOptions::load_shedding`].
+    #[must_use]
+    pub const fn load_shedding(mut self, enabled: bool) -> Self {
+        self.load_shedding = enabled;
+        self
+    }
+
     /// Sets the maximum time to stop a run.
     #[must_use]
     pub const fn stop_time(mut self, time: Duration) -> Self {
--- a/crates/masticfield-jobs/src/leader/pending_job.rs
+++ b/crates/masticfield-jobs/src/leader/pending_job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::job::{JobSpec, Resources};
-use crate::queue::QueueConfig;
+use crate::queue::{QueueConfig, QueueId};
 use crate::schedule::{Rank, Timeliness, on_time_ms, rank, residual_demand, timeliness};
 use crate::state::{JobRecord, OccurrenceRecord};
 
@@ -23,11 +23,15 @@
     pub(super) spread_hosts: u32,
     /// Work of the waiting tasks, in core-seconds; 0 for a long-running job.
     pub(super) work: f64,
-    accepted_ms: u64,
+    pub(super) queue: QueueId,
+    pub(super) priority: u32,
+    /// Work of all tasks, in core-seconds.
+    pub(super) total_work: f64,
+    pub(super) accepted_ms: u64,
     /// Time from the acceptance within which the job is on time; `None` for one that never is late.
-    on_time_ms: Option<u64>,
+    pub(super) on_time_ms: Option<u64>,
     /// Estimated time of the longest chain of steps that are not done, in milliseconds.
-    remaining_ms: u64,
+    pub(super) remaining_ms: u64,
 }
 
 impl PendingJob {
@@ -77,6 +81,9 @@
             demand,
             spread_hosts,
             work: waiting_work(job, spec),
+            queue: job.queue,
+            priority: queue.priority,
+            total_work: spec.work(),
             accepted_ms: job.accepted_ms,
             on_time_ms: (!never_late).then(|| on_time_ms(spec, queue)),
             remaining_ms: remaining.max().unwrap_or_default(),
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -80,25 +80,33 @@
         }
         let usable = self.usable_executors(now, pool);
         let mut view = self.pool_view(now, &usable);
+        if self.load_shedding.enabled {
+            self.plan_by_value(now, pool, &mut view);
+        } else {
+            self.plan_in_order(now, pool, &mut view);
+        }
+        for key in usable {
+            self.hold_if_due(now, key);
+        }
+    }
+
+    fn plan_in_order(&mut self, now: Moment, pool: &Arc<str>, view: &mut PoolView) {
         let mut max_free = view.max_free();
         let pending = self.pending.get(pool).into_iter().flatten();
         let jobs = pending.map(|(_, job)| *job);
         let jobs: Vec<_> = jobs.filter(|job| self.may_fit(*job, max_free)).collect();
         for job in self.sort_jobs(now, jobs) {
-            if self.may_fit(job, max_free) && self.plan_job(now, job, &mut view) {
+            if self.may_fit(job, max_free) && self.plan_job(now, job, view) {
                 self.update_pending(now, job);
                 max_free = view.max_free();
             }
         }
-        for key in usable {
-            self.hold_if_due(now, key);
-        }
     }
 
     /// Returns whether a task of a pending job may fit on any executor.
     ///
     /// A cheap check that spares planning most jobs in a surge.
-    fn may_fit(&self, id: JobId, max_free: Resources) -> bool {
+    pub(super) fn may_fit(&self, id: JobId, max_free: Resources) -> bool {
         let job = self.pending_jobs.get(&id);
         job.is_some_and(|job| max_free.covers(job.least_need))
     }
@@ -106,6 +114,9 @@
     /// Sorts jobs, given by rank, in the configured order; the sort keeps the rank between equal
     /// keys.
     fn sort_jobs(&self, now: Moment, jobs: Vec<JobId>) -> Vec<JobId> {
+        if self.options.order == JobOrder::MooreHodgson {
+            return self.most_on_time(now, jobs);
+        }
         let jobs = jobs.into_iter();
         let mut jobs: Vec<_> = jobs.map(|id| (self.sort_key(now, id), id)).collect();
         jobs.sort_by_key(|(key, _)| *key);
@@ -124,6 +135,8 @@
         };
         let key = match self.options.order {
             JobOrder::EarliestDeadline => job.accepted_ms.saturating_add(on_time_ms(spec, queue)),
+            JobOrder::Priority => 0,
+            JobOrder::ValueDensity => u64::MAX - self.value_density(id).to_bits(),
             JobOrder::ShortestFirst => {
                 let left = job
                     .occurrences
@@ -131,7 +144,9 @@
                     .map(|occurrence| remaining_path_ms(spec, occurrence));
                 left.max().unwrap_or_default()
             }
-            JobOrder::OnTimeFirst | JobOrder::FirstComeFirstServed => job.accepted_ms,
+            JobOrder::OnTimeFirst | JobOrder::MooreHodgson | JobOrder::FirstComeFirstServed => {
+                job.accepted_ms
+            }
         };
         (!spec.is_long_running(), key)
     }
@@ -143,7 +158,7 @@
     }
 
     /// Starts the tasks of a job that can start; returns whether any did.
-    fn plan_job(&mut self, now: Moment, id: JobId, pool: &mut PoolView) -> bool {
+    pub(super) fn plan_job(&mut self, now: Moment, id: JobId, pool: &mut PoolView) -> bool {
         let mut any = false;
         for gang in self.startable_gangs(now, id) {
             any |= self.start_gang(now, &gang, pool);
--- a/crates/masticfield-jobs/src/leader/pool_stats.rs
+++ b/crates/masticfield-jobs/src/leader/pool_stats.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::load_shedding::ShedStats;
 use super::{Leader, Moment};
 use crate::job::Resources;
 use crate::schedule::ReliabilityStatus;
@@ -25,6 +26,8 @@
     /// Shortest remaining lease of an executor with runs, in milliseconds; 0 without such an
     /// executor.
     pub shortest_lease_ms: u64,
+    /// Effects of load shedding.
+    pub shed: ShedStats,
 }
 
 impl Leader {
@@ -32,7 +35,9 @@
     pub fn pool_stats(&self, now: Moment) -> BTreeMap<Arc<str>, PoolStats> {
         let mut pools: BTreeMap<Arc<str>, PoolStats> = BTreeMap::new();
         for (pool, jobs) in &self.pending {
-            pools.entry(Arc::clone(pool)).or_default().jobs_waiting = jobs.len() as u64;
+            let stats = pools.entry(Arc::clone(pool)).or_default();
+            stats.jobs_waiting = jobs.len() as u64;
+            stats.shed = self.load_shedding.stats(pool);
         }
         for (key, record) in self.state.executors() {
             let Some(view) = self.executors.get(&key) else {
--- a/crates/masticfield-jobs/src/leader/pool_view.rs
+++ b/crates/masticfield-jobs/src/leader/pool_view.rs
@@ -43,6 +43,11 @@
         free.fold(Resources::default(), Resources::most)
     }
 
+    /// Returns the cores that no run reserves.
+    pub(super) fn free_cores(&self) -> f64 {
+        self.slots.iter().map(|slot| slot.free.cores()).sum()
+    }
+
     /// Reserves a task's resources on an executor. One on probation is removed, as it gets no
     /// second task.
     pub(super) fn reserve(&mut self, key: ExecutorKey, step: &StepSpec, defect: Option<Defect>) {
--- a/crates/masticfield-jobs/src/schedule/job_order.rs
+++ b/crates/masticfield-jobs/src/schedule/job_order.rs
@@ -14,6 +14,12 @@
     EarliestDeadline,
     /// By remaining critical path; a baseline for comparison.
     ShortestFirst,
+    /// By priority and due time; a baseline for comparison.
+    Priority,
+    /// By value per core-second; a baseline for comparison.
+    ValueDensity,
+    /// As many jobs on time as possible, then by due time; a baseline for comparison.
+    MooreHodgson,
 }
 
 impl JobOrder {
@@ -24,6 +30,9 @@
             Self::FirstComeFirstServed => "fifo",
             Self::EarliestDeadline => "earliest_deadline",
             Self::ShortestFirst => "shortest_first",
+            Self::Priority => "priority",
+            Self::ValueDensity => "value_density",
+            Self::MooreHodgson => "moore_hodgson",
         }
     }
 }
