--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -7,7 +7,7 @@
 use super::{Defect, Effect, Event, Leader, Moment, Refusal, Reply};
 use crate::job::{JobId, JobSpec};
 use crate::queue::{KeyDigest, QueueId, WorkspaceId};
-use crate::schedule::{Admission, Backlog, USEFUL_FACTOR, admit, on_time_ms};
+use crate::schedule::{Admission, Backlog, JobOrder, USEFUL_FACTOR, admit, on_time_ms};
 use crate::state::{Command, JobPhase};
 
 /// Identifier of a pending reply, assigned by the sender of the event.
@@ -50,7 +50,7 @@
 }
 
 /// Maximum retry time that is returned to callers, in milliseconds.
-const MAX_RETRY_AFTER_MS: u64 = 10_000;
+pub(super) const MAX_RETRY_AFTER_MS: u64 = 10_000;
 
 impl Leader {
     pub(super) fn on_job_request(&mut self, now: Moment, reply_to: ReplyId, request: JobRequest) {
@@ -108,6 +108,12 @@
         if self.adds_load(workspace, &spec) {
             self.record_offered(now, queue, &spec);
         }
+        if self.load_shedding.enabled {
+            return self.submit_by_value(now, job, queue, workspace, spec);
+        }
+        if self.options.order == JobOrder::ValueDensity {
+            self.record_size(queue, spec.work());
+        }
         let (backlog, slack_ms) = self.admission_inputs(now, queue, &spec);
         let slack = slack_ms.map_or(Duration::MAX, Duration::from_millis);
         if let Admission::Refuse { retry_after } = admit(backlog, slack) {
@@ -129,11 +135,24 @@
             work = backlog.work, cores = backlog.cores, coming = backlog.incoming, slack_ms;
             "job accepted"
         );
-        self.propose(Command::submit(workspace, job, queue, spec, now.wall_ms));
-        self.update_pending(now, job);
+        self.store_job(now, job, queue, workspace, spec);
         Reply::Done
     }
 
+    /// Stores an accepted job.
+    pub(super) fn store_job(
+        &mut self,
+        now: Moment,
+        job: JobId,
+        queue: QueueId,
+        workspace: Option<WorkspaceId>,
+        spec: JobSpec,
+    ) {
+        let at_ms = now.wall_ms;
+        self.propose(Command::submit(workspace, job, queue, spec, at_ms));
+        self.update_pending(now, job);
+    }
+
     /// Returns the backlog ahead of a new job, and how long the job can wait and still be useful,
     /// in milliseconds; `None` if the job is never refused.
     fn admission_inputs(
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -19,6 +19,7 @@
 mod lapsed;
 #[expect(clippy::module_inception, reason = "the file has the type's name")]
 mod leader;
+mod load_shedding;
 mod options;
 mod orders;
 mod pending_job;
@@ -31,6 +32,7 @@
 mod quotas;
 mod reads;
 mod retirement;
+mod shares;
 mod track;
 mod upkeep;
 
@@ -42,6 +44,7 @@
 };
 pub use intake::{JobRequest, JobRequestKind, ReplyId};
 pub use leader::Leader;
+pub use load_shedding::ShedStats;
 #[doc(hidden)]
 pub use options::Defect;
 pub use options::{HostOptions, LeaderOptions};
--- a/crates/masticfield-jobs/src/leader/pending_job.rs
+++ b/crates/masticfield-jobs/src/leader/pending_job.rs
@@ -4,7 +4,7 @@
 
 use super::quotas::{ResourceSeconds, quota_work};
 use crate::job::{JobSpec, Resources};
-use crate::queue::{QueueConfig, WorkspaceId};
+use crate::queue::{QueueConfig, QueueId, WorkspaceId};
 use crate::schedule::{Rank, Timeliness, on_time_ms, rank, residual_demand, timeliness};
 use crate::state::{JobRecord, OccurrenceRecord};
 
@@ -27,11 +27,15 @@
     pub(super) workspace: Option<WorkspaceId>,
     /// Work of the waiting tasks that counts against the quota of the workspace.
     pub(super) quota_work: ResourceSeconds,
-    accepted_ms: u64,
+    pub(super) queue: QueueId,
+    pub(super) priority: u32,
+    /// Work of all tasks, in core-seconds.
+    pub(super) total_work: f64,
+    pub(super) accepted_ms: u64,
     /// Time from the acceptance within which the job is on time; `None` for one that never is late.
-    on_time_ms: Option<u64>,
+    pub(super) on_time_ms: Option<u64>,
     /// Estimated time of the longest chain of steps that are not done, in milliseconds.
-    remaining_ms: u64,
+    pub(super) remaining_ms: u64,
 }
 
 impl PendingJob {
@@ -83,6 +87,9 @@
             work: waiting_work(job, spec),
             workspace: job.workspace,
             quota_work: quota_work(job, spec),
+            queue: job.queue,
+            priority: queue.priority,
+            total_work: spec.work(),
             accepted_ms: job.accepted_ms,
             on_time_ms: (!never_late).then(|| on_time_ms(spec, queue)),
             remaining_ms: remaining.max().unwrap_or_default(),
