test(emulator): bound the wait of suspected tasks that are not at fault

No check of the emulator bounds that wait.

The emulator can limit jobs that crash executors to one queue and a part of the load, with a return time of its own, and reports how long suspected tasks of jobs without a fault are ready to start while an executor of their pool is up. The other choices of a fixed load stay those of the same scenario without such jobs, so that shares served can be compared.

--- a/crates/masticfield-emulator/src/checker.rs
+++ b/crates/masticfield-emulator/src/checker.rs
@@ -140,6 +140,12 @@
         self.crashes.entry(task).or_default().0 += 1;
     }
 
+    /// Returns the largest number of executors that one task has crashed.
+    pub(crate) fn most_crashes(&self) -> u32 {
+        let crashes = self.crashes.values().map(|(crashes, _)| *crashes);
+        crashes.max().unwrap_or_default()
+    }
+
     /// Returns whether a task crashes each executor that starts it.
     pub(crate) fn is_crashing(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.job);
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -27,6 +27,17 @@
     pub crashing_jobs: u32,
     /// Executors that a task has crashed.
     pub crashes_by_tasks: u32,
+    /// Largest number of executors that one task has crashed.
+    pub most_crashes_of_a_task: u32,
+    /// Jobs without a task that crashes executors, as far as they were not cancelled.
+    pub without_fault: u32,
+    /// Those of these that were completed within three times their objective.
+    pub served_without_fault: u32,
+    /// Longest time for which a suspected task of a job without fault was ready to start while an
+    /// executor of its pool was up, as a multiple of the job's objective.
+    pub longest_suspect_wait: f64,
+    /// Mean number of tasks of jobs without fault that were suspected and ready to start.
+    pub mean_waiting_suspects: f64,
     /// Earned share of the total credit, from 0 to 1.
     ///
     /// The credit of a job grows with its work. A late job earns 7% of its credit up to three times
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -85,6 +85,20 @@
     pub capacity_change_interval_ms: u64,
     /// Share of jobs with one task that crashes each executor that starts it.
     pub crashing_jobs: f64,
+    /// Limits `crashing_jobs` to one queue and a part of the load; `None` for neither limit.
+    pub crashing_limits: Option<CrashingLimits>,
+}
+
+/// Limits of the jobs that crash executors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashingLimits {
+    /// Index of the queue whose jobs crash executors.
+    pub queue: usize,
+    /// Start and end of the submissions concerned, in milliseconds from the start of the load.
+    pub submitted_ms: (u64, u64),
+    /// Shortest and longest time until an executor is back that a task has crashed, in
+    /// milliseconds.
+    pub return_ms: (u64, u64),
 }
 
 impl Scenario {
@@ -117,6 +131,7 @@
                 slowdown: 0,
                 capacity_change_interval_ms: 0,
                 crashing_jobs: 0.0,
+                crashing_limits: None,
             },
         }
     }
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -71,7 +71,7 @@
         // As in the configuration of the queues: `stretch` and `target_ms`.
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a job")]
         let objective_ms = round_to_u64(spec.critical_path_ms() as f64 * 1.6) + 600;
-        let crashing_task = self.choose_crashing_task(job, &spec);
+        let crashing_task = self.choose_crashing_task(job, index, &spec);
         self.checker.jobs.insert(
             job,
             SubmittedJob {
@@ -95,13 +95,27 @@
     }
 
     /// Returns the task of a new job that is to crash executors, if any.
-    fn choose_crashing_task(&mut self, job: JobId, spec: &JobSpec) -> Option<TaskId> {
-        let share = self.scenario.faults.crashing_jobs;
-        if share == 0.0 || spec.is_long_running() || !self.caller_rng().random_bool(share) {
+    fn choose_crashing_task(&mut self, job: JobId, queue: usize, spec: &JobSpec) -> Option<TaskId> {
+        let faults = self.scenario.faults;
+        if faults.crashing_jobs == 0.0 || spec.is_long_running() {
             return None;
         }
-        let step = self.caller_rng().random_range(0..spec.steps.len());
-        let index = self.caller_rng().random_range(0..spec.steps[step].count);
+        let rng = if let Some(limits) = faults.crashing_limits {
+            let (from, until) = limits.submitted_ms;
+            let elapsed = self.now.saturating_sub(WARMUP_MS);
+            if queue != limits.queue || elapsed < from || elapsed >= until {
+                return None;
+            }
+            // The other choices are those of the same scenario without such jobs.
+            &mut self.fault_rng
+        } else {
+            self.caller_rng()
+        };
+        if !rng.random_bool(faults.crashing_jobs) {
+            return None;
+        }
+        let step = rng.random_range(0..spec.steps.len());
+        let index = rng.random_range(0..spec.steps[step].count);
         let step = u16::try_from(step).ok()?;
         Some(TaskId::new(job, 0, step, index))
     }
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -413,7 +413,9 @@
         self.checker.record_crash(run.task);
         self.report.crashes_by_tasks += 1;
         self.end_executor(index);
-        let after = self.rng.random_range(CRASH_RETURN_MS.0..CRASH_RETURN_MS.1);
+        let limits = self.scenario.faults.crashing_limits;
+        let (shortest, longest) = limits.map_or(CRASH_RETURN_MS, |limits| limits.return_ms);
+        let after = self.rng.random_range(shortest..longest);
         self.schedule(after, ScheduledEvent::HostReturns(host));
     }
 
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -4,6 +4,7 @@
 mod executors;
 mod hosts;
 mod relays;
+mod suspects;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 use crate::scenario::Scenario;
 
 use relays::{CallAtRelay, RelayNode};
+use suspects::SuspectWaits;
 
 /// Wall-clock time at the start, in milliseconds since the Unix epoch.
 const START_WALL_MS: u64 = 1_700_000_000_000;
@@ -67,6 +69,9 @@
 /// Shortest and longest time until an executor is back that a task has crashed, in milliseconds.
 const CRASH_RETURN_MS: (u64, u64) = (1_000, 9_000);
 
+/// Interval of decisions without another event, in milliseconds.
+const TICK_MS: u64 = 20;
+
 /// Share of the load for which each queue surges.
 const SURGE_SHARE: f64 = 0.25;
 
@@ -176,6 +181,10 @@
     rng: ChaCha8Rng,
     /// Generates the callers' jobs if the scenario has a fixed load.
     load_rng: ChaCha8Rng,
+    /// Chooses the jobs that crash executors if [`Faults::crashing_limits`] is set.
+    ///
+    /// [`Faults::crashing_limits`]: crate::Faults::crashing_limits
+    fault_rng: ChaCha8Rng,
     now: u64,
     /// Events by time, and in the order in which they were scheduled.
     pending_events: BTreeMap<(u64, u64), ScheduledEvent>,
@@ -204,6 +213,7 @@
     pending_requests: BTreeMap<ReplyId, (JobId, bool)>,
     last_reply_id: u64,
     checker: Checker,
+    suspect_waits: SuspectWaits,
     report: Report,
     /// Time up to which host time is in the report.
     accounted_until: u64,
@@ -229,6 +239,7 @@
             scenario,
             rng: ChaCha8Rng::seed_from_u64(seed),
             load_rng: ChaCha8Rng::seed_from_u64(!seed),
+            fault_rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(32)),
             now: 0,
             pending_events: BTreeMap::new(),
             last_sequence: 0,
@@ -247,6 +258,7 @@
             pending_requests: BTreeMap::new(),
             last_reply_id: 0,
             checker: Checker::default(),
+            suspect_waits: SuspectWaits::default(),
             report: Report::default(),
             accounted_until: 0,
             decision_time: Duration::ZERO,
@@ -362,7 +374,10 @@
 
     fn process(&mut self, event: ScheduledEvent) {
         match event {
-            ScheduledEvent::Tick => self.schedule(20, ScheduledEvent::Tick),
+            ScheduledEvent::Tick => {
+                self.record_suspects(TICK_MS);
+                self.schedule(TICK_MS, ScheduledEvent::Tick);
+            }
             ScheduledEvent::StartWave => self.start_wave(),
             ScheduledEvent::EndWave => self.count_late_upkeeps(),
             ScheduledEvent::DegradeExecutors => self.degrade_executors(),
@@ -590,6 +605,12 @@
             let duration = submitted
                 .ended_at
                 .map(|ended_at| ended_at - submitted.submitted_at);
+            if can_be_done && submitted.cancelled_at.is_none() {
+                let served = submitted.completed
+                    && duration.is_some_and(|duration| duration <= 3 * submitted.objective_ms);
+                self.report.without_fault += 1;
+                self.report.served_without_fault += u32::from(served);
+            }
             match duration {
                 _ if submitted.refused => self.report.refused += 1,
                 Some(duration) if submitted.completed && duration <= submitted.objective_ms => {
@@ -627,6 +648,9 @@
             }
         }
         self.report.worth = if owed > 0.0 { earned / owed } else { 1.0 };
+        self.report.most_crashes_of_a_task = self.checker.most_crashes();
+        self.report.longest_suspect_wait = self.suspect_waits.longest;
+        self.report.mean_waiting_suspects = self.suspect_waits.mean();
         self.report.over_capacity = self.checker.over_capacity;
         self.report.duplicate_runs = self.checker.duplicate_runs;
         self.report.violations = self.checker.violations;
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -1,6 +1,8 @@
 //! Invariants that hold in every simulation, whatever faults it injects.
 
-use masticfield_emulator::{Faults, Fleet, RelayDefect, Report, Scenario, Simulation};
+use masticfield_emulator::{
+    CrashingLimits, Faults, Fleet, RelayDefect, Report, Scenario, Simulation,
+};
 use masticfield_jobs::leader::Defect;
 use rstest::rstest;
 
@@ -158,6 +160,55 @@
     );
 }
 
+/// A share of the jobs of the first queue crash the executors that start them, from 3 to 13 s into
+/// the load. Executors are back after 3 to 3.6 s.
+fn crashing_queue(share: f64, faults: Faults) -> Faults {
+    Faults {
+        crashing_jobs: share,
+        crashing_limits: Some(CrashingLimits {
+            queue: 0,
+            submitted_ms: (3_000, 13_000),
+            return_ms: (3_000, 3_600),
+        }),
+        ..faults
+    }
+}
+
+/// The leader changes about every 5 s.
+fn some_leader_changes() -> Faults {
+    Faults {
+        leader_change_interval_ms: 5_000,
+        ..no_faults()
+    }
+}
+
+/// Suspected tasks are started where no other job can be at fault. If that is done one by one, those
+/// that are not at fault wait for many times as long as their callers do.
+#[rstest]
+#[case::few(0.05, no_faults())]
+#[case::some(0.2, no_faults())]
+#[case::a_third(0.35, no_faults())]
+#[case::half(0.5, no_faults())]
+#[case::half_through_leader_changes(0.5, some_leader_changes())]
+fn a_suspected_task_without_fault_starts_again_within_its_objective(
+    #[case] share: f64,
+    #[case] faults: Faults,
+) {
+    for seed in seeds() {
+        let scenario = Scenario::new(Fleet::small())
+            .load_ms(20_000)
+            .jobs_per_s(1.5)
+            .fixed_load()
+            .faults(crashing_queue(share, faults));
+        let report = Simulation::new(scenario, seed).run();
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+        let (wait, most) = (report.longest_suspect_wait, report.most_crashes_of_a_task);
+        assert!(wait <= 1.0, "seed {seed}: {wait} times the objective");
+        assert!(most <= 5, "seed {seed}: {most} executors crashed by a task");
+    }
+}
+
 /// The capacity of executors shrinks and grows while they run.
 fn capacity_changes(faults: Faults) -> Faults {
     Faults {
