feat(jobs): clear suspected tasks as fast as they arrive

Cause: suspected tasks were planned in the order of all jobs, after others had filled the executors, and one executor in eight was in quarantine. One that had crashed there no longer counted, so that guilty jobs took one executor after the other. A crash was missed where the successor crashed before the old address was polled, so that dead executors stayed for many seconds. Jobs of the queue went on starting beside others.

Change: suspected tasks are planned first; crashed executors count as in quarantine until their successors are there; jobs that crashed an executor alone come last. An announcement at a known address retires the earlier executor. A metric shows the jobs that wait.

--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -149,6 +149,14 @@
         })
     }
 
+    /// Returns the resources that runs reserve that do not end by themselves.
+    pub(crate) fn used_by_long_running(&self) -> Resources {
+        let runs = self.running.values().filter(|run| run.ends_at.is_none());
+        runs.fold(Resources::default(), |used, run| {
+            used.saturating_add(run.need)
+        })
+    }
+
     /// Checks the fence of a call, and extends the lease to `deadline` if given.
     fn accept_call(
         &mut self,
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -34,7 +34,8 @@
     /// Those of these that were completed within three times their objective.
     pub served_without_fault: u32,
     /// Longest time for which a suspected task of a job without fault was ready to start while an
-    /// executor of its pool was up, as a multiple of the job's objective.
+    /// executor of its pool was up and had room for it beside long-running tasks, as a multiple of
+    /// the job's objective.
     pub longest_suspect_wait: f64,
     /// Mean number of tasks of jobs without fault that were suspected and ready to start.
     pub mean_waiting_suspects: f64,
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -28,7 +28,7 @@
             id: format!("executor-{index}").into(),
             started_ms: START_WALL_MS + self.now,
             pool: Arc::clone(&self.hosts[host].pool),
-            address: format!("127.0.0.1:{index}").into(),
+            address: format!("127.0.0.1:{host}").into(),
             zone: "zone".into(),
             labels: vec!["kind".into()],
             rack: None,
--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -7,7 +7,7 @@
 use super::executor::{ExecutorView, RunOrigin};
 use super::retirement::Retirement;
 use super::{Defect, Leader, Moment};
-use crate::job::{JobId, RunId, TaskId};
+use crate::job::{JobId, JobSpec, RunId, TaskId};
 use crate::state::{Command, CrashedRun, ExecutorKey, JobPhase, RunStart};
 
 /// Time for which an executor must live on after the start of a run to have outlived it.
@@ -38,6 +38,23 @@
             start: view.map_or(RunStart::Past, |view| view.start_of(*run)),
         });
         let runs: Vec<_> = runs.chain(lapsed).collect();
+        let started = runs
+            .iter()
+            .filter(|crashed| crashed.start != RunStart::Past);
+        let started: BTreeSet<_> = started.map(|crashed| crashed.run.task.job).collect();
+        // Runs of a former leader may have started recently, too.
+        let unseen = view.is_some_and(ExecutorView::has_unseen_runs);
+        if let (1, Some(job), false) = (started.len(), started.first(), unseen) {
+            self.sole_crashes.insert(*job);
+        }
+        if view.is_none_or(|view| view.silence_counted == 0) {
+            // A repeated crash of a job tells nothing of the other jobs of its queue.
+            let fresh = started.iter().filter(|job| !self.has_suspects(**job));
+            for job in fresh.copied().collect::<Vec<_>>() {
+                self.count_crash(now, job, weight_of_one(started.len()));
+            }
+            self.count_silent_executors(now);
+        }
         let jobs: BTreeSet<_> = runs.iter().map(|crashed| crashed.run.task.job).collect();
         let count = |start| runs.iter().filter(|crashed| crashed.start == start).count();
         let (recent, unanswered) = (count(RunStart::Recent), count(RunStart::Unanswered));
@@ -108,6 +125,105 @@
         self.state.is_suspected(task) || self.lapsed.is_recent(task)
     }
 
+    /// Returns whether a task is started where no other job starts: it may have crashed executors,
+    /// or many jobs of its queue do.
+    pub(super) fn starts_apart(&self, now: Moment, task: TaskId) -> bool {
+        self.is_suspected(task) || self.queue_starts_apart(now, task.job)
+    }
+
+    /// Returns whether many jobs of a job's queue crash executors, so that each of its tasks is
+    /// treated as suspected. Long-running jobs are excluded, as they start once.
+    pub(super) fn queue_starts_apart(&self, now: Moment, job: JobId) -> bool {
+        if self.crash_shares.is_empty() {
+            return false;
+        }
+        let Some(job) = self.state.job(job) else {
+            return false;
+        };
+        let share = self.crash_shares.get(&job.queue);
+        let long_running = job.spec.as_ref().is_some_and(JobSpec::is_long_running);
+        !long_running && share.is_some_and(|share| share.starts_apart(now.monotonic))
+    }
+
+    /// Counts that an executor has fallen silent right after it started jobs whose queues have
+    /// crashed other executors.
+    ///
+    /// Whether it has crashed is known 3 s later, when its successor is there. Until then a queue
+    /// may crash all executors of its pool. Silence alone counts for nothing, as a partition causes
+    /// it, too.
+    pub(super) fn count_silence(&mut self, now: Moment, key: ExecutorKey) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        if self.crash_shares.is_empty() || view.silence_counted > 0 {
+            return;
+        }
+        let starting = view.runs.keys().filter(|run| view.is_starting(**run));
+        let jobs: BTreeSet<_> = starting.map(|run| run.task.job).collect();
+        let counts = |job: &JobId| {
+            let queue = self.state.job(*job).map(|job| job.queue);
+            let share = queue.and_then(|queue| self.crash_shares.get(&queue));
+            share.is_some_and(|share| share.has_crashed(now.monotonic))
+        };
+        let fresh = jobs
+            .iter()
+            .filter(|job| counts(job) && !self.has_suspects(**job));
+        let fresh: Vec<_> = fresh.copied().collect();
+        if let Some(view) = self.executors.get_mut(&key) {
+            view.silence_counted = fresh.len();
+        }
+        for job in fresh {
+            self.count_crash(now, job, weight_of_one(jobs.len()));
+        }
+    }
+
+    /// Counts the executors that are silent already; see [`count_silence`](Self::count_silence).
+    fn count_silent_executors(&mut self, now: Moment) {
+        let silent = self
+            .executors
+            .iter()
+            .filter(|(_, view)| view.failed_holds > 0);
+        let silent: Vec<_> = silent.map(|(key, _)| *key).collect();
+        for key in silent {
+            self.count_silence(now, key);
+        }
+    }
+
+    /// Counts a start of a job's step, if its queue has crashed executors.
+    pub(super) fn count_start(&mut self, now: Moment, job: JobId) {
+        if self.crash_shares.is_empty() || self.has_suspects(job) {
+            return;
+        }
+        let queue = self.state.job(job).map(|job| job.queue);
+        if let Some(share) = queue.and_then(|queue| self.crash_shares.get_mut(&queue)) {
+            share.record_start(now.monotonic);
+        }
+    }
+
+    /// Counts a crash that a job may have caused; `weight` is the share that falls to this job.
+    fn count_crash(&mut self, now: Moment, job: JobId, weight: f64) {
+        let Some(queue) = self.state.job(job).map(|job| job.queue) else {
+            return;
+        };
+        let share = self.crash_shares.entry(queue).or_default();
+        let before = share.starts_apart(now.monotonic);
+        share.record_crash(now.monotonic, weight);
+        if !before && share.starts_apart(now.monotonic) {
+            let share = share.share();
+            log::warn!(queue = queue.0, share; "jobs of the queue are started apart, as many crash executors");
+        }
+    }
+
+    /// Counts the suspected jobs that a former leader has left.
+    ///
+    /// An innocent job is suspected with each guilty one, on average.
+    pub(super) fn take_over_suspects(&mut self, now: Moment) {
+        let jobs: BTreeSet<_> = self.state.suspected_jobs().collect();
+        for job in jobs {
+            self.count_crash(now, job, 0.5);
+        }
+    }
+
     /// Returns whether any task of a job is suspected; see [`is_suspected`](Self::is_suspected).
     pub(super) fn has_suspects(&self, job: JobId) -> bool {
         self.state.has_suspects(job) || self.lapsed.has_recent(job)
@@ -121,25 +237,21 @@
         if view.suspects == 0 {
             return;
         }
-        for run in view.take_survivors() {
+        let survivors = view.take_survivors();
+        for run in survivors {
             self.propose(Command::Survived { task: run.task });
             log::info!(run:%, executor = key.0; "the executor has outlived the start");
             self.lapsed.clear(run.task);
-            self.release_if_cleared(key, run.task.job);
         }
+        self.release_if_outlived(key);
     }
 
-    /// Ends the quarantine of an executor once no task of its job is suspected any more.
-    fn release_if_cleared(&mut self, key: ExecutorKey, job: JobId) {
-        if self.has_suspects(job) {
-            return;
-        }
+    /// Ends the quarantine of an executor once it has outlived all starts of suspected tasks.
+    fn release_if_outlived(&mut self, key: ExecutorKey) {
         if let Some(view) = self.executors.get_mut(&key)
-            && view
-                .quarantine
-                .is_some_and(|quarantine| quarantine.job == job)
+            && view.suspects == 0
+            && view.quarantine.take().is_some()
         {
-            view.quarantine = None;
             self.plan_pool_of(key);
         }
     }
@@ -153,6 +265,12 @@
     }
 }
 
+/// Returns the part of a crash that falls to each of the jobs that may have caused it.
+#[expect(clippy::cast_precision_loss, reason = "jobs on an executor")]
+fn weight_of_one(jobs: usize) -> f64 {
+    1.0 / jobs.max(1) as f64
+}
+
 impl ExecutorView {
     /// Returns what is known of the start of a run.
     ///
@@ -176,6 +294,13 @@
         }
     }
 
+    /// Returns whether a former leader may have started runs that this leader has never seen on the
+    /// executor.
+    fn has_unseen_runs(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.origin == RunOrigin::Inherited && run.baseline.is_none())
+    }
+
     /// Returns whether the executor is not known to have outlived the start of a run.
     fn is_starting(&self, run: RunId) -> bool {
         self.start_of(run) != RunStart::Past
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -10,8 +10,8 @@
 use super::pending_job::PendingJob;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
-use crate::queue::RouteTable;
-use crate::schedule::{OfferedLoad, Rank, lease_end};
+use crate::queue::{QueueId, RouteTable};
+use crate::schedule::{CrashShare, OfferedLoad, Rank, lease_end};
 use crate::state::{Command, ExecutorKey, JobPhase, State};
 
 /// Interval of checks for changes that no event announces.
@@ -49,10 +49,14 @@
     /// Executor and time of the latest failure of each task of an open job.
     pub(super) last_failures: BTreeMap<TaskId, (ExecutorKey, Duration)>,
     pub(super) lapsed: LapsedRuns,
+    /// Open jobs that have crashed an executor on which no other job was starting.
+    pub(super) sole_crashes: BTreeSet<JobId>,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
+    /// Share of starts that crash executors, by queue; only of queues with such crashes.
+    pub(super) crash_shares: BTreeMap<QueueId, CrashShare>,
     last_check: Duration,
     last_forget: Duration,
 }
@@ -77,8 +81,10 @@
             poll_interval: Duration::ZERO,
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
+            sole_crashes: BTreeSet::new(),
             offered_load: BTreeMap::new(),
             leading_since: now.monotonic,
+            crash_shares: BTreeMap::new(),
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
             state,
@@ -213,6 +219,7 @@
             self.executors.insert(key, view);
             self.take_over_lapsed(key);
         }
+        self.take_over_suspects(now);
         let jobs: Vec<_> = self.state.jobs().map(|(job, _)| job).collect();
         for job in jobs {
             self.update_pending(now, job);
@@ -238,7 +245,7 @@
             } else {
                 RunOrigin::Placed
             },
-            suspected: self.is_suspected(run.task),
+            suspected: self.starts_apart(now, run.task),
             percent: 0,
         }
     }
@@ -258,5 +265,6 @@
                 .is_some_and(|job| job.phase == JobPhase::Open)
         };
         self.last_failures.retain(|task, _| open(task.job));
+        self.sole_crashes.retain(|job| open(*job));
     }
 }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -5,6 +5,7 @@
 
 use super::executor::RunPhase;
 use super::pending_job::{PendingJob, remaining_path_ms};
+use super::placement::Placement;
 use super::pool_view::PoolView;
 use super::{Defect, Leader, Moment};
 use crate::job::{JobId, Resources, RunId, TaskId};
@@ -14,6 +15,11 @@
 /// A task that is ready to start, and the number of its latest run.
 type StartableTask = (TaskId, u32);
 
+/// Returns whether two tasks of a job belong to the same step.
+pub(super) fn is_same_step((a, _): &StartableTask, (b, _): &StartableTask) -> bool {
+    (a.occurrence, a.step) == (b.occurrence, b.step)
+}
+
 impl Leader {
     /// Updates whether and where a job is in the pending jobs of its pool.
     pub(super) fn update_pending(&mut self, now: Moment, id: JobId) {
@@ -80,6 +86,7 @@
         }
         let usable = self.usable_executors(now, pool);
         let mut view = self.pool_view(now, &usable);
+        self.plan_suspects(now, pool, &mut view);
         let mut max_free = view.max_free();
         let pending = self.pending.get(pool).into_iter().flatten();
         let jobs = pending.map(|(_, job)| *job);
@@ -148,25 +155,26 @@
         for gang in self.startable_gangs(now, id) {
             any |= self.start_gang(now, &gang, pool);
         }
-        let (suspects, startable) = self.startable_tasks(now, id);
-        let same_step = |(a, _): &(TaskId, u32), (b, _): &(TaskId, u32)| {
-            (a.occurrence, a.step) == (b.occurrence, b.step)
-        };
-        for tasks in suspects.chunk_by(same_step) {
-            for (task, last_run, executor) in self.place_suspects(now, tasks, pool) {
-                self.place(now, task.run(last_run + 1), executor);
-                any = true;
-            }
-        }
-        for tasks in startable.chunk_by(same_step) {
-            for (task, last_run, executor) in self.place_tasks(now, tasks, pool) {
-                self.place(now, task.run(last_run + 1), executor);
-                any = true;
-            }
+        let (_, startable) = self.startable_tasks(now, id);
+        for tasks in startable.chunk_by(is_same_step) {
+            let placements = self.place_tasks(now, tasks, pool);
+            any |= self.place_all(now, placements);
         }
         any
     }
 
+    /// Starts placed tasks of one step; returns whether there are any.
+    pub(super) fn place_all(&mut self, now: Moment, placements: Vec<Placement>) -> bool {
+        let Some((first, ..)) = placements.first() else {
+            return false;
+        };
+        self.count_start(now, first.job);
+        for (task, last_run, executor) in placements {
+            self.place(now, task.run(last_run + 1), executor);
+        }
+        true
+    }
+
     /// Starts a run on an executor, and logs the figures that the choice was based on.
     fn place(&mut self, now: Moment, run: RunId, executor: ExecutorKey) {
         if let (Some(view), Some(record)) =
@@ -241,15 +249,20 @@
 
     /// Returns the tasks of a job, other than those of gangs, that are ready to start, with the
     /// number of their latest run; first those that may crash their executor.
-    fn startable_tasks(&self, now: Moment, id: JobId) -> (Vec<StartableTask>, Vec<StartableTask>) {
+    pub(super) fn startable_tasks(
+        &self,
+        now: Moment,
+        id: JobId,
+    ) -> (Vec<StartableTask>, Vec<StartableTask>) {
         let found = self.waiting_tasks(now, id);
-        if self.lapsed.is_empty() && !self.has_suspects(id) {
+        let apart = self.queue_starts_apart(now, id);
+        if self.lapsed.is_empty() && !apart && !self.has_suspects(id) {
             return (Vec::new(), found);
         }
         let settled = found
             .into_iter()
             .filter(|(task, _)| !self.awaits_lapsed(*task));
-        settled.partition(|(task, _)| self.is_suspected(*task))
+        settled.partition(|(task, _)| apart || self.is_suspected(*task))
     }
 
     fn waiting_tasks(&self, now: Moment, id: JobId) -> Vec<StartableTask> {
--- a/crates/masticfield-jobs/src/leader/pool_stats.rs
+++ b/crates/masticfield-jobs/src/leader/pool_stats.rs
@@ -12,6 +12,8 @@
 pub struct PoolStats {
     /// Number of jobs with tasks that are ready to start.
     pub jobs_waiting: u64,
+    /// Number of these jobs of which tasks may only start where no other job starts.
+    pub jobs_apart: u64,
     /// Number of known executors.
     pub executors: u64,
     /// Number of executors that accept tasks.
@@ -32,7 +34,9 @@
     pub fn pool_stats(&self, now: Moment) -> BTreeMap<Arc<str>, PoolStats> {
         let mut pools: BTreeMap<Arc<str>, PoolStats> = BTreeMap::new();
         for (pool, jobs) in &self.pending {
-            pools.entry(Arc::clone(pool)).or_default().jobs_waiting = jobs.len() as u64;
+            let stats = pools.entry(Arc::clone(pool)).or_default();
+            stats.jobs_waiting = jobs.len() as u64;
+            stats.jobs_apart = self.jobs_apart(now, pool) as u64;
         }
         for (key, record) in self.state.executors() {
             let Some(view) = self.executors.get(&key) else {
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -145,6 +145,7 @@
             load.waiting = load.waiting.saturating_add(job.demand);
             load.spread_hosts = load.spread_hosts.max(job.spread_hosts);
         }
+        load.spread_hosts = load.spread_hosts.max(self.hosts_for_suspects(now, pool));
         let offered = self.offered_load.get(pool);
         load.offered_cores = offered.map_or(0.0, |offered| offered.forecast(now.monotonic));
         load
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -4,6 +4,7 @@
 //! such as [`OfferedLoad`] and [`Reliability`], are owned by the leader.
 
 mod admission;
+mod crash_share;
 mod job_order;
 mod lease;
 mod offered_load;
@@ -16,6 +17,8 @@
 mod upkeep;
 
 pub use admission::{Admission, Backlog, admit};
+pub(crate) use crash_share::OUTLIVED;
+pub use crash_share::{CrashShare, quarantine_wait};
 pub use job_order::JobOrder;
 pub use lease::{ClockReading, lease_end};
 pub use offered_load::OfferedLoad;
