--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -103,6 +103,20 @@
     pub estimate_error: f64,
     /// Share of the runs of finite tasks that take seven times as long.
     pub long_runs: f64,
+    /// Limits `crashing_jobs` to one queue and a part of the load; `None` for neither limit.
+    pub crashing_limits: Option<CrashingLimits>,
+}
+
+/// Limits of the jobs that crash executors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashingLimits {
+    /// Index of the queue whose jobs crash executors.
+    pub queue: usize,
+    /// Start and end of the submissions concerned, in milliseconds from the start of the load.
+    pub submitted_ms: (u64, u64),
+    /// Shortest and longest time until an executor is back that a task has crashed, in
+    /// milliseconds.
+    pub return_ms: (u64, u64),
 }
 
 impl Scenario {
@@ -142,6 +156,7 @@
                 leave_interval_ms: 0,
                 estimate_error: 0.0,
                 long_runs: 0.0,
+                crashing_limits: None,
             },
         }
     }
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -32,7 +32,7 @@
             id: format!("executor-{index}").into(),
             started_ms: START_WALL_MS + self.now,
             pool: Arc::clone(&self.hosts[host].pool),
-            address: format!("127.0.0.1:{index}").into(),
+            address: format!("127.0.0.1:{host}").into(),
             zone: "zone".into(),
             labels: vec!["kind".into()],
             rack: None,
@@ -462,7 +462,9 @@
         self.checker.record_crash(run.task);
         self.report.crashes_by_tasks += 1;
         self.end_executor(index);
-        let after = self.rng.random_range(CRASH_RETURN_MS.0..CRASH_RETURN_MS.1);
+        let limits = self.scenario.faults.crashing_limits;
+        let (shortest, longest) = limits.map_or(CRASH_RETURN_MS, |limits| limits.return_ms);
+        let after = self.rng.random_range(shortest..longest);
         self.schedule(after, ScheduledEvent::HostReturns(host));
     }
 
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -12,8 +12,8 @@
 use super::shares::Shares;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
-use crate::queue::{KeyDigest, RouteTable, WorkspaceId};
-use crate::schedule::{OfferedLoad, Rank, lease_end};
+use crate::queue::{KeyDigest, QueueId, RouteTable, WorkspaceId};
+use crate::schedule::{CrashShare, OfferedLoad, Rank, lease_end};
 use crate::state::{Command, ExecutorKey, JobPhase, State};
 
 /// Interval of checks for changes that no event announces.
@@ -51,6 +51,8 @@
     /// Executor and time of the latest failure of each task of an open job.
     pub(super) last_failures: BTreeMap<TaskId, (ExecutorKey, Duration)>,
     pub(super) lapsed: LapsedRuns,
+    /// Open jobs that have crashed an executor on which no other job was starting.
+    pub(super) sole_crashes: BTreeSet<JobId>,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
     /// Jobs refused for the quota of each workspace.
@@ -63,6 +65,8 @@
     pub(super) shares: Shares,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
+    /// Share of starts that crash executors, by queue; only of queues with such crashes.
+    pub(super) crash_shares: BTreeMap<QueueId, CrashShare>,
     last_check: Duration,
     last_forget: Duration,
 }
@@ -87,6 +91,7 @@
             poll_interval: Duration::ZERO,
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
+            sole_crashes: BTreeSet::new(),
             offered_load: BTreeMap::new(),
             quota_refusals: BTreeMap::new(),
             quota_waits: BTreeSet::new(),
@@ -94,6 +99,7 @@
             load_shedding: LoadShedding::default(),
             shares: Shares::default(),
             leading_since: now.monotonic,
+            crash_shares: BTreeMap::new(),
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
             state,
@@ -234,6 +240,7 @@
             self.executors.insert(key, view);
             self.take_over_lapsed(key);
         }
+        self.take_over_suspects(now);
         let jobs: Vec<_> = self.state.jobs().map(|(job, _)| job).collect();
         for job in jobs {
             self.update_pending(now, job);
@@ -259,7 +266,7 @@
             } else {
                 RunOrigin::Placed
             },
-            suspected: self.is_suspected(run.task),
+            suspected: self.starts_apart(now, run.task),
             percent: 0,
             served_at: None,
         }
@@ -281,6 +288,7 @@
         };
         self.last_failures.retain(|task, _| open(task.job));
         self.quota_waits.retain(|job| open(*job));
+        self.sole_crashes.retain(|job| open(*job));
         self.load_shedding.forget(now, open);
         self.shares.forget(open);
     }
