test(emulator): workspaces with quotas that shrink and keys that are withdrawn

Guards against a workspace above the quotas that may be in force, as committed and on the executors, and against a key that is served after the acknowledgement of the configuration without it, or refused while its configuration is in force; through leader changes, late orders, lost answers and relays. Each property fails with a seeded defect: IgnoreQuota, CountOnlyAnswered, KeyOfOldConfig.

--- a/crates/masticfield-emulator/src/checker.rs
+++ b/crates/masticfield-emulator/src/checker.rs
@@ -18,6 +18,10 @@
 
 /// A job that a caller has submitted, and what the caller knows of it.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts that the caller knows"
+)]
 pub(crate) struct SubmittedJob {
     pub(crate) spec: JobSpec,
     /// Time of the first submission.
@@ -36,6 +40,10 @@
     pub(crate) completed: bool,
     /// Task that crashes each executor that starts it, if the job has one.
     pub(crate) crashing_task: Option<TaskId>,
+    /// Number of the key that the caller has.
+    pub(crate) key_number: u64,
+    /// Whether the key was not known to be withdrawn at the first submission.
+    pub(crate) authorized: bool,
 }
 
 /// Checks invariants against the jobs that callers submitted and the runs on executors.
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -15,6 +15,8 @@
     pub late: u32,
     /// Late jobs that took more than three times their objective; they earn no credit.
     pub too_late: u32,
+    /// Requests that the leader refused for their keys.
+    pub unauthorized: u32,
     /// Jobs that the leader refused because its backlog was too long.
     pub refused: u32,
     /// Jobs that were cancelled or failed.
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -31,6 +31,8 @@
     pub relay_defect: Option<RelayDefect>,
     /// Guard of the leader to leave out; `None` for the leader as it is.
     pub defect: Option<Defect>,
+    /// Number of workspaces, whose keys and quotas change during the load; with 0 no keys are needed.
+    pub workspaces: usize,
 }
 
 /// A guard of the relays to leave out, so that a test can show that the checks detect it.
@@ -101,6 +103,7 @@
             fixed_load: false,
             order: JobOrder::OnTimeFirst,
             defect: None,
+            workspaces: 0,
             faults: Faults {
                 delayed_orders: 0.0,
                 lost_answers: 0.0,
@@ -196,6 +199,13 @@
         self
     }
 
+    /// Divides the jobs between workspaces, whose keys and quotas change during the load.
+    #[must_use]
+    pub const fn workspaces(mut self, count: usize) -> Self {
+        self.workspaces = count;
+        self
+    }
+
     /// Sets the faults to inject.
     #[must_use]
     pub const fn faults(mut self, faults: Faults) -> Self {
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -72,11 +72,15 @@
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a job")]
         let objective_ms = round_to_u64(spec.critical_path_ms() as f64 * 1.6) + 600;
         let crashing_task = self.choose_crashing_task(job, &spec);
+        let key_number = self.choose_key(job);
+        let authorized = self.may_be_served(job, key_number);
         self.checker.jobs.insert(
             job,
             SubmittedJob {
                 spec,
                 crashing_task,
+                key_number,
+                authorized,
                 submitted_at: self.now,
                 objective_ms,
                 accepted: false,
@@ -115,14 +119,16 @@
         let Some(submitted) = self.checker.jobs.get(&job) else {
             return;
         };
+        let (spec, key_number) = (submitted.spec.clone(), submitted.key_number);
+        let reply_id = self.next_reply_id();
         let queue = &self.scenario.fleet.queues[index];
+        let path = format!("/{}/{job}", queue.name);
         let job_request = JobRequest {
             authority: "fleet.example".into(),
-            path: format!("/{}/{job}", queue.name),
-            kind: JobRequestKind::Submit(submitted.spec.clone()),
-            key: None,
+            path,
+            kind: JobRequestKind::Submit(spec),
+            key: self.use_key(reply_id, job, Some(key_number)),
         };
-        let reply_id = self.next_reply_id();
         self.pending_requests.insert(reply_id, (job, false));
         self.notify_leader(
             self.epoch,
@@ -145,14 +151,14 @@
         if !accepted {
             return;
         }
-        let queue = &self.scenario.fleet.queues[0];
+        let reply_id = self.next_reply_id();
+        let path = format!("/{}/{job}", self.scenario.fleet.queues[0].name);
         let job_request = JobRequest {
             authority: "fleet.example".into(),
-            path: format!("/{}/{job}", queue.name),
+            path,
             kind: JobRequestKind::Cancel,
-            key: None,
+            key: self.use_key(reply_id, job, None),
         };
-        let reply_id = self.next_reply_id();
         self.pending_requests.insert(reply_id, (job, true));
         self.notify_leader(
             self.epoch,
@@ -165,6 +171,7 @@
 
     /// Records the leader's reply to a request.
     pub(super) fn on_reply(&mut self, reply_id: ReplyId, reply: &Reply) {
+        self.check_key_reply(reply_id, reply);
         let Some((job, is_cancel)) = self.pending_requests.remove(&reply_id) else {
             return;
         };
@@ -176,8 +183,10 @@
                 submitted.cancelled_at.get_or_insert(self.now);
             }
             Reply::Done => submitted.accepted = true,
-            Reply::Refused(Refusal::Busy { .. }) if !submitted.accepted => submitted.refused = true,
-            Reply::NoJob | Reply::Refused(_) => {}
+            Reply::Refused(Refusal::Busy { .. }) | Reply::Unauthorized if !submitted.accepted => {
+                submitted.refused = true;
+            }
+            Reply::NoJob | Reply::Refused(_) | Reply::Unauthorized => {}
             other => self.checker.violations.push(format!(
                 "{}: unexpected reply about {job}: {other:?}",
                 self.now
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -240,6 +240,7 @@
         let outcome = task.map_or((false, 0), |task| (task.done, task.failures));
         self.checker
             .check_start(self.now, index, run, delayed, outcome);
+        self.check_workspace(run.task.job);
         let executor = &self.executors[index];
         // An order that arrives late may do so after the capacity has shrunk.
         let since = if delayed {
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -4,6 +4,7 @@
 mod executors;
 mod hosts;
 mod relays;
+mod workspaces;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 use crate::scenario::Scenario;
 
 use relays::{CallAtRelay, RelayNode};
+use workspaces::Workspaces;
 
 /// Wall-clock time at the start, in milliseconds since the Unix epoch.
 const START_WALL_MS: u64 = 1_700_000_000_000;
@@ -151,6 +153,8 @@
     DegradeExecutors,
     /// All executors work as they should again.
     RestoreExecutors,
+    /// The operator sends a configuration of the workspaces.
+    Reconfigure,
 }
 
 /// A hold that an executor answers when a run ends or the maximum wait is over.
@@ -203,6 +207,7 @@
     /// Job of each unanswered request, and whether the request cancels it.
     pending_requests: BTreeMap<ReplyId, (JobId, bool)>,
     last_reply_id: u64,
+    workspaces: Workspaces,
     checker: Checker,
     report: Report,
     /// Time up to which host time is in the report.
@@ -215,7 +220,8 @@
     /// Creates a simulation; all random choices depend on `seed`.
     pub fn new(scenario: Scenario, seed: u64) -> Self {
         let mut state = State::default();
-        let config = scenario.fleet.config();
+        let workspaces = Workspaces::new(scenario.workspaces);
+        let config = workspaces.config(scenario.fleet.config());
         state.apply(Command::configure(config, b"config"[..].into()));
         let claims = ClaimWatch::default();
         let leader = Leader::new(
@@ -245,6 +251,7 @@
             last_relay_key: 0,
             pending_requests: BTreeMap::new(),
             last_reply_id: 0,
+            workspaces,
             checker: Checker::default(),
             report: Report::default(),
             accounted_until: 0,
@@ -334,6 +341,9 @@
             let window = self.scenario.upkeep_window_ms;
             self.schedule(WARMUP_MS + window, ScheduledEvent::EndWave);
         }
+        if self.scenario.workspaces > 0 {
+            self.schedule(WARMUP_MS, ScheduledEvent::Reconfigure);
+        }
         if faults.failing_executors > 0.0 || faults.slow_executors > 0.0 {
             self.schedule(WARMUP_MS + HEALTHY_MS, ScheduledEvent::DegradeExecutors);
             self.schedule(
@@ -366,6 +376,7 @@
             ScheduledEvent::EndWave => self.count_late_upkeeps(),
             ScheduledEvent::DegradeExecutors => self.degrade_executors(),
             ScheduledEvent::RestoreExecutors => self.restore_executors(),
+            ScheduledEvent::Reconfigure => self.reconfigure(),
             ScheduledEvent::Announce(executor) => self.announce(executor),
             ScheduledEvent::Submit(queue) => {
                 self.submit(queue, false);
@@ -485,7 +496,14 @@
     fn apply(&mut self, command: Command) {
         self.claims
             .record(Duration::from_millis(self.now), &command);
+        let started = match &command {
+            Command::Start { run, .. } => Some(*run),
+            _ => None,
+        };
         self.state.apply(command);
+        if let Some(run) = started {
+            self.check_committed_start(run);
+        }
     }
 
     fn perform(&mut self, effect: Effect) {
@@ -550,6 +568,7 @@
             }
         }
         self.uncommitted = 0;
+        self.check_counts();
         self.epoch += 1;
         self.relays = Relays::new(relay_options());
         self.leader = Leader::new(
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -339,6 +339,50 @@
     assert!(detected.is_some(), "no violation on {GUARD_SEEDS} seeds");
 }
 
+/// Three workspaces whose keys are withdrawn and whose quotas shrink while their jobs run.
+fn simulate_workspaces(faults: Faults, seed: u64, relays: usize, defect: Option<Defect>) -> Report {
+    let mut scenario = Scenario::new(Fleet::small()).load_ms(15_000).relays(relays);
+    scenario.defect = defect;
+    Simulation::new(scenario.workspaces(3).faults(faults), seed).run()
+}
+
+/// What a workspace has running stays within the quotas that may be in force, and a key is refused
+/// from the acknowledgement of the configuration that withdraws it, and served until one does.
+#[rstest]
+#[case::no_faults(no_faults(), 0)]
+#[case::delayed_orders(delayed_orders(), 0)]
+#[case::crashes_and_partitions(crashes_and_partitions(), 0)]
+#[case::leader_changes(leader_changes(), 0)]
+#[case::failures_and_cancellations(failures_and_cancellations(), 0)]
+#[case::mixed_faults(mixed_faults(), 0)]
+#[case::through_relays(relay_faults(mixed_faults()), 4)]
+fn quotas_and_withdrawn_keys_hold(#[case] faults: Faults, #[case] relays: usize) {
+    let mut unauthorized = 0;
+    for seed in seeds() {
+        let report = simulate_workspaces(faults, seed, relays, None);
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+        assert!(report.starts > 0, "seed {seed}: no task was started");
+        unauthorized += report.unauthorized;
+    }
+    assert!(unauthorized > 0, "no key was refused");
+}
+
+/// The checks detect each guard of workspaces that is left out.
+#[rstest]
+#[case::quota(Defect::IgnoreQuota, no_faults())]
+#[case::unanswered_starts(Defect::CountOnlyAnswered, no_faults())]
+#[case::unanswered_starts_late(Defect::CountOnlyAnswered, delayed_orders())]
+#[case::withdrawn_key(Defect::KeyOfOldConfig, no_faults())]
+#[case::withdrawn_key_across_leaders(Defect::KeyOfOldConfig, leader_changes())]
+fn each_left_out_guard_of_workspaces_is_detected(#[case] defect: Defect, #[case] faults: Faults) {
+    let detected = (0..GUARD_SEEDS).find(|seed| {
+        let report = simulate_workspaces(faults, *seed, 0, Some(defect));
+        !report.violations.is_empty()
+    });
+    assert!(detected.is_some(), "no violation on {GUARD_SEEDS} seeds");
+}
+
 /// The checks detect each guard that is left out: at least one seed shows a violation.
 #[rstest]
 #[case::capacity(Defect::PlaceWithoutCapacity, no_faults(), 0)]
