--- a/crates/masticfield-emulator/src/fleet.rs
+++ b/crates/masticfield-emulator/src/fleet.rs
@@ -232,17 +232,17 @@
     }
 }
 
-/// Returns the configuration of a scenario's workspaces; `None` without any.
-pub(crate) fn workspaces(scenario: &Scenario) -> Option<Vec<WorkspaceConfig>> {
+/// Returns the configuration of workspaces that share capacity; `None` without any.
+pub(crate) fn sharing_workspaces(scenario: &Scenario) -> Option<Vec<WorkspaceConfig>> {
     let rates = scenario.fleet.queues.iter().map(|queue| queue.jobs_per_s);
     let total: f64 = rates.sum();
-    let configs = (0..scenario.workspaces).map(|index| WorkspaceConfig {
+    let configs = (0..scenario.sharing_workspaces).map(|index| WorkspaceConfig {
         name: format!("workspace-{index}").into(),
         keys: workspace_key(index).into_iter().collect(),
-        weight: total / f64::from(scenario.workspaces),
+        weight: total / f64::from(scenario.sharing_workspaces),
         quota: Resources::default(),
     });
-    (scenario.workspaces > 0).then(|| configs.collect())
+    (scenario.sharing_workspaces > 0).then(|| configs.collect())
 }
 
 /// Returns the digest of a workspace's key.
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -18,6 +18,8 @@
     pub late: u32,
     /// Late jobs that took more than three times their objective; they earn no credit.
     pub too_late: u32,
+    /// Requests that the leader refused for their keys.
+    pub unauthorized: u32,
     /// Jobs that the leader refused because its backlog was too long.
     pub refused: u32,
     /// Jobs that were cancelled or failed.
@@ -115,7 +117,7 @@
             got += queue_got;
             owed += queue_owed;
         }
-        let workspaces = (0..scenario.workspaces).map(|index| {
+        let workspaces = (0..scenario.sharing_workspaces).map(|index| {
             let jobs = finite.iter().filter(|job| job.workspace == Some(index));
             jobs.fold((0, 0), |(all, on_time), job| {
                 (all + 1, on_time + u32::from(is_on_time(job)))
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -32,7 +32,7 @@
     pub retries: bool,
     /// Number of workspaces of equal weight, which together are entitled to the mean rate of all
     /// queues; with 0 there are no workspaces.
-    pub workspaces: u32,
+    pub sharing_workspaces: u32,
     /// Factor on the rate of the first workspace during the load.
     pub greed: f64,
     /// Number of relays; with 0 the leader calls executors itself.
@@ -41,6 +41,8 @@
     pub relay_defect: Option<RelayDefect>,
     /// Guard of the leader to leave out; `None` for the leader as it is.
     pub defect: Option<Defect>,
+    /// Number of workspaces, whose keys and quotas change during the load; with 0 no keys are needed.
+    pub workspaces: usize,
 }
 
 /// A guard of the relays to leave out, so that a test can show that the checks detect it.
@@ -130,13 +132,14 @@
             upkeep_cap: 3,
             load_shedding: false,
             retries: false,
-            workspaces: 0,
+            sharing_workspaces: 0,
             greed: 1.0,
             relays: 0,
             relay_defect: None,
             fixed_load: false,
             order: JobOrder::OnTimeFirst,
             defect: None,
+            workspaces: 0,
             faults: Faults {
                 delayed_orders: 0.0,
                 lost_answers: 0.0,
@@ -210,8 +213,8 @@
 
     /// Adds workspaces of equal weight, of which the first sends `greed` times its usual load.
     #[must_use]
-    pub const fn workspaces(mut self, count: u32, greed: f64) -> Self {
-        self.workspaces = count;
+    pub const fn sharing_workspaces(mut self, count: u32, greed: f64) -> Self {
+        self.sharing_workspaces = count;
         self.greed = greed;
         self
     }
@@ -258,6 +261,13 @@
         self
     }
 
+    /// Divides the jobs between workspaces, whose keys and quotas change during the load.
+    #[must_use]
+    pub const fn workspaces(mut self, count: usize) -> Self {
+        self.workspaces = count;
+        self
+    }
+
     /// Sets the faults to inject.
     #[must_use]
     pub const fn faults(mut self, faults: Faults) -> Self {
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -73,6 +73,8 @@
         let objective_ms = round_to_u64(spec.critical_path_ms() as f64 * 1.6) + 600;
         let workspace = self.choose_workspace();
         let crashing_task = self.choose_crashing_task(job, index, &spec);
+        let key_number = self.choose_key(job);
+        let authorized = self.may_be_served(job, key_number);
         self.checker.jobs.insert(
             job,
             SubmittedJob {
@@ -80,6 +82,8 @@
                 queue: index,
                 workspace,
                 crashing_task,
+                key_number,
+                authorized,
                 submitted_at: self.now,
                 objective_ms,
                 accepted: false,
@@ -99,7 +103,7 @@
 
     /// Returns the workspace of a new job, if there are any.
     fn choose_workspace(&mut self) -> Option<u32> {
-        let (count, greed) = (self.scenario.workspaces, self.scenario.greed);
+        let (count, greed) = (self.scenario.sharing_workspaces, self.scenario.greed);
         if count == 0 {
             return None;
         }
@@ -147,14 +151,17 @@
         let Some(submitted) = self.checker.jobs.get(&job) else {
             return;
         };
+        let (spec, key_number) = (submitted.spec.clone(), submitted.key_number);
+        let key = submitted.workspace.and_then(workspace_key);
+        let reply_id = self.next_reply_id();
         let queue = &self.scenario.fleet.queues[index];
+        let path = format!("/{}/{job}", queue.name);
         let job_request = JobRequest {
             authority: "fleet.example".into(),
-            path: format!("/{}/{job}", queue.name),
-            kind: JobRequestKind::Submit(submitted.spec.clone()),
-            key: submitted.workspace.and_then(workspace_key),
+            path,
+            kind: JobRequestKind::Submit(spec),
+            key: key.or_else(|| self.use_key(reply_id, job, Some(key_number))),
         };
-        let reply_id = self.next_reply_id();
         self.pending_requests.insert(reply_id, (job, false));
         self.notify_leader(
             self.epoch,
@@ -177,14 +184,14 @@
         if !accepted {
             return;
         }
-        let queue = &self.scenario.fleet.queues[0];
+        let reply_id = self.next_reply_id();
+        let path = format!("/{}/{job}", self.scenario.fleet.queues[0].name);
         let job_request = JobRequest {
             authority: "fleet.example".into(),
-            path: format!("/{}/{job}", queue.name),
+            path,
             kind: JobRequestKind::Cancel,
-            key: None,
+            key: self.use_key(reply_id, job, None),
         };
-        let reply_id = self.next_reply_id();
         self.pending_requests.insert(reply_id, (job, true));
         self.notify_leader(
             self.epoch,
@@ -197,6 +204,7 @@
 
     /// Records the leader's reply to a request.
     pub(super) fn on_reply(&mut self, reply_id: ReplyId, reply: &Reply) {
+        self.check_key_reply(reply_id, reply);
         let Some((job, is_cancel)) = self.pending_requests.remove(&reply_id) else {
             return;
         };
@@ -218,7 +226,8 @@
                     self.schedule(*retry_after_ms, ScheduledEvent::Resubmit(job));
                 }
             }
-            Reply::NoJob | Reply::Refused(_) => {}
+            Reply::Unauthorized if !submitted.accepted => submitted.refused = true,
+            Reply::NoJob | Reply::Refused(_) | Reply::Unauthorized => {}
             other => self.checker.violations.push(format!(
                 "{}: unexpected reply about {job}: {other:?}",
                 self.now
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -5,6 +5,7 @@
 mod hosts;
 mod relays;
 mod suspects;
+mod workspaces;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -28,6 +29,7 @@
 
 use relays::{CallAtRelay, RelayNode};
 use suspects::SuspectWaits;
+use workspaces::Workspaces;
 
 /// Wall-clock time at the start, in milliseconds since the Unix epoch.
 const START_WALL_MS: u64 = 1_700_000_000_000;
@@ -160,6 +162,8 @@
     DegradeExecutors,
     /// All executors work as they should again.
     RestoreExecutors,
+    /// The operator sends a configuration of the workspaces.
+    Reconfigure,
 }
 
 /// A hold that an executor answers when a run ends or the maximum wait is over.
@@ -216,6 +220,7 @@
     /// Job of each unanswered request, and whether the request cancels it.
     pending_requests: BTreeMap<ReplyId, (JobId, bool)>,
     last_reply_id: u64,
+    workspaces: Workspaces,
     checker: Checker,
     suspect_waits: SuspectWaits,
     report: Report,
@@ -229,8 +234,11 @@
     /// Creates a simulation; all random choices depend on `seed`.
     pub fn new(scenario: Scenario, seed: u64) -> Self {
         let mut state = State::default();
-        let mut config = scenario.fleet.config();
-        config.workspaces = fleet::workspaces(&scenario);
+        let workspaces = Workspaces::new(scenario.workspaces);
+        let mut config = workspaces.config(scenario.fleet.config());
+        if scenario.sharing_workspaces > 0 {
+            config.workspaces = fleet::sharing_workspaces(&scenario);
+        }
         state.apply(Command::configure(config, b"config"[..].into()));
         let claims = ClaimWatch::default();
         let leader = Leader::new(
@@ -261,6 +269,7 @@
             last_relay_key: 0,
             pending_requests: BTreeMap::new(),
             last_reply_id: 0,
+            workspaces,
             checker: Checker::default(),
             suspect_waits: SuspectWaits::default(),
             report: Report::default(),
@@ -352,6 +361,9 @@
             let window = self.scenario.upkeep_window_ms;
             self.schedule(WARMUP_MS + window, ScheduledEvent::EndWave);
         }
+        if self.scenario.workspaces > 0 {
+            self.schedule(WARMUP_MS, ScheduledEvent::Reconfigure);
+        }
         if faults.failing_executors > 0.0 || faults.slow_executors > 0.0 {
             self.schedule(WARMUP_MS + HEALTHY_MS, ScheduledEvent::DegradeExecutors);
             self.schedule(
@@ -387,6 +399,7 @@
             ScheduledEvent::EndWave => self.count_late_upkeeps(),
             ScheduledEvent::DegradeExecutors => self.degrade_executors(),
             ScheduledEvent::RestoreExecutors => self.restore_executors(),
+            ScheduledEvent::Reconfigure => self.reconfigure(),
             ScheduledEvent::Announce(executor) => self.announce(executor),
             ScheduledEvent::Submit(queue) => {
                 self.submit(queue, false);
@@ -515,7 +528,14 @@
     fn apply(&mut self, command: Command) {
         self.claims
             .record(Duration::from_millis(self.now), &command);
+        let started = match &command {
+            Command::Start { run, .. } => Some(*run),
+            _ => None,
+        };
         self.state.apply(command);
+        if let Some(run) = started {
+            self.check_committed_start(run);
+        }
     }
 
     fn perform(&mut self, effect: Effect) {
@@ -580,6 +600,7 @@
             }
         }
         self.uncommitted = 0;
+        self.check_counts();
         self.epoch += 1;
         if self.epoch.is_multiple_of(2) {
             // Every other replica that takes over has just restarted and has observed no claims.
