--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -237,7 +237,7 @@
         let workspaces = Workspaces::new(scenario.workspaces);
         let mut config = workspaces.config(scenario.fleet.config());
         if scenario.sharing_workspaces > 0 {
-            config.workspaces = fleet::sharing_workspaces(&scenario);
+            config.workspaces = fleet::sharing_workspaces(&scenario, SURGE_FACTORS.0);
         }
         state.apply(Command::configure(config, b"config"[..].into()));
         let claims = ClaimWatch::default();
