fix(node): keep the process and its log on a full disk

Three further causes ended or muted a process on a full disk. They were found by a test that limits the file size of a control process: fern panics when a line cannot be written to standard error, which ended the task that logged it, here the replica itself; the log thread of the adapter's programs ended at the first failed write, so that every later line was lost; SIGXFSZ ends a process that does not handle it.

Ruled out: the limit not being enforced (a shell under it is ended by the signal).

Before: a_leader_whose_files_cannot_grow_takes_part_again fails, as the metrics of the replica no longer change. After: cargo test -p masticfield-programs 43 of 43, -p masticfield-control, -p masticfield-node and -p masticfield-platform pass.

--- a/crates/masticfield-control/tests/control/jobs.rs
+++ b/crates/masticfield-control/tests/control/jobs.rs
@@ -1,10 +1,16 @@
 //! The loop that decides on jobs.
 
+use std::fs::File;
+use std::io::{self, Write as _};
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use masticfield_control::jobs::{JobControl, JobMetrics};
+use masticfield_control::jobs::{JobControl, JobControlHandle, JobMetrics, WaveProgress};
 use masticfield_core::ids::ReplicaId;
-use masticfield_jobs::leader::LeaderOptions;
+use masticfield_jobs::leader::{LeaderOptions, Refusal, Reply};
+use masticfield_jobs::state::WaveOrder;
 use masticfield_replica::{Applied, AppliedKind, ReplicaHandle, ReplicaOptions};
 use prometheus::Registry;
 use rstest::rstest;
@@ -35,3 +41,105 @@
     let ended = tokio::time::timeout(Duration::from_secs(20), running).await;
     assert!(ended.is_ok(), "the loop goes on");
 }
+
+/// A replica with its job control and a disk that can be full.
+struct Member {
+    replica: ReplicaHandle,
+    control: JobControlHandle,
+    is_full: Arc<AtomicBool>,
+    _dir: tempfile::TempDir,
+    _orders: mpsc::UnboundedReceiver<masticfield_control::jobs::OutboundOrder>,
+}
+
+async fn start_group() -> Vec<Member> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+    let listeners: Vec<_> = (0..3).map(bind).collect();
+    let peer = |index: usize| {
+        let address = listeners[index].local_addr().unwrap();
+        (ReplicaId::new(index as u64 + 1), address)
+    };
+    let peers: Vec<_> = (0..3).map(peer).collect();
+    let mut members = Vec::new();
+    for (index, listener) in listeners.into_iter().enumerate() {
+        let dir = tempfile::tempdir().unwrap();
+        let is_full = Arc::new(AtomicBool::new(false));
+        let full = Arc::clone(&is_full);
+        let others = peers.iter().copied().filter(|peer| *peer != peers[index]);
+        let options = ReplicaOptions::new(peers[index].0, dir.path())
+            .listener(listener)
+            .peers(others)
+            .write(Arc::new(move |mut file: &File, bytes: &[u8]| {
+                if full.load(Ordering::SeqCst) {
+                    return Err(io::ErrorKind::StorageFull.into());
+                }
+                file.write_all(bytes)
+            }));
+        let (replica, applied) = ReplicaHandle::open(options).await.unwrap();
+        let (orders, orders_rx) = mpsc::unbounded_channel();
+        let metrics = JobMetrics::register(&Registry::new()).unwrap();
+        let leader = LeaderOptions::new(Duration::from_secs(5));
+        let (job_control, control) =
+            JobControl::new(replica.clone(), applied, leader, orders, metrics);
+        tokio::spawn(job_control.run());
+        members.push(Member {
+            replica,
+            control,
+            is_full,
+            _dir: dir,
+            _orders: orders_rx,
+        });
+    }
+    members
+}
+
+fn wave(number: u64) -> WaveOrder {
+    WaveOrder {
+        number,
+        hosts: vec!["host".into()],
+        duration_ms: 1_000,
+        cap: 1,
+    }
+}
+
+/// Guards against requests that wait for their time-out, and against reads that are refused, while
+/// only the leader has space.
+#[tokio::test]
+async fn requests_are_refused_at_once_while_a_majority_has_no_space() {
+    let members = start_group().await;
+    let scenario = async {
+        let leader = loop {
+            let found = members
+                .iter()
+                .find(|member| member.control.view().is_leader);
+            match found {
+                Some(leader) => break leader,
+                None => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        };
+        assert_eq!(leader.control.start_wave(wave(1)).await, Reply::Done);
+        let followers = || {
+            members
+                .iter()
+                .filter(|member| !std::ptr::eq(*member, leader))
+        };
+        for follower in followers() {
+            follower.is_full.store(true, Ordering::SeqCst);
+        }
+        let control = leader.control.clone();
+        let waiting = tokio::spawn(async move { control.start_wave(wave(2)).await });
+        let mut status = leader.replica.watch_status();
+        drop(status.wait_for(|status| status.majority_lacks_space).await);
+        let refused = leader.control.start_wave(wave(3)).await;
+        assert_eq!(refused, Reply::Refused(Refusal::NotReady));
+        assert_ne!(leader.control.read_wave(1).await, WaveProgress::NotReady);
+        for follower in followers() {
+            follower.is_full.store(false, Ordering::SeqCst);
+        }
+        assert_eq!(waiting.await.unwrap(), Reply::Done);
+        drop(status.wait_for(|status| !status.majority_lacks_space).await);
+        assert_eq!(leader.control.read_wave(3).await, WaveProgress::Unknown);
+        assert_eq!(leader.control.start_wave(wave(4)).await, Reply::Done);
+    };
+    let ended = tokio::time::timeout(Duration::from_mins(1), scenario).await;
+    ended.expect("the group works again");
+}
--- a/crates/masticfield-node/src/log_setup.rs
+++ b/crates/masticfield-node/src/log_setup.rs
@@ -1,6 +1,7 @@
 //! Setup of structured logs.
 
 use std::fmt::Write as _;
+use std::io::Write as _;
 use std::str::FromStr;
 use std::time::SystemTime;
 
@@ -54,7 +55,10 @@
             };
             out.finish(format_args!("{line}"));
         })
-        .chain(std::io::stderr());
+        // fern's own output panics if a line cannot be written, for example to a file on a full disk.
+        .chain(fern::Output::call(|record| {
+            drop(writeln!(std::io::stderr().lock(), "{}", record.args()));
+        }));
     // Programs that share a process, as in the demo, share the logger that was installed first.
     drop(dispatch.apply());
 }
--- a/crates/masticfield-node/src/log_writer.rs
+++ b/crates/masticfield-node/src/log_writer.rs
@@ -5,7 +5,7 @@
 //! counted; the next admitted line of the kind is preceded by a line with their number.
 
 use std::collections::HashMap;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, Instant};
@@ -92,7 +92,12 @@
     pub fn spawn(out: impl Write + Send + 'static) -> Self {
         let (tx, rx) = sync_channel(MAX_LINES);
         let builder = std::thread::Builder::new().name("log".into());
-        let thread = builder.spawn(move || write_queued(&rx, out));
+        let dropped = counter(
+            "masticfield_log_lines_dropped_total",
+            "Lines that were not written, as nobody reads them or the disk is full",
+        );
+        let counter_of_thread = dropped.clone();
+        let thread = builder.spawn(move || write_queued(&rx, out, &counter_of_thread));
         thread.expect("cannot start the log thread");
         Self {
             tx,
@@ -101,10 +106,7 @@
                 "masticfield_log_lines_left_out_total",
                 "Lines beyond the budget of their kind",
             ),
-            dropped: counter(
-                "masticfield_log_lines_dropped_total",
-                "Lines that found no room, as nobody reads them",
-            ),
+            dropped,
         }
     }
 
@@ -145,20 +147,40 @@
 }
 
 /// Writes queued lines in batches until the queue is closed or `out` fails.
-fn write_queued(rx: &Receiver<String>, mut out: impl Write) {
+///
+/// Lines for which the disk has no space are dropped, and the thread continues.
+fn write_queued(rx: &Receiver<String>, mut out: impl Write, dropped: &IntCounter) {
     let mut buf = String::new();
+    let mut line_is_partial = false;
     while let Ok(line) = rx.recv() {
         buf.clear();
+        if line_is_partial {
+            buf.push('\n');
+        }
         buf.push_str(&line);
         buf.push('\n');
+        let mut lines = 1;
         for line in rx.try_iter().take(MAX_BATCH) {
             buf.push_str(&line);
             buf.push('\n');
+            lines += 1;
         }
         let written = out.write_all(buf.as_bytes()).and_then(|()| out.flush());
-        if written.is_err() {
+        match written {
+            Ok(()) => line_is_partial = false,
+            Err(error) if is_lack_of_space(error.kind()) => {
+                dropped.inc_by(lines);
+                line_is_partial = true;
+            }
             // The reader is gone; lines that follow are counted as dropped.
-            return;
+            Err(_) => return,
         }
     }
 }
+
+fn is_lack_of_space(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge
+    )
+}
--- a/crates/masticfield-programs/tests/processes/failover.rs
+++ b/crates/masticfield-programs/tests/processes/failover.rs
@@ -108,6 +108,30 @@
     apply(&cluster, 9, "note-9");
 }
 
+/// Guards against a replica that ends when its files cannot grow, or that needs a restart once they
+/// can. The limit makes writes fail with EFBIG, which counts as lack of space.
+#[test]
+fn a_leader_whose_files_cannot_grow_takes_part_again() {
+    let mut cluster = Cluster::start();
+    apply(&cluster, 1, "before");
+    let full = cluster.leader();
+    cluster.replica(full).limit_file_size(Some(0));
+    apply(&cluster, 2, "during");
+    wait_for(|| reports_no_space(&cluster, full).then_some(()));
+    assert_ne!(cluster.leader(), full);
+    cluster.replica(full).limit_file_size(None);
+    wait_for(|| (!reports_no_space(&cluster, full)).then_some(()));
+    // Nothing is accepted without the replica now.
+    cluster.kill((full + 1) % 3);
+    apply(&cluster, 3, "after");
+    assert_eq!(summaries(&cluster), ["before", "during", "after"]);
+}
+
+fn reports_no_space(cluster: &Cluster, index: usize) -> bool {
+    let metrics = get(cluster.replica(index).address("admin"), "/metrics");
+    metrics.contains("masticfield_replica{what=\"no-space\"} 1")
+}
+
 /// The largest file of a replica's data directory, which is a segment of its log.
 fn largest_file(cluster: &Cluster, index: usize) -> PathBuf {
     let mut files = Vec::new();
--- a/crates/masticfield-programs/tests/processes/support/process.rs
+++ b/crates/masticfield-programs/tests/processes/support/process.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 
 /// Longest wait for a condition, such as the start or the exit of a program.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -69,6 +69,15 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Limits the size of files that the process writes, in bytes; `None` ends the limit.
+    pub fn limit_file_size(&self, bytes: Option<u64>) {
+        let limit = Rlimit {
+            current: bytes,
+            maximum: None,
+        };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Fsize, limit).unwrap();
+    }
+
     /// Waits until the process exits and returns its exit code; `None` if a signal ended it.
     pub fn wait(mut self) -> Option<i32> {
         wait_for(|| self.child.try_wait().unwrap()).code()
