--- a/crates/masticfield-replica/tests/group/full_disk.rs
+++ b/crates/masticfield-replica/tests/group/full_disk.rs
@@ -1,7 +1,8 @@
 //! Tests of running replicas whose disks are full for a time.
 
 use assert_matches::assert_matches;
-use masticfield_replica::ProposeError;
+use masticfield_core::ids::ReplicaId;
+use masticfield_replica::{ProposeError, ReplicaHandle, ReplicaOptions, ReplicaStatus};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -166,3 +167,20 @@
         group.check_acknowledged(index).await;
     }
 }
+
+/// Guards against a snapshot that is taken only when there is no space for it any more.
+#[tokio::test]
+async fn snapshot_is_asked_for_before_the_disk_is_full() {
+    let dir = tempfile::tempdir().unwrap();
+    // One megabyte more than two segments, which may fill up before a snapshot is written.
+    let options = ReplicaOptions::new(ReplicaId::new(1), dir.path()).disk_bytes(17 << 20);
+    let (replica, _applied) = ReplicaHandle::open(options).await.unwrap();
+    let mut status = replica.watch_status();
+    drop(status.wait_for(ReplicaStatus::holds_lease).await);
+    replica.propose(vec![0; 600_000]).await.unwrap();
+    assert!(!replica.status().needs_compaction);
+    let index = replica.propose(vec![0; 600_000]).await.unwrap();
+    drop(status.wait_for(|status| status.needs_compaction).await);
+    replica.snapshot(index, b"state".to_vec());
+    drop(status.wait_for(|status| !status.needs_compaction).await);
+}
