--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -138,13 +138,7 @@
                 "masticfield_queues_version",
                 "Version of the configuration in force",
             )?,
-            pools: IntGaugeVec::new(
-                Opts::new(
-                    "masticfield_pool",
-                    "Jobs that wait, executors, and thousandths of cores, by pool",
-                ),
-                &["pool", "what"],
-            )?,
+            pools: pool_gauges()?,
             workspaces: workspace_gauges()?,
         };
         let all: [Box<dyn Collector>; 15] = [
@@ -321,6 +315,12 @@
     IntGaugeVec::new(opts, &["workspace", "what"])
 }
 
+/// Creates the gauges of the pools.
+fn pool_gauges() -> Result<IntGaugeVec, prometheus::Error> {
+    let help = "Jobs that wait, executors, and thousandths of cores, by pool";
+    IntGaugeVec::new(Opts::new("masticfield_pool", help), &["pool", "what"])
+}
+
 /// Creates and registers the gauges of the storage.
 fn register_storage(registry: &Registry) -> Result<IntGaugeVec, prometheus::Error> {
     let help = "Whether the data folder lacks space, whether those of a majority do (as known to \
