fix(jobs): drain the hosts of a step with few absences from the start of a wave

Change: a host is urgent by the turns of its step over all remaining hosts of the wave, and only two hosts per turn of a step drain at the same time, so that the others keep their finite tasks.

--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -1,12 +1,13 @@
 //! Waves of upkeep: when each host is drained.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::executor::RunPhase;
 use super::host::OperationPhase;
 use super::{Defect, Leader, Moment};
-use crate::job::RunId;
+use crate::job::{JobId, RunId};
 use crate::schedule::{hosts_at_once, is_urgent, may_interrupt};
 use crate::state::{ExecutorKey, HostClaim, Wave};
 
@@ -14,6 +15,34 @@
 /// move takes as long as an upkeep, and the host may get tasks again.
 const LAST_MOVES: Duration = Duration::from_secs(8);
 
+/// Number of hosts that drain for each turn of a long-running step, so that the next one is ready.
+const DRAINING_PER_TURN: u32 = 2;
+
+/// Job, occurrence and step of long-running tasks.
+type StepKey = (JobId, u32, u16);
+
+/// A long-running step on the hosts of a wave.
+#[derive(Debug, Clone, Copy, Default)]
+struct DrainedStep {
+    /// Number of its tasks that may be away at the same time.
+    at_once: u32,
+    /// Number of hosts with its tasks whose upkeep has not begun.
+    hosts: u32,
+    /// Number of these hosts that are draining.
+    draining: u32,
+}
+
+impl DrainedStep {
+    /// Returns how many times its tasks have to be stopped one after the other.
+    fn turns(self) -> u32 {
+        self.hosts.div_ceil(self.at_once.max(1))
+    }
+
+    fn has_enough_draining(self) -> bool {
+        self.draining >= DRAINING_PER_TURN.saturating_mul(self.at_once)
+    }
+}
+
 impl Leader {
     /// Starts draining further hosts of each wave that is not complete.
     pub(super) fn check_waves(&mut self, now: Moment) {
@@ -59,6 +88,7 @@
         let unfinished = wave.remaining.len() + away;
         let at_once = hosts_at_once(unfinished, time_left, options.upkeep_time, cap);
         let free = at_once.saturating_sub(draining + away);
+        let mut steps = self.long_running_steps(wave);
         let mut waiting: Vec<_> = wave
             .remaining
             .iter()
@@ -67,42 +97,61 @@
                 host.is_some_and(|host| host.is_available(now.monotonic))
             })
             .map(|name| {
-                let urgent = is_urgent(self.drain_turns(name), time_left, options.upkeep_time);
+                let turns = self.steps_on(name).map(|step| steps[&step].turns());
+                let turns = turns.max().unwrap_or_default();
+                let urgent = is_urgent(turns, time_left, options.upkeep_time);
                 (!urgent, self.host_load(name), Arc::clone(name))
             })
             .collect();
         waiting.sort_unstable();
-        for (.., name) in waiting.into_iter().take(free) {
+        let mut free = free;
+        for (.., name) in waiting {
+            if free == 0 {
+                break;
+            }
+            // A host whose turn is far away keeps its finite tasks meanwhile.
+            if self
+                .steps_on(&name)
+                .any(|step| steps[&step].has_enough_draining())
+            {
+                continue;
+            }
+            for step in self.steps_on(&name) {
+                steps.entry(step).or_default().draining += 1;
+            }
+            free -= 1;
             self.begin_operation(now, &name, claim.clone());
         }
     }
 
-    /// Returns how many long-running tasks of a host have to be stopped one after the other, as only
-    /// `may_miss` tasks of a step may be away at the same time.
-    fn drain_turns(&self, name: &Arc<str>) -> u32 {
+    /// Returns the long-running steps on the hosts of a wave whose upkeep has not begun.
+    fn long_running_steps(&self, wave: &Wave) -> BTreeMap<StepKey, DrainedStep> {
+        let mut steps: BTreeMap<StepKey, DrainedStep> = BTreeMap::new();
+        for name in &wave.remaining {
+            let host = self.hosts.views.get(name);
+            let draining = host.is_some_and(|host| host.operation.is_some());
+            for (job, occurrence, step) in self.steps_on(name) {
+                let record = self.state.job(job);
+                let spec = record.and_then(|job| job.spec.as_ref());
+                let spec = spec.and_then(|spec| spec.steps.get(usize::from(step)));
+                let drained = steps.entry((job, occurrence, step)).or_default();
+                drained.at_once = spec.map_or(1, |spec| spec.may_miss.max(1));
+                drained.hosts += 1;
+                drained.draining += u32::from(draining);
+            }
+        }
+        steps
+    }
+
+    /// Returns the steps with long-running tasks on a host.
+    fn steps_on(&self, name: &Arc<str>) -> impl Iterator<Item = StepKey> {
         let host = self.hosts.views.get(name);
-        let Some(view) = host.and_then(|host| self.executor_view(host)) else {
-            return 0;
-        };
-        // Runs are sorted by their tasks, so that those of a step are neighbours.
-        let runs: Vec<_> = view
-            .runs
-            .iter()
+        let view = host.and_then(|host| self.executor_view(host));
+        let runs = view.into_iter().flat_map(|view| &view.runs);
+        let steps = runs
             .filter(|(_, run)| run.long_running)
-            .collect();
-        let step = |run: &RunId| (run.task.job, run.task.occurrence, run.task.step);
-        let steps = runs.chunk_by(|(a, _), (b, _)| step(a) == step(b));
-        let turns = steps.map(|runs| {
-            let (run, _) = runs[0];
-            let job = self.state.job(run.task.job);
-            let spec = job.and_then(|job| job.spec.as_ref());
-            let step = spec.and_then(|spec| spec.steps.get(usize::from(run.task.step)));
-            let at_once = step.map_or(1, |step| step.may_miss.max(1));
-            u32::try_from(runs.len())
-                .unwrap_or(u32::MAX)
-                .div_ceil(at_once)
-        });
-        turns.max().unwrap_or_default()
+            .map(|(run, _)| (run.task.job, run.task.occurrence, run.task.step));
+        steps.collect::<BTreeSet<_>>().into_iter()
     }
 
     /// Returns the number of long-running tasks on a host, and the reserved processor time in
--- a/crates/masticfield-jobs/src/schedule/upkeep.rs
+++ b/crates/masticfield-jobs/src/schedule/upkeep.rs
@@ -33,9 +33,9 @@
 
 /// Returns whether the drain of a host should begin before that of hosts with less load.
 ///
-/// `turns` is the number of its long-running tasks that have to be stopped one after the other, as
-/// their steps allow. Draining more hosts at once does not make such a host faster: it begins early
-/// enough for each turn to wait for one of another host, or it is left at the end of the wave.
+/// `turns` is how many times a long-running step with tasks on the host has to wait until stopped
+/// tasks serve again, over all remaining hosts of the wave. Draining more hosts at once does not make
+/// these turns faster, so that they begin early, or hosts are left at the end of the wave.
 pub fn is_urgent(turns: u32, time_left: Duration, upkeep: Duration) -> bool {
     time_left < RESTART_TIME * turns * 2 + upkeep + RESERVE
 }
