--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -398,7 +398,7 @@
 #[case::single_run(Defect::UnansweredNeverRan, delayed_orders(), 0)]
 #[case::step_order(Defect::StepsInAnyOrder, no_faults(), 0)]
 #[case::leases(Defect::LapseAtOnce, crashes_and_partitions(), 0)]
-#[case::availability(Defect::RepeatRefused, crashes_and_partitions(), 250)]
+#[case::availability(Defect::RepeatRefused, crashes_and_partitions(), 900)]
 #[case::handover(Defect::HandoverAtOnce, leader_changes(), 0)]
 #[case::crashes(Defect::IgnoreCrashes, crashing_tasks(no_faults()), 0)]
 fn each_left_out_guard_is_detected(
