--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -51,6 +51,8 @@
     pub(super) lapsed: LapsedRuns,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
+    /// Each job in `pending` that belongs to a workspace.
+    pub(super) pending_of: BTreeMap<WorkspaceId, BTreeSet<JobId>>,
     /// Jobs refused for the quota of each workspace.
     pub(super) quota_refusals: BTreeMap<WorkspaceId, u64>,
     /// Jobs that were logged as waiting for their quota.
@@ -84,6 +86,7 @@
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
             offered_load: BTreeMap::new(),
+            pending_of: BTreeMap::new(),
             quota_refusals: BTreeMap::new(),
             quota_waits: BTreeSet::new(),
             former_keys: HashMap::new(),
@@ -152,6 +155,7 @@
             self.check_executors(now);
             self.check_hosts(now);
             self.forget_ended_jobs(now);
+            self.note_quota_waits();
             // Executors become usable again by the passing of time, without an event.
             let pending = self.pending.iter().filter(|(_, jobs)| !jobs.is_empty());
             self.changed_pools
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -20,6 +20,8 @@
     pub(super) fn update_pending(&mut self, now: Moment, id: JobId) {
         let entry = self.pending_job(now, id);
         let previous = self.pending_jobs.remove(&id);
+        let workspace = entry.as_ref().or(previous.as_ref());
+        let workspace = workspace.and_then(|job| job.workspace);
         let key = |job: &PendingJob| (Arc::clone(&job.pool), job.rank);
         if previous.as_ref().map(key) != entry.as_ref().map(key) {
             if let Some(job) = previous
@@ -36,6 +38,7 @@
         if let Some(job) = entry {
             self.pending_jobs.insert(id, job);
         }
+        self.index_pending(id, workspace);
     }
 
     /// Returns what planning needs to know of a job, or `None` if no task of it is ready to start.
@@ -91,7 +94,6 @@
                 max_free = view.max_free();
             }
         }
-        self.note_quota_waits(pool);
         for key in usable {
             self.hold_if_due(now, key);
         }
--- a/crates/masticfield-jobs/src/leader/quotas.rs
+++ b/crates/masticfield-jobs/src/leader/quotas.rs
@@ -144,9 +144,8 @@
 
     /// Returns the work of a workspace's jobs that waits in all pools.
     fn waiting_work_of(&self, workspace: WorkspaceId) -> ResourceSeconds {
-        let pending = self.pending.values().flatten();
-        let jobs = pending.filter_map(|(_, id)| self.pending_jobs.get(id));
-        let jobs = jobs.filter(|job| job.workspace == Some(workspace));
+        let jobs = self.pending_of.get(&workspace).into_iter().flatten();
+        let jobs = jobs.filter_map(|id| self.pending_jobs.get(id));
         jobs.fold([0.0; 3], |sum, job| add(sum, job.quota_work))
     }
 
@@ -160,20 +159,24 @@
         if !self.state.has_workspaces() {
             return jobs.map(|job| job.work).sum();
         }
-        let mut by_workspace: BTreeMap<_, f64> = BTreeMap::new();
+        let mut work_of = vec![0.0; self.state.workspaces().count()];
+        let mut sum = 0.0;
         for job in jobs {
-            *by_workspace.entry(job.workspace).or_default() += job.work;
+            let id = job.workspace.map(|workspace| workspace.0 as usize);
+            match id.and_then(|id| work_of.get_mut(id)) {
+                Some(work) => *work += job.work,
+                None => sum += job.work,
+            }
         }
-        let works = by_workspace.into_iter().map(|(workspace, work)| {
-            let quota = workspace.and_then(|id| self.state.quota_of(id));
-            let cores = quota.map_or(0.0, Resources::cores);
-            if cores > 0.0 {
-                work.min(cores * horizon.as_secs_f64())
+        for (work, (_, workspace)) in work_of.into_iter().zip(self.state.workspaces()) {
+            let cores = workspace.quota.cores();
+            sum += if cores > 0.0 {
+                f64::min(work, cores * horizon.as_secs_f64())
             } else {
                 work
-            }
-        });
-        works.sum()
+            };
+        }
+        sum
     }
 
     /// Returns the resources that a pool's waiting jobs would use if the pool had more hosts, and
@@ -236,13 +239,24 @@
         stats.collect()
     }
 
-    /// Logs each job of a pool once when it waits because of its workspace's quota.
-    pub(super) fn note_quota_waits(&mut self, pool: &Arc<str>) {
+    /// Keeps the waiting jobs of each workspace after one of its jobs has changed.
+    pub(super) fn index_pending(&mut self, id: JobId, workspace: Option<WorkspaceId>) {
+        if let Some(workspace) = workspace {
+            let jobs = self.pending_of.entry(workspace).or_default();
+            if self.pending_jobs.contains_key(&id) {
+                jobs.insert(id);
+            } else {
+                jobs.remove(&id);
+            }
+        }
+    }
+
+    /// Logs each job once when it waits because of its workspace's quota.
+    pub(super) fn note_quota_waits(&mut self) {
         if !self.state.has_workspaces() {
             return;
         }
-        let pending = self.pending.get(pool).into_iter().flatten();
-        let waits = pending.map(|(_, id)| *id).filter(|id| {
+        let waits = self.pending_of.values().flatten().copied().filter(|id| {
             let job = self.pending_jobs.get(id);
             job.is_some_and(|job| !self.quota_room(job.workspace).covers(job.least_need))
                 && !self.quota_waits.contains(id)
