--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -6,7 +6,7 @@
 use masticfield_jobs::state::JobPhase;
 use prometheus::core::Collector;
 use prometheus::{
-    CounterVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    CounterVec, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, exponential_buckets,
 };
 
@@ -49,6 +49,7 @@
     is_leader: IntGauge,
     config_version: IntGauge,
     pools: IntGaugeVec,
+    fairness: Gauge,
 }
 
 impl JobMetrics {
@@ -128,6 +129,10 @@
                 "masticfield_queues_version",
                 "Version of the configuration in force",
             )?,
+            fairness: Gauge::new(
+                "masticfield_workspace_fairness",
+                "Jain's index of the served part of the jobs of each workspace",
+            )?,
             pools: IntGaugeVec::new(
                 Opts::new(
                     "masticfield_pool",
@@ -150,6 +155,7 @@
             Box::new(metrics.host_calls.clone()),
             Box::new(metrics.is_leader.clone()),
             Box::new(metrics.config_version.clone()),
+            Box::new(metrics.fairness.clone()),
             Box::new(metrics.pools.clone()),
         ];
         for metric in all {
@@ -235,6 +241,7 @@
         let Some(leader) = leader else {
             return;
         };
+        self.fairness.set(leader.fairness_index());
         for (pool, stats) in leader.pool_stats(now).into_iter().take(MAX_POOLS) {
             let values = [
                 ("jobs-waiting", stats.jobs_waiting),
--- a/crates/masticfield-jobs/src/leader/load_shedding.rs
+++ b/crates/masticfield-jobs/src/leader/load_shedding.rs
@@ -334,7 +334,9 @@
             incoming: backlog.incoming,
         };
         let mut jobs = self.waiting_jobs(now, &ids);
-        jobs.iter_mut().for_each(|job| job.value = 1.0);
+        for job in &mut jobs {
+            job.value = 1.0;
+        }
         let order = shed_order(&jobs, &capacity).into_iter();
         order.map(|(index, _)| ids[index]).collect()
     }
--- a/crates/masticfield-jobs/src/schedule/job_value.rs
+++ b/crates/masticfield-jobs/src/schedule/job_value.rs
@@ -122,9 +122,9 @@
                     above += offered;
                 }
                 if group.1 * offered < PROTECT_BELOW * served * group.0 {
-                    members
-                        .into_iter()
-                        .for_each(|index| protected[index] = true);
+                    for index in members {
+                        protected[index] = true;
+                    }
                 }
             }
         }
