--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -7,7 +7,7 @@
 use masticfield_replica::ReplicaStatus;
 use prometheus::core::Collector;
 use prometheus::{
-    CounterVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    CounterVec, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, exponential_buckets,
 };
 
@@ -58,6 +58,7 @@
     config_version: IntGauge,
     pools: IntGaugeVec,
     workspaces: IntGaugeVec,
+    fairness: Gauge,
 }
 
 impl JobMetrics {
@@ -140,8 +141,12 @@
             )?,
             pools: pool_gauges()?,
             workspaces: workspace_gauges()?,
+            fairness: Gauge::new(
+                "masticfield_workspace_fairness",
+                "Jain's index of the served part of the jobs of each workspace",
+            )?,
         };
-        let all: [Box<dyn Collector>; 15] = [
+        let all: [Box<dyn Collector>; 16] = [
             Box::new(metrics.relayed_calls.clone()),
             Box::new(metrics.executor_crashes.clone()),
             Box::new(metrics.state_differences.clone()),
@@ -155,6 +160,7 @@
             Box::new(metrics.host_calls.clone()),
             Box::new(metrics.is_leader.clone()),
             Box::new(metrics.config_version.clone()),
+            Box::new(metrics.fairness.clone()),
             Box::new(metrics.pools.clone()),
             Box::new(metrics.workspaces.clone()),
         ];
@@ -257,6 +263,7 @@
         let Some(leader) = leader else {
             return;
         };
+        self.fairness.set(leader.fairness_index());
         for (pool, stats) in leader.pool_stats(now).into_iter().take(MAX_POOLS) {
             let values = [
                 ("jobs-waiting", stats.jobs_waiting),
