feat(jobs): forecast of pools' load, a limit on requests about hosts, and the load restored

Cause: a pool needs 100 to 200 hosts within a second or two of a surge's begin and a host takes 1.5 s to arrive; a new leader knew nothing of the offered load, and released hosts after 1.5 s; one check began up to 12 moves (120 a second) where the platform accepts `dutyPerS` requests (64 in its example), and releases were not counted.

Change: `SurgePattern` expects recurring surges; hosts are ordered ahead of them and released early when the load has fallen, with a budget, and idle or draining hosts go directly to the pool that lacks some. Behind `LeaderOptions::pool_forecast` (off). For every deployment: the offered load is restored from the jobs in the state, and a new leader releases nothing for 3 s.

--- a/crates/masticfield-emulator/src/lib.rs
+++ b/crates/masticfield-emulator/src/lib.rs
@@ -24,5 +24,5 @@
 
 pub use fleet::{Fleet, QueueLoad};
 pub use report::Report;
-pub use scenario::{Faults, RelayDefect, Scenario};
+pub use scenario::{Faults, LoadShape, RelayDefect, Scenario};
 pub use simulation::Simulation;
--- a/crates/masticfield-emulator/src/report.rs
+++ b/crates/masticfield-emulator/src/report.rs
@@ -46,6 +46,8 @@
     pub late_upkeeps: u32,
     /// Moves of hosts between pools.
     pub moves: u32,
+    /// Requests about hosts beyond the number that the platform accepts.
+    pub busy_orders: u32,
     /// Host time in pools other than standby until the end of the load, in seconds.
     pub host_seconds: f64,
     /// Events that the leader handled.
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -23,6 +23,12 @@
     /// Whether the callers' jobs depend only on the seed and not on the leader's decisions, so that
     /// job orders can be compared under the same load.
     pub fixed_load: bool,
+    /// When queues surge.
+    pub shape: LoadShape,
+    /// Whether the leader forecasts the load of pools.
+    pub pool_forecast: bool,
+    /// Number of requests about hosts that the platform accepts per second; 0 for no limit.
+    pub orders_per_s: u32,
     /// Order in which waiting jobs get free capacity.
     pub order: JobOrder,
     /// Number of relays; with 0 the leader calls executors itself.
@@ -33,6 +39,19 @@
     pub defect: Option<Defect>,
 }
 
+/// When queues surge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadShape {
+    /// Each queue surges once, for a quarter of the load.
+    Once,
+    /// Queues surge in turn, each for a quarter of a cycle of this length in milliseconds.
+    Turns(u64),
+    /// Queues surge at random times, each for 2 to 6 s after 4 to 24 s.
+    Random,
+    /// The mean rate of each queue does not change.
+    Steady,
+}
+
 /// A guard of the relays to leave out, so that a test can show that the checks detect it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayDefect {
@@ -103,6 +122,9 @@
             relays: 0,
             relay_defect: None,
             fixed_load: false,
+            shape: LoadShape::Once,
+            pool_forecast: false,
+            orders_per_s: 0,
             order: JobOrder::OnTimeFirst,
             defect: None,
             faults: Faults {
@@ -152,6 +174,27 @@
         self
     }
 
+    /// Sets when queues surge.
+    #[must_use]
+    pub const fn shape(mut self, shape: LoadShape) -> Self {
+        self.shape = shape;
+        self
+    }
+
+    /// Lets the leader forecast the load of pools.
+    #[must_use]
+    pub const fn pool_forecast(mut self, enabled: bool) -> Self {
+        self.pool_forecast = enabled;
+        self
+    }
+
+    /// Sets the number of requests about hosts that the platform accepts per second.
+    #[must_use]
+    pub const fn orders_per_s(mut self, limit: u32) -> Self {
+        self.orders_per_s = limit;
+        self
+    }
+
     /// Sets the order in which waiting jobs get free capacity.
     #[must_use]
     pub const fn order(mut self, order: JobOrder) -> Self {
--- a/crates/masticfield-emulator/src/simulation/callers.rs
+++ b/crates/masticfield-emulator/src/simulation/callers.rs
@@ -5,9 +5,10 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::{ScheduledEvent, Simulation, WARMUP_MS, load_factor};
+use super::{SURGE_FACTORS, SURGE_SHARE, ScheduledEvent, Simulation, WARMUP_MS};
 use crate::checker::SubmittedJob;
 use crate::fleet::{QueueLoad, round_to_u64};
+use crate::scenario::LoadShape;
 
 impl Simulation {
     /// Returns the source of random choices for the callers' jobs.
@@ -32,13 +33,7 @@
             return;
         }
         let queue = &self.scenario.fleet.queues[index];
-        let rate = queue.jobs_per_s
-            * load_factor(
-                self.scenario.fleet.queues.len(),
-                index,
-                now,
-                self.scenario.load_ms,
-            );
+        let rate = queue.jobs_per_s * self.load_factor(index, now);
         // Poisson arrivals, with gaps of at most 500 ms so that a change of the rate takes effect
         // soon. At rates below 2 jobs/s, a gap of that length ends in a submission only with the
         // probability rate / 2.
@@ -56,6 +51,59 @@
             .insert((now + gap, self.last_sequence), next);
     }
 
+    /// Returns the factor on the mean rate of a queue.
+    ///
+    /// Queues surge in turn; if there are fewer than four, all surge throughout.
+    fn load_factor(&self, index: usize, now: u64) -> f64 {
+        let queues = self.scenario.fleet.queues.len();
+        let cycle_ms = match self.scenario.shape {
+            LoadShape::Once => self.scenario.load_ms,
+            LoadShape::Turns(cycle_ms) => cycle_ms,
+            LoadShape::Random => {
+                let mut surges = self.surges.get(index).into_iter().flatten();
+                let surges = surges.any(|(begin, end)| (*begin..*end).contains(&now));
+                return if surges {
+                    SURGE_FACTORS.0
+                } else {
+                    SURGE_FACTORS.1
+                };
+            }
+            LoadShape::Steady => return 1.0,
+        };
+        #[expect(clippy::cast_precision_loss, reason = "milliseconds of a simulation")]
+        let elapsed = now.saturating_sub(WARMUP_MS) as f64 / cycle_ms.max(1) as f64;
+        let mut turn = round_to_u64((elapsed / SURGE_SHARE).floor());
+        if matches!(self.scenario.shape, LoadShape::Turns(_)) {
+            turn %= queues.max(1) as u64;
+        }
+        let surges = turn == index as u64 % queues.max(1) as u64 || queues < 4;
+        if surges {
+            SURGE_FACTORS.0
+        } else {
+            SURGE_FACTORS.1
+        }
+    }
+
+    /// Returns random surges of each queue, if it surges at random times.
+    pub(super) fn random_surges(&mut self, queues: usize) -> Vec<Vec<(u64, u64)>> {
+        if self.scenario.shape != LoadShape::Random {
+            return Vec::new();
+        }
+        let end = WARMUP_MS + self.scenario.load_ms;
+        let rng = &mut self.load_rng;
+        let surges = (0..queues).map(|_| {
+            let mut surges = Vec::new();
+            let mut begin = WARMUP_MS + rng.random_range(0..14_000);
+            while begin < end {
+                let surge_end = begin + rng.random_range(2_000..6_000);
+                surges.push((begin, surge_end));
+                begin = surge_end + rng.random_range(4_000..24_000);
+            }
+            surges
+        });
+        surges.collect()
+    }
+
     /// Creates a job of a queue and submits it; its caller may cancel it later.
     pub(super) fn submit(&mut self, index: usize, long_running: bool) {
         if !long_running && self.now >= WARMUP_MS + self.scenario.load_ms {
--- a/crates/masticfield-emulator/src/simulation/hosts.rs
+++ b/crates/masticfield-emulator/src/simulation/hosts.rs
@@ -147,6 +147,11 @@
         if self.now < host.available_at || host.executor.is_none() {
             return Err(HostError::NotUp);
         }
+        if !self.accepts_order() {
+            self.report.busy_orders += 1;
+            return Err(HostError::Busy);
+        }
+        let host = &mut self.hosts[index];
         let duration = match claim {
             HostClaim::Move { pool } => {
                 host.pool = Arc::clone(pool);
@@ -174,6 +179,26 @@
         Ok(())
     }
 
+    /// Returns whether the platform accepts one more request now, and counts it.
+    fn accepts_order(&mut self) -> bool {
+        let limit = self.scenario.orders_per_s as usize;
+        if limit == 0 {
+            return true;
+        }
+        while self
+            .orders
+            .front()
+            .is_some_and(|sent| self.now >= sent + 1_000)
+        {
+            self.orders.pop_front();
+        }
+        let accepts = self.orders.len() < limit;
+        if accepts {
+            self.orders.push_back(self.now);
+        }
+        accepts
+    }
+
     /// Adds the host time until `time` to the report, and records the jobs that have ended.
     pub(super) fn account_host_time(&mut self, time: u64) {
         let serving = self
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -5,7 +5,7 @@
 mod hosts;
 mod relays;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,6 @@
 
 use crate::checker::Checker;
 use crate::executor::Executor;
-use crate::fleet::round_to_u64;
 use crate::host::Host;
 use crate::report::Report;
 use crate::scenario::Scenario;
@@ -209,6 +208,10 @@
     last_reply_id: u64,
     checker: Checker,
     report: Report,
+    /// Begins and ends of the surges of each queue, if they surge at random times.
+    surges: Vec<Vec<(u64, u64)>>,
+    /// Times of the latest requests about hosts that the platform has accepted.
+    orders: VecDeque<u64>,
     /// Time up to which host time is in the report.
     accounted_until: u64,
     /// Real time that the leader has taken to handle events and decide.
@@ -252,6 +255,8 @@
             last_reply_id: 0,
             checker: Checker::default(),
             report: Report::default(),
+            surges: Vec::new(),
+            orders: VecDeque::new(),
             accounted_until: 0,
             decision_time: Duration::ZERO,
         };
@@ -288,6 +293,7 @@
 
     fn initialize(&mut self) {
         let queues = self.scenario.fleet.queues.clone();
+        self.surges = self.random_surges(queues.len());
         let mut number = 0;
         let pools = queues
             .iter()
@@ -651,11 +657,13 @@
 fn leader_options(scenario: &Scenario) -> LeaderOptions {
     let options = LeaderOptions::new(Duration::from_secs(5))
         .with_defect(scenario.defect)
-        .order(scenario.order);
+        .order(scenario.order)
+        .pool_forecast(scenario.pool_forecast);
     options.hosts(HostOptions {
         move_time: Duration::from_millis(MOVE_MS),
         upkeep_time: Duration::from_secs(2),
         handover: Duration::from_millis(HANDOVER_MS),
+        orders_per_s: (scenario.orders_per_s > 0).then_some(scenario.orders_per_s),
     })
 }
 
@@ -673,18 +681,3 @@
         wall_ms: START_WALL_MS + now,
     }
 }
-
-/// Returns the factor on the mean rate of a queue.
-///
-/// Queues surge in turn; if there are fewer than four, all surge throughout.
-#[expect(clippy::cast_precision_loss, reason = "milliseconds of a simulation")]
-fn load_factor(queues: usize, index: usize, now: u64, load_ms: u64) -> f64 {
-    let elapsed = now.saturating_sub(WARMUP_MS) as f64 / load_ms.max(1) as f64;
-    let turn = round_to_u64((elapsed / SURGE_SHARE).floor());
-    let surges = turn == index as u64 % queues.max(1) as u64 || queues < 4;
-    if surges {
-        SURGE_FACTORS.0
-    } else {
-        SURGE_FACTORS.1
-    }
-}
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -1,6 +1,6 @@
 //! Host operations: draining, requests to the platform, and its list of hosts.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +9,7 @@
 use super::options::AWAY_MARGIN;
 use super::retirement::Retirement;
 use super::{ClaimWatch, Defect, Effect, HostError, Leader, ListedHost, Moment};
+use crate::schedule::OrderWindow;
 use crate::state::{Command, ExecutorIncarnation, ExecutorKey, HostClaim};
 
 /// Interval of requests for the list while an executor's host is unknown, or a request about a
@@ -49,12 +50,18 @@
     leading_since: Duration,
     /// Number of the latest request about a host.
     last_order: u64,
+    /// Requests about hosts in the last second.
+    pub(super) orders: OrderWindow,
     /// Pairs of a kind of hosts and a pool that this kind does not suit.
     pub(super) unsuitable: HashSet<(Option<Arc<str>>, Arc<str>)>,
     /// Executors whose hosts are due for upkeep in a wave that is under way.
     pub(super) upkeep_due: HashSet<ExecutorKey>,
     /// Hosts that are not moved any more, as their upkeep would otherwise be late.
     pub(super) kept_for_upkeep: HashSet<Arc<str>>,
+    /// Surplus of each pool at the latest checks; see [`FALLEN_SURPLUS_DELAY`].
+    ///
+    /// [`FALLEN_SURPLUS_DELAY`]: super::pools::FALLEN_SURPLUS_DELAY
+    pub(super) latest_surplus: BTreeMap<Arc<str>, VecDeque<(Duration, usize)>>,
     /// Time since which a pool has had more hosts than it needs.
     pub(super) surplus_since: BTreeMap<Arc<str>, Duration>,
 }
@@ -69,9 +76,11 @@
             claims,
             leading_since,
             last_order: 0,
+            orders: OrderWindow::default(),
             unsuitable: HashSet::new(),
             upkeep_due: HashSet::new(),
             kept_for_upkeep: HashSet::new(),
+            latest_surplus: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
         }
     }
@@ -306,12 +315,22 @@
             .views
             .iter()
             .filter(|(_, host)| host.operation.is_some());
-        let names: Vec<_> = hosts.map(|(name, _)| Arc::clone(name)).collect();
-        for name in names {
+        // Requests are limited, and a release to standby can wait.
+        let mut names: Vec<_> = hosts
+            .map(|(name, host)| (self.is_released(host), Arc::clone(name)))
+            .collect();
+        names.sort_unstable();
+        for (_, name) in names {
             self.advance_operation(now, &name);
         }
     }
 
+    /// Returns how many requests about hosts the platform accepts now; `None` if not known.
+    pub(super) fn available_orders(&mut self, now: Moment) -> Option<usize> {
+        let per_second = self.options.hosts?.orders_per_s?;
+        Some(self.hosts.orders.available(now.monotonic, per_second))
+    }
+
     /// Sends the request of an operation if it is due: the host is drained, the wave's cap allows
     /// it, and no former leader's request can be in effect.
     fn advance_operation(&mut self, now: Moment, name: &Arc<str>) {
@@ -335,11 +354,38 @@
             OperationPhase::Retry(due) => now.monotonic >= due && self.is_drained_again(now, name),
             OperationPhase::Ordered(_) => false,
         };
-        if due && self.is_handed_over(now, name) {
+        if due && self.is_handed_over(now, name) && self.may_order(now, name) {
             self.order_host(now, name);
         }
     }
 
+    /// Returns whether the platform accepts the request of an operation now.
+    ///
+    /// Half of the requests are kept for other operations than releases to standby: a surge of one
+    /// pool often begins when that of another ends.
+    fn may_order(&mut self, now: Moment, name: &Arc<str>) -> bool {
+        let Some(available) = self.available_orders(now) else {
+            return true;
+        };
+        let per_second = self.options.hosts.and_then(|hosts| hosts.orders_per_s);
+        let host = self.hosts.views.get(name);
+        let kept = if host.is_some_and(|host| self.is_released(host)) {
+            per_second.unwrap_or_default() as usize / 2
+        } else {
+            0
+        };
+        available > kept
+    }
+
+    /// Returns whether a host is to be moved to standby.
+    pub(super) fn is_released(&self, host: &HostView) -> bool {
+        let operation = host.operation.as_ref();
+        operation.is_some_and(|operation| match &operation.claim {
+            HostClaim::Move { pool } => self.is_standby_pool(pool),
+            HostClaim::Upkeep { .. } => false,
+        })
+    }
+
     /// Stops the long-running tasks on a host, and returns whether the host is drained.
     ///
     /// With `ignore_finite`, the host counts as drained while finite tasks still run.
@@ -448,6 +494,7 @@
             executor,
         });
         self.hosts.last_order += 1;
+        self.hosts.orders.record(now.monotonic);
         let number = self.hosts.last_order;
         self.after_commit(Effect::OrderHost {
             host: Arc::clone(name),
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -11,7 +11,7 @@
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::RouteTable;
-use crate::schedule::{OfferedLoad, Rank, lease_end};
+use crate::schedule::{OfferedLoad, Rank, SurgePattern, lease_end};
 use crate::state::{Command, ExecutorKey, JobPhase, State};
 
 /// Interval of checks for changes that no event announces.
@@ -51,6 +51,10 @@
     pub(super) lapsed: LapsedRuns,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
+    /// Surges of the pools' load, and when the next ones are expected.
+    pub(super) surges: SurgePattern,
+    /// Moves to standby that may be made now; `None` until the first check.
+    pub(super) release_budget: Option<f64>,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
     last_check: Duration,
@@ -78,6 +82,8 @@
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
             offered_load: BTreeMap::new(),
+            surges: SurgePattern::default(),
+            release_budget: None,
             leading_since: now.monotonic,
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
@@ -220,6 +226,7 @@
         for job in jobs {
             self.update_pending(now, job);
         }
+        self.restore_offered(now);
     }
 
     /// Creates the view of a run that is placed or inherited now.
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -22,6 +22,8 @@
     pub stop_time: Duration,
     /// Order in which waiting jobs get free capacity.
     pub order: JobOrder,
+    /// Whether hosts are moved ahead of surges that recur, and released early when a surge ends.
+    pub pool_forecast: bool,
     /// Timing of the platform's hosts; `None` disables moves and upkeep.
     pub hosts: Option<HostOptions>,
     /// Guard to leave out, in tests.
@@ -62,6 +64,8 @@
     /// Time for which a new leader leaves a host to the former one; the lease of a leader's
     /// requests at the platform.
     pub handover: Duration,
+    /// Number of requests about hosts that the platform accepts per second; `None` if not known.
+    pub orders_per_s: Option<u32>,
 }
 
 impl HostOptions {
@@ -81,6 +85,7 @@
             keep_ended: Duration::from_secs(150),
             stop_time: Duration::from_millis(500),
             order: JobOrder::OnTimeFirst,
+            pool_forecast: false,
             hosts: None,
             defect: None,
         }
@@ -115,6 +120,13 @@
         self
     }
 
+    /// Sets whether hosts are moved ahead of surges that recur, and released early when a surge ends.
+    #[must_use]
+    pub const fn pool_forecast(mut self, enabled: bool) -> Self {
+        self.pool_forecast = enabled;
+        self
+    }
+
     /// Enables moves and upkeep of hosts.
     #[must_use]
     pub const fn hosts(mut self, hosts: HostOptions) -> Self {
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -16,9 +16,39 @@
 /// and taking it back costs two moves, as much as about two seconds of the host in a pool.
 const SURPLUS_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Maximum number of moves that one check begins, to stay within the platform's rate limit.
+/// Time after the load of a surge has fallen over which the least surplus is released. Tasks of later
+/// steps start when the last ones of earlier steps have ended, so that the need rises and falls.
+pub(super) const FALLEN_SURPLUS_DELAY: Duration = Duration::from_millis(600);
+
+/// Maximum number of moves that one check begins if the platform's limit is not known.
 const MAX_MOVES_PER_CHECK: usize = 12;
 
+/// Time from the begin of a leadership until hosts are released: until then, callers may not have
+/// repeated the requests that the former leader has not answered.
+const FIRST_RELEASE: Duration = Duration::from_secs(3);
+
+/// Time in which as many hosts may be released as there are, so that loads that rise and fall again
+/// and again do not move hosts back and forth.
+const RELEASE_ALL: Duration = Duration::from_secs(12);
+
+/// Share of all hosts that may be released at once.
+const RELEASE_BURST: f64 = 0.5;
+
+/// Fewest hosts that may be released at once.
+const MIN_RELEASE_BURST: f64 = 16.0;
+
+/// Interval of checks, over which the release budget grows.
+const CHECK_S: f64 = 0.1;
+
+/// Share of an expected surge for which hosts are moved ahead; the rest comes with its first jobs.
+const AHEAD_SHARE: f64 = 0.8;
+
+/// Time by which hosts should be there before an expected surge begins.
+const AHEAD_MARGIN: Duration = Duration::from_millis(100);
+
+/// Longest time without a leader for which the offered load is taken over.
+const MAX_GAP_MS: u64 = 8_000;
+
 impl Leader {
     /// Records the work of a submitted job, whether or not the job is accepted.
     pub(super) fn record_offered(&mut self, now: Moment, queue: QueueId, spec: &JobSpec) {
@@ -33,6 +63,72 @@
             .entry(Arc::clone(&queue.pool))
             .or_default();
         offered.add(now.monotonic, spec.work());
+        let pool = Arc::clone(&queue.pool);
+        self.surges.add(now.monotonic, &pool, spec.work());
+    }
+
+    /// Restores the offered load from the jobs of former leaders, as of the latest acceptance: most
+    /// callers whose requests were not answered since will repeat them.
+    pub(super) fn restore_offered(&mut self, now: Moment) {
+        let mut mean_work: BTreeMap<QueueId, (f64, f64)> = BTreeMap::new();
+        let mut accepted = Vec::new();
+        for (_, job) in self.state.jobs() {
+            let spec = job.spec.as_ref();
+            if spec.is_some_and(|spec| spec.is_long_running() || spec.timetable.is_some()) {
+                continue;
+            }
+            let work = spec.map(JobSpec::work);
+            if let Some(work) = work {
+                let (sum, count) = mean_work.entry(job.queue).or_default();
+                (*sum, *count) = (*sum + work, *count + 1.0);
+            }
+            accepted.push((job.accepted_ms, job.queue, work));
+        }
+        accepted.sort_by_key(|(accepted_ms, ..)| *accepted_ms);
+        let latest_ms = accepted.last().map_or(0, |(accepted_ms, ..)| *accepted_ms);
+        let gap_ms = now.wall_ms.saturating_sub(latest_ms);
+        for (accepted_ms, queue, work) in accepted {
+            // The work of a job that has ended is not stored.
+            let mean = mean_work.get(&queue).map(|(sum, count)| sum / count);
+            let (Some(work), Some(config)) = (work.or(mean), self.state.queue(queue)) else {
+                continue;
+            };
+            let age = Duration::from_millis(now.wall_ms.saturating_sub(accepted_ms));
+            let Some(at) = now.monotonic.checked_sub(age) else {
+                continue;
+            };
+            let pool = Arc::clone(&config.pool);
+            self.surges.add(at, &pool, work);
+            if gap_ms <= MAX_GAP_MS {
+                let offered = self.offered_load.entry(pool).or_default();
+                offered.add(at + Duration::from_millis(gap_ms), work);
+            }
+        }
+        for (pool, offered) in &self.offered_load {
+            let cores = offered.forecast(now.monotonic);
+            log::info!(pool = pool.as_ref(), cores, gap_ms; "offered load restored");
+        }
+    }
+
+    /// Returns the cores that a pool needs for a surge that is expected and for which hosts have to
+    /// be moved now.
+    fn expected_cores(&self, now: Moment, pool: &Arc<str>, host: Resources) -> f64 {
+        let expected = self.surges.expected(pool);
+        let Some(expected) = expected.filter(|_| self.options.pool_forecast) else {
+            return 0.0;
+        };
+        let hosts = expected.cores / host.cores().max(1.0);
+        let per_second = self.options.hosts.and_then(|hosts| hosts.orders_per_s);
+        let begin = Duration::from_secs_f64(hosts / per_second.map_or(120.0, f64::from).max(1.0));
+        let move_time = self
+            .options
+            .hosts
+            .map_or(Duration::ZERO, |hosts| hosts.move_time);
+        let ahead = begin + move_time + AHEAD_MARGIN;
+        if now.monotonic + ahead < expected.begins {
+            return 0.0;
+        }
+        expected.cores * AHEAD_SHARE
     }
 
     /// Moves hosts to pools with a deficit, and surplus hosts to standby.
@@ -43,6 +139,8 @@
         let config = Arc::clone(&stored.config);
         let standby = config.pools.iter().find(|pool| pool.standby);
         let standby = standby.map(|pool| Arc::clone(&pool.name));
+        self.surges.observe(now.monotonic);
+        self.grow_release_budget();
         let serving = config.pools.iter().filter(|pool| !pool.standby);
         let mut deficits = BTreeMap::new();
         let mut surplus = BTreeMap::new();
@@ -50,9 +148,14 @@
         for pool in serving {
             let (have, wanted) = self.pool_size(now, &pool.name);
             let name = Arc::clone(&pool.name);
+            self.record_surplus(now, &name, have.saturating_sub(wanted));
             match have.cmp(&wanted) {
                 Ordering::Less => {
-                    log::info!(pool = name.as_ref(), have, wanted; "pool is short of hosts");
+                    let ahead_cores = self.expected_cores(now, &name, self.smallest_host(&name));
+                    log::info!(
+                        pool = name.as_ref(), have, wanted, ahead_cores;
+                        "pool is short of hosts"
+                    );
                     self.hosts.surplus_since.remove(&name);
                     deficits.insert(name, wanted - have);
                 }
@@ -65,26 +168,57 @@
                         .surplus_since
                         .entry(Arc::clone(&name))
                         .or_insert(now.monotonic);
+                    let fallen =
+                        self.options.pool_forecast && self.surges.has_fallen(&name, now.monotonic);
                     if now.monotonic >= *since + SURPLUS_DELAY {
-                        stable_surplus.push(Arc::clone(&name));
+                        stable_surplus.push((Arc::clone(&name), usize::MAX));
+                    } else if fallen {
+                        let least = self.least_surplus(now, &name);
+                        stable_surplus.push((Arc::clone(&name), least));
                     }
                     surplus.insert(name, have - wanted);
                 }
             }
         }
-        let mut moves = MAX_MOVES_PER_CHECK;
+        let available = self.available_orders(now);
+        let mut moves = available.unwrap_or(MAX_MOVES_PER_CHECK);
         for (pool, deficit) in deficits {
             let found = self.fill_pool(now, &pool, deficit, &mut surplus, standby.as_ref(), moves);
             moves = moves.saturating_sub(found);
         }
-        if let Some(standby) = standby {
-            for pool in stable_surplus {
-                let count = surplus.get(&pool).copied().unwrap_or_default();
+        if let Some(standby) = standby
+            && now.monotonic >= self.leading_since + FIRST_RELEASE
+        {
+            for (pool, most) in stable_surplus {
+                let count = surplus.get(&pool).copied().unwrap_or_default().min(most);
                 self.release_hosts(now, &pool, count, &standby);
             }
         }
     }
 
+    fn record_surplus(&mut self, now: Moment, pool: &Arc<str>, surplus: usize) {
+        let latest = self
+            .hosts
+            .latest_surplus
+            .entry(Arc::clone(pool))
+            .or_default();
+        latest.push_back((now.monotonic, surplus));
+        while latest
+            .front()
+            .is_some_and(|(at, _)| now.monotonic > *at + FALLEN_SURPLUS_DELAY)
+        {
+            latest.pop_front();
+        }
+    }
+
+    /// Returns the least surplus of a pool over [`FALLEN_SURPLUS_DELAY`].
+    fn least_surplus(&self, now: Moment, pool: &Arc<str>) -> usize {
+        let latest = self.hosts.latest_surplus.get(pool).into_iter().flatten();
+        let least = latest.map(|(_, surplus)| *surplus).min();
+        let long_enough = now.monotonic >= self.leading_since + FALLEN_SURPLUS_DELAY;
+        least.filter(|_| long_enough).unwrap_or_default()
+    }
+
     /// Returns the number of hosts that a pool has or will have, and the number that it needs.
     fn pool_size(&self, now: Moment, pool: &Arc<str>) -> (usize, usize) {
         let hosts = self.hosts.views.values();
@@ -98,8 +232,9 @@
             });
             host.pool == *pool && is_healthy && (host.up || host.is_away(now.monotonic))
         });
-        let load = self.pool_load(now, pool);
+        let mut load = self.pool_load(now, pool);
         let each = self.smallest_host(pool);
+        load.offered_cores = load.offered_cores.max(self.expected_cores(now, pool, each));
         (have.count(), required_hosts(&load, each) as usize)
     }
 
@@ -165,7 +300,10 @@
             .hosts
             .views
             .iter()
-            .filter(|(_, host)| host.pool != *pool && host.is_available(now.monotonic))
+            .filter(|(_, host)| {
+                let available = host.is_available(now.monotonic) || self.is_redirectable(host);
+                host.pool != *pool && available
+            })
             .filter(|(name, _)| self.is_handed_over(now, name))
             .filter(|(name, _)| !self.hosts.kept_for_upkeep.contains(*name))
             .filter(|(_, host)| {
@@ -174,19 +312,34 @@
             })
             .filter_map(|(name, host)| {
                 let is_standby = standby == Some(&host.pool);
-                let available =
-                    is_standby || surplus.get(&host.pool).is_some_and(|count| *count > 0);
+                let redirected = host.operation.is_some();
+                let available = is_standby
+                    || redirected
+                    || surplus.get(&host.pool).is_some_and(|count| *count > 0);
                 let (long_running, used) = self.host_load(name);
-                let key = (!is_standby, used, Arc::clone(name), Arc::clone(&host.pool));
+                // A move from a pool whose load has fallen saves one to standby.
+                let is_idle = used == 0
+                    && self.options.pool_forecast
+                    && self.surges.has_fallen(&host.pool, now.monotonic);
+                let is_last = !is_standby && !is_idle;
+                let key = (
+                    is_last,
+                    is_standby,
+                    used,
+                    Arc::clone(name),
+                    Arc::clone(&host.pool),
+                );
                 (available && long_running == 0).then_some(key)
             })
             .collect();
         candidates.sort_unstable();
-        for (_, _, name, from) in candidates {
+        for (.., name, from) in candidates {
             if found >= deficit.min(moves) {
                 break;
             }
-            if let Some(count) = surplus.get_mut(&from) {
+            let host = self.hosts.views.get(&name);
+            let redirected = host.is_some_and(|host| host.operation.is_some());
+            if let Some(count) = surplus.get_mut(&from).filter(|_| !redirected) {
                 if *count == 0 {
                     continue;
                 }
@@ -199,6 +352,15 @@
         found
     }
 
+    /// Returns whether a host is to be moved to standby and nothing has been requested yet, so that
+    /// it can be moved to another pool instead.
+    fn is_redirectable(&self, host: &HostView) -> bool {
+        let operation = host.operation.as_ref();
+        let draining =
+            operation.is_some_and(|operation| operation.phase == OperationPhase::Draining);
+        self.options.pool_forecast && draining && self.is_released(host)
+    }
+
     /// Cancels moves out of a pool that have not been requested from the platform yet; returns the
     /// number of hosts that stay.
     fn cancel_moves_out(&mut self, pool: &Arc<str>, deficit: usize) -> usize {
@@ -234,9 +396,39 @@
             })
             .collect();
         hosts.sort_unstable();
+        let count = if self.options.pool_forecast {
+            count.min(self.take_release_budget(count.min(hosts.len())))
+        } else {
+            count
+        };
         for (_, name) in hosts.into_iter().take(count) {
             let pool = Arc::clone(standby);
             self.begin_operation(now, &name, HostClaim::Move { pool });
         }
     }
+
+    #[expect(clippy::cast_precision_loss, reason = "a number of hosts")]
+    fn grow_release_budget(&mut self) {
+        let hosts = self.hosts.views.len() as f64;
+        let most = (hosts * RELEASE_BURST).max(MIN_RELEASE_BURST);
+        let growth = hosts * CHECK_S / RELEASE_ALL.as_secs_f64();
+        let budget = self.release_budget;
+        self.release_budget = Some(budget.map_or(most, |budget| (budget + growth).min(most)));
+    }
+
+    /// Takes up to `count` releases from the budget; returns how many.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a number of hosts"
+    )]
+    fn take_release_budget(&mut self, count: usize) -> usize {
+        let Some(budget) = &mut self.release_budget else {
+            return 0;
+        };
+        let taken = count.min(*budget as usize);
+        *budget -= taken as f64;
+        taken
+    }
 }
--- a/crates/masticfield-jobs/tests/extreme_values.rs
+++ b/crates/masticfield-jobs/tests/extreme_values.rs
@@ -121,6 +121,7 @@
             move_time: Duration::from_millis(1_500),
             upkeep_time: Duration::from_secs(2),
             handover: Duration::from_secs(3),
+            orders_per_s: None,
         });
         let watch = ClaimWatch::new(Duration::ZERO);
         let mut leader = Leader::new(state, options, watch, moment(0));
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -85,6 +85,7 @@
         move_time: Duration::from_millis(1_500),
         upkeep_time: Duration::from_secs(2),
         handover: Duration::from_secs(3),
+        orders_per_s: None,
     })
 }
 
@@ -553,3 +554,51 @@
     announce_capacity(&mut leader, 10, 32_000);
     assert_eq!(started_runs(&leader.decide(moment(10)).commands).len(), 1);
 }
+
+/// After a change of the leader, pools were short of hosts for 4 to 5 s, as the new leader did not
+/// know the offered load. It is restored from the jobs in the state, as of the latest acceptance.
+#[rstest]
+#[case::surge_at_the_change(80, 0, true)]
+#[case::surge_before_a_time_without_a_leader(80, 4_000, true)]
+#[case::surge_long_ago(80, 9_000, false)]
+#[case::few_jobs(3, 0, false)]
+fn a_new_leader_orders_hosts_for_the_load_that_it_finds(
+    #[case] jobs: u64,
+    #[case] gap_ms: u64,
+    #[case] expected: bool,
+) {
+    let mut state = state();
+    for job in 0..jobs {
+        let Event::JobRequest { request, .. } = submit(job) else {
+            unreachable!("a request");
+        };
+        let JobRequestKind::Submit(mut spec) = request.kind else {
+            unreachable!("a submission");
+        };
+        spec.steps[0].count = 8;
+        spec.steps[0].need.cpu_milli = 2_000;
+        let queue = state.queue_id("a.example", "/q/").expect("the queue");
+        // Accepted within the second before the gap; cancelled, so that no work waits.
+        let at_ms = moment(0).wall_ms - gap_ms - 1_000 + job * 1_000 / jobs;
+        state.apply(Command::Submit {
+            job: JobId::new(job),
+            queue,
+            spec,
+            at_ms,
+        });
+    }
+    let mut leader = Leader::new(state, options(), ClaimWatch::new(Duration::ZERO), moment(0));
+    let hosts = (0..60).map(|number| host(&format!("s{number}"), "standby", None));
+    let hosts = std::iter::once(host("h1", "p", Some("e1"))).chain(hosts);
+    let hosts = Some(hosts.collect());
+    leader.handle(moment(0), Event::HostList { hosts });
+    let mut ordered = 0;
+    for ms in (0..600).step_by(100) {
+        let effects = leader.decide(moment(ms)).after_commit;
+        let orders = effects
+            .iter()
+            .filter(|effect| matches!(effect, Effect::OrderHost { .. }));
+        ordered += orders.count();
+    }
+    assert_eq!(ordered > 15, expected, "{ordered} hosts ordered");
+}
