--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -7,7 +7,7 @@
 mod suspects;
 mod workspaces;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,7 +22,7 @@
 
 use crate::checker::Checker;
 use crate::executor::Executor;
-use crate::fleet::{self, round_to_u64};
+use crate::fleet;
 use crate::host::Host;
 use crate::report::{Report, Shares};
 use crate::scenario::Scenario;
@@ -224,6 +224,10 @@
     checker: Checker,
     suspect_waits: SuspectWaits,
     report: Report,
+    /// Begins and ends of the surges of each queue, if they surge at random times.
+    surges: Vec<Vec<(u64, u64)>>,
+    /// Times of the latest requests about hosts that the platform has accepted.
+    orders: VecDeque<u64>,
     /// Time up to which host time is in the report.
     accounted_until: u64,
     /// Real time that the leader has taken to handle events and decide.
@@ -273,6 +277,8 @@
             checker: Checker::default(),
             suspect_waits: SuspectWaits::default(),
             report: Report::default(),
+            surges: Vec::new(),
+            orders: VecDeque::new(),
             accounted_until: 0,
             decision_time: Duration::ZERO,
         };
@@ -309,6 +315,7 @@
 
     fn initialize(&mut self) {
         let queues = self.scenario.fleet.queues.clone();
+        self.surges = self.random_surges(queues.len());
         let mut number = 0;
         let pools = queues
             .iter()
@@ -702,11 +709,13 @@
     let options = LeaderOptions::new(Duration::from_secs(5))
         .with_defect(scenario.defect)
         .order(scenario.order)
-        .load_shedding(scenario.load_shedding);
+        .load_shedding(scenario.load_shedding)
+        .pool_forecast(scenario.pool_forecast);
     options.hosts(HostOptions {
         move_time: Duration::from_millis(MOVE_MS),
         upkeep_time: Duration::from_secs(2),
         handover: Duration::from_millis(HANDOVER_MS),
+        orders_per_s: (scenario.orders_per_s > 0).then_some(scenario.orders_per_s),
     })
 }
 
@@ -724,18 +733,3 @@
         wall_ms: START_WALL_MS + now,
     }
 }
-
-/// Returns the factor on the mean rate of a queue.
-///
-/// Queues surge in turn; if there are fewer than four, all surge throughout.
-#[expect(clippy::cast_precision_loss, reason = "milliseconds of a simulation")]
-fn load_factor(queues: usize, index: usize, now: u64, load_ms: u64) -> f64 {
-    let elapsed = now.saturating_sub(WARMUP_MS) as f64 / load_ms.max(1) as f64;
-    let turn = round_to_u64((elapsed / SURGE_SHARE).floor());
-    let surges = turn == index as u64 % queues.max(1) as u64 || queues < 4;
-    if surges {
-        SURGE_FACTORS.0
-    } else {
-        SURGE_FACTORS.1
-    }
-}
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -13,7 +13,7 @@
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::{KeyDigest, QueueId, RouteTable, WorkspaceId};
-use crate::schedule::{CrashShare, OfferedLoad, Rank, lease_end};
+use crate::schedule::{CrashShare, OfferedLoad, Rank, SurgePattern, lease_end};
 use crate::state::{Command, ExecutorKey, JobPhase, State};
 
 /// Interval of checks for changes that no event announces.
@@ -65,6 +65,10 @@
     pub(super) former_keys: HashMap<KeyDigest, WorkspaceId>,
     pub(super) load_shedding: LoadShedding,
     pub(super) shares: Shares,
+    /// Surges of the pools' load, and when the next ones are expected.
+    pub(super) surges: SurgePattern,
+    /// Moves to standby that may be made now; `None` until the first check.
+    pub(super) release_budget: Option<f64>,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
     /// Share of starts that crash executors, by queue; only of queues with such crashes.
@@ -101,6 +105,8 @@
             former_keys: HashMap::new(),
             load_shedding: LoadShedding::default(),
             shares: Shares::default(),
+            surges: SurgePattern::default(),
+            release_budget: None,
             leading_since: now.monotonic,
             crash_shares: BTreeMap::new(),
             last_check: Duration::ZERO,
@@ -249,6 +255,7 @@
         for job in jobs {
             self.update_pending(now, job);
         }
+        self.restore_offered(now);
     }
 
     /// Creates the view of a run that is placed or inherited now.
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -25,6 +25,8 @@
     /// Whether waiting and new jobs compete by their value when capacity is scarce, provided that
     /// the configuration has workspaces or queues of different priorities.
     pub load_shedding: bool,
+    /// Whether hosts are moved ahead of surges that recur, and released early when a surge ends.
+    pub pool_forecast: bool,
     /// Timing of the platform's hosts; `None` disables moves and upkeep.
     pub hosts: Option<HostOptions>,
     /// Guard to leave out, in tests.
@@ -71,6 +73,8 @@
     /// Time for which a new leader leaves a host to the former one; the lease of a leader's
     /// requests at the platform.
     pub handover: Duration,
+    /// Number of requests about hosts that the platform accepts per second; `None` if not known.
+    pub orders_per_s: Option<u32>,
 }
 
 impl HostOptions {
@@ -91,6 +95,7 @@
             stop_time: Duration::from_millis(500),
             order: JobOrder::OnTimeFirst,
             load_shedding: false,
+            pool_forecast: false,
             hosts: None,
             defect: None,
         }
@@ -132,6 +137,13 @@
         self
     }
 
+    /// Sets whether hosts are moved ahead of surges that recur, and released early when a surge ends.
+    #[must_use]
+    pub const fn pool_forecast(mut self, enabled: bool) -> Self {
+        self.pool_forecast = enabled;
+        self
+    }
+
     /// Enables moves and upkeep of hosts.
     #[must_use]
     pub const fn hosts(mut self, hosts: HostOptions) -> Self {
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod load_shedding;
 mod offered_load;
+mod order_window;
 mod placement;
 mod poll_interval;
 mod pool_size;
@@ -18,6 +19,7 @@
 mod rank;
 mod reliability;
 mod shares;
+mod surge_pattern;
 mod upkeep;
 
 pub use admission::{Admission, Backlog, admit};
@@ -31,6 +33,7 @@
     NewJob, PoolCapacity, RefusalBasis, Turn, WaitingJob, admit_new, shed_order,
 };
 pub use offered_load::OfferedLoad;
+pub use order_window::OrderWindow;
 pub(crate) use placement::fits;
 pub use placement::{Candidate, PlacementRequest, choose};
 pub use poll_interval::poll_interval;
@@ -39,4 +42,5 @@
 pub use rank::{Rank, Timeliness, USEFUL_FACTOR, on_time_ms, rank, timeliness};
 pub use reliability::{Reliability, ReliabilityStatus};
 pub use shares::FairShares;
+pub use surge_pattern::{ExpectedSurge, SurgePattern};
 pub use upkeep::{hosts_at_once, is_urgent};
