--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -141,7 +141,7 @@
                 &["pool", "what"],
             )?,
         };
-        let all: [Box<dyn Collector>; 14] = [
+        let all: [Box<dyn Collector>; 15] = [
             Box::new(metrics.relayed_calls.clone()),
             Box::new(metrics.executor_crashes.clone()),
             Box::new(metrics.state_differences.clone()),
