--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -7,6 +7,10 @@
 
 /// A fleet, its load and the faults to simulate.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent settings, each off by default"
+)]
 pub struct Scenario {
     /// Hosts, queues and the load of each queue.
     pub fleet: Fleet,
