--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -146,11 +146,7 @@
                 "Jain's index of the served part of the jobs of each workspace",
             )?,
         };
-<<<<<<< HEAD
         let all: [Box<dyn Collector>; 16] = [
-=======
-        let all: [Box<dyn Collector>; 15] = [
->>>>>>> shares
             Box::new(metrics.relayed_calls.clone()),
             Box::new(metrics.executor_crashes.clone()),
             Box::new(metrics.state_differences.clone()),
