fix(jobs,control): findings of the review of suspects, quotas and replies

Cause: read by reviewers who had not written the parts. A count of waiting jobs could go below zero; starts were counted only after a queue's first crash, so that a rack failure or a change of leader isolated queues without fault; jobs that had crashed an executor alone waited behind all new ones; work that waits for its quota competed for capacity; a quota held by long-running tasks accepted one job that cannot end; a decision without commands could answer after the lease had expired, if an earlier proposal was committed late. Change: each of these; an announcement of an executor whose address has a later owner is ignored. Not changed yet: suspected gangs, the same executor chosen again for a suspected task that does not fit beside its siblings, late jobs that yield for long.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -20,7 +20,7 @@
 
 use super::JobMetrics;
 use super::handle::{ControlView, EntrySession, Input, JobControlHandle, Request, WaveProgress};
-use super::leadership::Leadership;
+use super::leadership::{Leadership, SettledDecision};
 use super::observer::Observer;
 use super::order::{HostOrder, OutboundOrder};
 use super::reply_handle::ReplyHandle;
@@ -146,7 +146,7 @@
                     None => return,
                 },
                 result = next_committed(leadership), if !idle => match result {
-                    Some(effects) => self.execute(effects),
+                    Some(settled) => self.execute(settled),
                     None => self.step_down("a proposal was not committed"),
                 },
                 changed = status.changed() => if changed.is_err() {
@@ -521,19 +521,20 @@
         let metrics = &self.observer.metrics;
         let effects = leadership.submit(&self.replica, decision, metrics);
         self.work.add(WorkPart::Propose, started);
-        if let Some(mut effects) = effects {
-            // Nothing was committed with these effects, so that only the lease shows that no other
-            // replica leads, which may have another configuration.
-            if !self.replica.status().holds_lease() {
-                withdraw_replies(&mut effects);
-            }
-            self.execute(effects);
+        if let Some(settled) = effects {
+            self.execute(settled);
         }
     }
 
-    fn execute(&mut self, effects: Vec<Effect>) {
+    fn execute(&mut self, mut settled: SettledDecision) {
         let started = Instant::now();
-        self.execute_effects(effects);
+        // If nothing was committed with these effects, only the lease shows that no other replica
+        // leads, which may have another configuration. An earlier proposal may have been committed
+        // by acknowledgements from before a pause of this process.
+        if !settled.committed && !self.replica.status().holds_lease() {
+            withdraw_replies(&mut settled.effects);
+        }
+        self.execute_effects(settled.effects);
         self.work.add(WorkPart::Execute, started);
     }
 
@@ -636,11 +637,11 @@
 }
 
 /// Waits for the oldest proposal in flight; returns its effects, or none if it failed.
-async fn next_committed(leadership: Option<&mut Leadership>) -> Option<Vec<Effect>> {
+async fn next_committed(leadership: Option<&mut Leadership>) -> Option<SettledDecision> {
     let leadership = leadership?;
     let result = leadership.in_flight.next().await?;
     match result {
-        Ok(effects) => Some(effects),
+        Ok(settled) => Some(settled),
         Err(error) => {
             log::warn!(error:%; "a proposal was not committed");
             None
--- a/crates/masticfield-control/src/jobs/leadership.rs
+++ b/crates/masticfield-control/src/jobs/leadership.rs
@@ -15,9 +15,18 @@
 use super::handle::EntrySession;
 use super::reply_handle::ReplyHandle;
 
+/// Effects of a decision that may be carried out.
+#[derive(Debug)]
+pub(super) struct SettledDecision {
+    pub(super) effects: Vec<Effect>,
+    /// Whether commands of the decision itself were committed, which shows that no other replica
+    /// led when it was made.
+    pub(super) committed: bool,
+}
+
 /// Yields the effects of a proposal once it is committed.
 type PendingProposal =
-    std::pin::Pin<Box<dyn Future<Output = Result<Vec<Effect>, ProposeError>> + Send>>;
+    std::pin::Pin<Box<dyn Future<Output = Result<SettledDecision, ProposeError>> + Send>>;
 
 /// One term as leader: the decision logic, its proposals in flight and the open requests.
 pub(super) struct Leadership {
@@ -66,9 +75,12 @@
         replica: &ReplicaHandle,
         decision: masticfield_jobs::leader::Decision,
         metrics: &JobMetrics,
-    ) -> Option<Vec<Effect>> {
+    ) -> Option<SettledDecision> {
         if decision.commands.is_empty() && self.in_flight.is_empty() {
-            return Some(decision.after_commit);
+            return Some(SettledDecision {
+                effects: decision.after_commit,
+                committed: false,
+            });
         }
         if decision.commands.is_empty() && decision.after_commit.is_empty() {
             return None;
@@ -76,12 +88,13 @@
         let payloads = encode_entries(&decision.commands, MAX_PAYLOAD_BYTES);
         let (replica, effects) = (replica.clone(), decision.after_commit);
         let (metrics, proposed_at) = (metrics.clone(), boot_now());
+        let committed = !payloads.is_empty();
         self.in_flight.push_back(Box::pin(async move {
-            if !payloads.is_empty() {
+            if committed {
                 replica.propose_all(payloads).await?;
                 metrics.observe_commit(boot_now().saturating_sub(proposed_at));
             }
-            Ok(effects)
+            Ok(SettledDecision { effects, committed })
         }));
         None
     }
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -71,6 +71,13 @@
             }
             self.retire(now, known, Retirement::Reborn);
         }
+        if self.is_address_taken_later(incarnation) {
+            log::warn!(
+                executor = incarnation.id.as_ref(), address = incarnation.address.as_ref();
+                "announcement ignored: a later executor has its address"
+            );
+            return None;
+        }
         self.retire_predecessors(now, incarnation);
         let key = self.state.next_executor_key();
         self.propose(Command::Enlist {
@@ -96,6 +103,18 @@
         Some(key)
     }
 
+    /// Returns whether an executor that started later has the address of an incarnation, which
+    /// therefore has ended.
+    fn is_address_taken_later(&self, incarnation: &ExecutorIncarnation) -> bool {
+        let mut records = self
+            .state
+            .executors()
+            .map(|(_, record)| &record.incarnation);
+        records.any(|known| {
+            known.address == incarnation.address && known.started_ms > incarnation.started_ms
+        })
+    }
+
     /// Removes the executors that had the address of a new incarnation, which therefore have ended.
     ///
     /// A poll would show it as well, but the new one may have crashed by then.
--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -16,6 +16,13 @@
 /// executor is given up after more crashes.
 pub(super) const START_WINDOW: Duration = Duration::from_millis(200);
 
+/// Time for which further crashes in a rack do not count against the queues of their jobs.
+const RACK_WINDOW: Duration = Duration::from_millis(500);
+
+/// Age up to which jobs in the state count as started when a leader takes over; the time constant
+/// of the shares.
+const RESTORED_STARTS: Duration = Duration::from_secs(5);
+
 impl Leader {
     /// Counts the end of an executor against its runs, unless it was expected to end; returns the
     /// jobs that are given up.
@@ -47,8 +54,9 @@
         if let (1, Some(job), false) = (started.len(), started.first(), unseen) {
             self.sole_crashes.insert(*job);
         }
-        if view.is_none_or(|view| view.silence_counted == 0) {
-            // A repeated crash of a job tells nothing of the other jobs of its queue.
+        let rack = record.incarnation.rack.clone();
+        if view.is_none_or(|view| view.silence_counted == 0) && self.is_first_of_rack(now, rack) {
+            // A repeated crash of a job says nothing about the other jobs of its queue.
             let fresh = started.iter().filter(|job| !self.has_suspects(**job));
             for job in fresh.copied().collect::<Vec<_>>() {
                 self.count_crash(now, job, weight_of_one(started.len()));
@@ -70,6 +78,20 @@
         jobs
     }
 
+    /// Returns whether no other crash in a rack was counted shortly before. The executors of a rack
+    /// that fails together end for a reason other than their jobs.
+    fn is_first_of_rack(&mut self, now: Moment, rack: Option<Arc<str>>) -> bool {
+        let Some(rack) = rack else {
+            return true;
+        };
+        let last = self.rack_crashes.get(&rack);
+        let first = last.is_none_or(|last| now.monotonic >= *last + RACK_WINDOW);
+        if first {
+            self.rack_crashes.insert(rack, now.monotonic);
+        }
+        first
+    }
+
     /// Stops what is left of jobs that were given up.
     pub(super) fn end_given_up(&mut self, now: Moment, jobs: &[JobId]) {
         for job in jobs {
@@ -134,7 +156,7 @@
     /// Returns whether many jobs of a job's queue crash executors, so that each of its tasks is
     /// treated as suspected. Long-running jobs are excluded, as they start once.
     pub(super) fn queue_starts_apart(&self, now: Moment, job: JobId) -> bool {
-        if self.crash_shares.is_empty() {
+        if !self.crashes_counted {
             return false;
         }
         let Some(job) = self.state.job(job) else {
@@ -155,7 +177,7 @@
         let Some(view) = self.executors.get(&key) else {
             return;
         };
-        if self.crash_shares.is_empty() || view.silence_counted > 0 {
+        if !self.crashes_counted || view.silence_counted > 0 {
             return;
         }
         let starting = view.runs.keys().filter(|run| view.is_starting(**run));
@@ -189,13 +211,13 @@
         }
     }
 
-    /// Counts a start of a job's step, if its queue has crashed executors.
+    /// Counts a start of a job's step, of which crashes are a share.
     pub(super) fn count_start(&mut self, now: Moment, job: JobId) {
-        if self.crash_shares.is_empty() || self.has_suspects(job) {
+        if self.has_suspects(job) {
             return;
         }
-        let queue = self.state.job(job).map(|job| job.queue);
-        if let Some(share) = queue.and_then(|queue| self.crash_shares.get_mut(&queue)) {
+        if let Some(queue) = self.state.job(job).map(|job| job.queue) {
+            let share = self.crash_shares.entry(queue).or_default();
             share.record_start(now.monotonic);
         }
     }
@@ -205,6 +227,7 @@
         let Some(queue) = self.state.job(job).map(|job| job.queue) else {
             return;
         };
+        self.crashes_counted = true;
         let share = self.crash_shares.entry(queue).or_default();
         let before = share.starts_apart(now.monotonic);
         share.record_crash(now.monotonic, weight);
@@ -214,10 +237,21 @@
         }
     }
 
-    /// Counts the suspected jobs that a former leader has left.
+    /// Counts the suspected jobs that a former leader has left, and the recent jobs of which they
+    /// are a share.
     ///
     /// An innocent job is suspected with each guilty one, on average.
     pub(super) fn take_over_suspects(&mut self, now: Moment) {
+        let age_ms = u64::try_from(RESTORED_STARTS.as_millis()).unwrap_or(u64::MAX);
+        let since_ms = now.wall_ms.saturating_sub(age_ms);
+        let recent = self
+            .state
+            .jobs()
+            .filter(|(_, job)| job.accepted_ms >= since_ms);
+        for (_, job) in recent {
+            let share = self.crash_shares.entry(job.queue).or_default();
+            share.record_start(now.monotonic);
+        }
         let jobs: BTreeSet<_> = self.state.suspected_jobs().collect();
         for job in jobs {
             self.count_crash(now, job, 0.5);
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -71,8 +71,12 @@
     pub(super) release_budget: Option<f64>,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
-    /// Share of starts that crash executors, by queue; only of queues with such crashes.
+    /// Share of starts that crash executors, by queue.
     pub(super) crash_shares: BTreeMap<QueueId, CrashShare>,
+    /// Whether any of these shares counts a crash.
+    pub(super) crashes_counted: bool,
+    /// Time of the latest crash of each rack that was counted in these shares.
+    pub(super) rack_crashes: BTreeMap<Arc<str>, Duration>,
     last_check: Duration,
     last_forget: Duration,
 }
@@ -109,6 +113,8 @@
             release_budget: None,
             leading_since: now.monotonic,
             crash_shares: BTreeMap::new(),
+            crashes_counted: false,
+            rack_crashes: BTreeMap::new(),
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
             state,
--- a/crates/masticfield-jobs/src/leader/load_shedding.rs
+++ b/crates/masticfield-jobs/src/leader/load_shedding.rs
@@ -125,7 +125,9 @@
             .or_default()
             .stats;
         (stats.delayed, stats.yielding) = (delayed, yielding);
-        let finite = order.into_iter().map(|(index, turn)| (ids[index], turn));
+        let finite = order
+            .into_iter()
+            .map(|(index, turn)| (jobs[index].id, turn));
         let order = long_running.into_iter().map(|id| (id, Turn::Start));
         let mut reserve_free = true;
         for (id, turn) in order.chain(finite) {
@@ -166,6 +168,10 @@
         let mut values: HashMap<QueueId, JobValues> = HashMap::new();
         let waiting = ids.iter().filter_map(|id| {
             let job = self.pending_jobs.get(id)?;
+            // Jobs that wait for their quota do not compete for capacity.
+            if !self.has_quota_room(job) {
+                return None;
+            }
             let values = values
                 .entry(job.queue)
                 .or_insert_with(|| self.job_values(job.queue, job.priority));
@@ -338,7 +344,7 @@
             job.value = 1.0;
         }
         let order = shed_order(&jobs, &capacity).into_iter();
-        order.map(|(index, _)| ids[index]).collect()
+        order.map(|(index, _)| jobs[index].id).collect()
     }
 }
 
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -118,11 +118,12 @@
     /// A cheap check that spares planning most jobs in a surge.
     pub(super) fn may_fit(&self, id: JobId, max_free: Resources) -> bool {
         let job = self.pending_jobs.get(&id);
-        job.is_some_and(|job| {
-            max_free.covers(job.least_need)
-                && (job.workspace.is_none()
-                    || self.quota_room(job.workspace).covers(job.least_need))
-        })
+        job.is_some_and(|job| max_free.covers(job.least_need) && self.has_quota_room(job))
+    }
+
+    /// Returns whether the quota of a job's workspace has room for any of its ready tasks.
+    pub(super) fn has_quota_room(&self, job: &PendingJob) -> bool {
+        job.workspace.is_none() || self.quota_room(job.workspace).covers(job.least_need)
     }
 
     /// Sorts jobs, given by rank, in the configured order; the sort keeps the rank between equal
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -119,13 +119,14 @@
         };
         let hosts = expected.cores / host.cores().max(1.0);
         let per_second = self.options.hosts.and_then(|hosts| hosts.orders_per_s);
-        let begin = Duration::from_secs_f64(hosts / per_second.map_or(120.0, f64::from).max(1.0));
+        let begin = hosts / per_second.map_or(120.0, f64::from).max(1.0);
+        let begin = Duration::try_from_secs_f64(begin).unwrap_or(Duration::MAX);
         let move_time = self
             .options
             .hosts
             .map_or(Duration::ZERO, |hosts| hosts.move_time);
-        let ahead = begin + move_time + AHEAD_MARGIN;
-        if now.monotonic + ahead < expected.begins {
+        let ahead = begin.saturating_add(move_time + AHEAD_MARGIN);
+        if now.monotonic.saturating_add(ahead) < expected.begins {
             return 0.0;
         }
         expected.cores * AHEAD_SHARE
--- a/crates/masticfield-jobs/src/leader/quarantine.rs
+++ b/crates/masticfield-jobs/src/leader/quarantine.rs
@@ -58,7 +58,7 @@
             Some((order, Timeliness::OnTime, job.rank, id))
         });
         let mut jobs: BTreeSet<_> = suspected.collect();
-        if !self.crash_shares.is_empty() {
+        if self.crashes_counted {
             let pending = self.pending.get(pool).into_iter().flatten();
             let others = pending.filter(|(rank, id)| {
                 let known = [0, 2]
@@ -71,9 +71,10 @@
             jobs.extend(others);
         }
         let first_retest = jobs.first().is_none_or(|(order, ..)| *order == 2);
+        let any_retest = jobs.last().is_some_and(|(order, ..)| *order == 2);
         for (.., id) in jobs {
             let own = view.slots.iter().any(|slot| slot.quarantine == Some(id));
-            if !own && !self.may_quarantine(now, id, pool, first_retest) {
+            if !own && !self.may_quarantine(now, id, pool, (first_retest, any_retest)) {
                 continue;
             }
             let (suspects, _) = self.startable_tasks(now, id);
@@ -181,7 +182,15 @@
     ///
     /// Executors that have crashed in quarantine count until their successors are there, except
     /// for a suspected job that is probably not at fault: its callers have waited already.
-    fn may_quarantine(&self, now: Moment, job: JobId, pool: &Arc<str>, only_retests: bool) -> bool {
+    /// Some executors are left to jobs that have crashed one alone, if `any_retest` waits: new jobs of
+    /// the queue, which come first, would take all of them for as long as they arrive.
+    fn may_quarantine(
+        &self,
+        now: Moment,
+        job: JobId,
+        pool: &Arc<str>,
+        (only_retests, any_retest): (bool, bool),
+    ) -> bool {
         let keys = self.pool_executors.get(pool).into_iter().flatten();
         let views: Vec<_> = keys.filter_map(|key| self.executors.get(key)).collect();
         let quarantined = || views.iter().filter(|view| view.quarantine.is_some());
@@ -200,7 +209,12 @@
             let answering = quarantined().filter(|view| view.failed_holds == 0);
             answering.count() < limit.max(usable.saturating_sub(1))
         } else {
-            quarantined().count() < limit
+            let left = if any_retest {
+                (views.len() / EXECUTORS_PER_RETEST).max(1)
+            } else {
+                0
+            };
+            quarantined().count() < limit.saturating_sub(left).max(1)
         }
     }
 
@@ -228,7 +242,7 @@
 
     /// Returns the number of hosts that a pool keeps because suspected tasks wait for them.
     pub(super) fn hosts_for_suspects(&self, now: Moment, pool: &Arc<str>) -> u32 {
-        if self.crash_shares.is_empty() {
+        if !self.crashes_counted {
             return 0;
         }
         let executors = self.pool_executors.get(pool).map_or(0, BTreeSet::len);
@@ -236,7 +250,7 @@
         let retests = pending
             .filter(|(_, id)| self.sole_crashes.contains(id))
             .count();
-        let others = self.jobs_apart(now, pool) - retests;
+        let others = self.jobs_apart(now, pool).saturating_sub(retests);
         let hosts = (others + retests / RETESTS_PER_HOST).min(executors);
         u32::try_from(hosts).unwrap_or(u32::MAX)
     }
--- a/crates/masticfield-jobs/src/leader/quotas.rs
+++ b/crates/masticfield-jobs/src/leader/quotas.rs
@@ -132,6 +132,10 @@
             let rate = quota[index].saturating_sub(held[index]);
             #[expect(clippy::cast_precision_loss, reason = "resources of a workspace")]
             let rate = rate as f64;
+            if rate <= 0.0 {
+                // Long-running tasks hold the whole quota.
+                return f64::INFINITY;
+            }
             // The job ends no earlier than its longest chain of steps.
             waiting[index] / rate + (own[index] / rate).max(path)
         });
--- a/crates/masticfield-jobs/src/schedule/load_shedding.rs
+++ b/crates/masticfield-jobs/src/schedule/load_shedding.rs
@@ -248,7 +248,7 @@
 /// Returns each job's index and turn. Jobs within their workspace's share come before all others,
 /// except that jobs of no use come last. Among them come
 ///
-/// 1. the jobs that are on time together, allowing for errors of the estimates (see [`select`]), by
+/// 1. the jobs that are on time together, allowing for errors of the estimates (see `select`), by
 ///    start tag and due time;
 /// 2. the others that can still be on time, by value per core-second;
 /// 3. late jobs, by the same.
