revert(jobs): starting suspected tasks first and queues apart

Conclusion: isolation costs the pool more executors than the guilty jobs do; group tests or judging a queue by its crashes remain to be built.

--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -267,7 +267,6 @@
         for (pool, stats) in leader.pool_stats(now).into_iter().take(MAX_POOLS) {
             let values = [
                 ("jobs-waiting", stats.jobs_waiting),
-                ("jobs-apart", stats.jobs_apart),
                 ("executors", stats.executors),
                 ("executors-usable", stats.usable),
                 ("executors-suspended", stats.suspended),
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -8,7 +8,7 @@
 use super::{Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Reply, ReplyId};
 use crate::job::{Resources, RunId};
 use crate::schedule::poll_interval;
-use crate::state::{Command, EndKind, ExecutorIncarnation, ExecutorKey};
+use crate::state::{Command, EndKind, ExecutorKey};
 
 /// Time from an executor's report that it is about to end until it is retired.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
@@ -71,14 +71,6 @@
             }
             self.retire(now, known, Retirement::Reborn);
         }
-        if self.is_address_taken_later(incarnation) {
-            log::warn!(
-                executor = incarnation.id.as_ref(), address = incarnation.address.as_ref();
-                "announcement ignored: a later executor has its address"
-            );
-            return None;
-        }
-        self.retire_predecessors(now, incarnation);
         let key = self.state.next_executor_key();
         self.propose(Command::Enlist {
             executor: key,
@@ -103,32 +95,6 @@
         Some(key)
     }
 
-    /// Returns whether an executor that started later has the address of an incarnation, which
-    /// therefore has ended.
-    fn is_address_taken_later(&self, incarnation: &ExecutorIncarnation) -> bool {
-        let mut records = self
-            .state
-            .executors()
-            .map(|(_, record)| &record.incarnation);
-        records.any(|known| {
-            known.address == incarnation.address && known.started_ms > incarnation.started_ms
-        })
-    }
-
-    /// Removes the executors that had the address of a new incarnation, which therefore have ended.
-    ///
-    /// A poll would show it as well, but the new one may have crashed by then.
-    fn retire_predecessors(&mut self, now: Moment, incarnation: &ExecutorIncarnation) {
-        let former = self.state.executors().filter(|(_, record)| {
-            let former = &record.incarnation;
-            former.address == incarnation.address && former.started_ms < incarnation.started_ms
-        });
-        let former: Vec<_> = former.map(|(key, _)| key).collect();
-        for key in former {
-            self.retire(now, key, Retirement::Replaced);
-        }
-    }
-
     fn apply_announcement(&mut self, now: Moment, key: ExecutorKey, announcement: &Announcement) {
         let Some(view) = self.executors.get_mut(&key) else {
             return;
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -59,8 +59,6 @@
     pub(super) reliability: Reliability,
     /// Number of these runs that may crash the executor; see [`RunView::suspected`].
     pub(super) suspects: u32,
-    /// Number of jobs of which the executor's silence was counted as a crash.
-    pub(super) silence_counted: usize,
     /// Set while only the tasks of one job are started on the executor.
     pub(super) quarantine: Option<Quarantine>,
 }
@@ -149,7 +147,6 @@
             left_at: None,
             reliability: Reliability::default(),
             suspects: 0,
-            silence_counted: 0,
             quarantine: None,
         }
     }
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -100,8 +100,7 @@
                 view.hold = HoldPhase::Due(now.monotonic + RETRY_DELAY * 5);
             }
             Err(CallError::Unknown | CallError::Rejected(_)) => {
-                let first = view.failed_holds == 0;
-                if first {
+                if view.failed_holds == 0 {
                     log::info!(executor = key.0; "executor does not answer");
                 }
                 view.failed_holds += 1;
@@ -110,9 +109,6 @@
                 let idle = view.runs.is_empty();
                 let wait = if idle { IDLE_RETRY_DELAY } else { RETRY_DELAY };
                 view.hold = HoldPhase::Due(now.monotonic + wait);
-                if first {
-                    self.count_silence(now, key);
-                }
             }
         }
         self.hold_if_due(now, key);
--- a/crates/masticfield-jobs/src/leader/intake.rs
+++ b/crates/masticfield-jobs/src/leader/intake.rs
@@ -52,9 +52,6 @@
 /// Maximum retry time that is returned to callers, in milliseconds.
 pub(super) const MAX_RETRY_AFTER_MS: u64 = 10_000;
 
-/// Minimum retry time of a job that is refused as jobs of its queue crash executors.
-const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 impl Leader {
     pub(super) fn on_job_request(&mut self, now: Moment, reply_to: ReplyId, request: JobRequest) {
         let reply = self.handle_job_request(now, request);
@@ -112,11 +109,6 @@
             self.record_offered(now, queue, &spec);
         }
         if self.load_shedding.enabled {
-            let useful_ms = self.useful_ms(queue, &spec);
-            let slack_ms = useful_ms.map(|useful| useful.saturating_sub(spec.critical_path_ms()));
-            if let Some(reply) = self.refuse_crashing_queue(now, job, queue, &spec, slack_ms) {
-                return reply;
-            }
             return self.submit_by_value(now, job, queue, workspace, spec);
         }
         if self.options.order == JobOrder::ValueDensity {
@@ -138,9 +130,6 @@
             );
             return Reply::Refused(Refusal::Busy { retry_after_ms });
         }
-        if let Some(reply) = self.refuse_crashing_queue(now, job, queue, &spec, slack_ms) {
-            return reply;
-        }
         log::info!(
             job:%, queue = queue.0, steps = spec.steps.len(), chain_ms = spec.critical_path_ms(),
             work = backlog.work, cores = backlog.cores, coming = backlog.incoming, slack_ms;
@@ -164,34 +153,6 @@
         self.update_pending(now, job);
     }
 
-    /// Refuses a job of a queue whose jobs crash many executors if too many of them wait for an
-    /// executor of their own.
-    fn refuse_crashing_queue(
-        &self,
-        now: Moment,
-        job: JobId,
-        queue: QueueId,
-        spec: &JobSpec,
-        slack_ms: Option<u64>,
-    ) -> Option<Reply> {
-        slack_ms?;
-        let held = Duration::from_millis(spec.steps.first()?.estimate_ms);
-        let wait = self.wait_apart(now, queue, held)?;
-        let on_time = on_time_ms(spec, self.state.queue(queue)?);
-        let slack = Duration::from_millis(on_time.saturating_sub(spec.critical_path_ms()));
-        if wait <= slack {
-            return None;
-        }
-        let retry_after = wait.saturating_sub(slack).max(MIN_RETRY_AFTER);
-        let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
-        let retry_after_ms = retry_after_ms.min(MAX_RETRY_AFTER_MS);
-        log::info!(
-            job:%, queue = queue.0, slack_ms, retry_after_ms;
-            "job refused, as jobs of its queue crash executors"
-        );
-        Some(Reply::Refused(Refusal::Busy { retry_after_ms }))
-    }
-
     /// Returns the backlog ahead of a new job, and how long the job can wait and still be useful,
     /// in milliseconds; `None` if the job is never refused.
     fn admission_inputs(
--- a/crates/masticfield-jobs/src/leader/lapsed.rs
+++ b/crates/masticfield-jobs/src/leader/lapsed.rs
@@ -62,13 +62,6 @@
         })
     }
 
-    /// Returns the jobs with such tasks; a job may occur repeatedly.
-    pub(super) fn recent_jobs(&self) -> impl Iterator<Item = JobId> {
-        let runs = self.by_task.values().flatten();
-        let recent = runs.filter(|(_, lapsed)| lapsed.start == RunStart::Recent);
-        recent.map(|(_, lapsed)| lapsed.run.task.job)
-    }
-
     /// Records that an executor has outlived a start of the task.
     pub(super) fn clear(&mut self, task: TaskId) {
         let of_task = self.by_task.get_mut(&task).into_iter().flatten();
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -12,8 +12,8 @@
 use super::shares::Shares;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
-use crate::queue::{KeyDigest, QueueId, RouteTable, WorkspaceId};
-use crate::schedule::{CrashShare, OfferedLoad, Rank, SurgePattern, lease_end};
+use crate::queue::{KeyDigest, RouteTable, WorkspaceId};
+use crate::schedule::{OfferedLoad, Rank, SurgePattern, lease_end};
 use crate::state::{Command, ExecutorKey, JobPhase, State};
 
 /// Interval of checks for changes that no event announces.
@@ -51,8 +51,6 @@
     /// Executor and time of the latest failure of each task of an open job.
     pub(super) last_failures: BTreeMap<TaskId, (ExecutorKey, Duration)>,
     pub(super) lapsed: LapsedRuns,
-    /// Open jobs that have crashed an executor on which no other job was starting.
-    pub(super) sole_crashes: BTreeSet<JobId>,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
     /// Each job in `pending` that belongs to a workspace.
@@ -71,12 +69,6 @@
     pub(super) release_budget: Option<f64>,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
-    /// Share of starts that crash executors, by queue.
-    pub(super) crash_shares: BTreeMap<QueueId, CrashShare>,
-    /// Whether any of these shares counts a crash.
-    pub(super) crashes_counted: bool,
-    /// Time of the latest crash of each rack that was counted in these shares.
-    pub(super) rack_crashes: BTreeMap<Arc<str>, Duration>,
     last_check: Duration,
     last_forget: Duration,
 }
@@ -101,7 +93,6 @@
             poll_interval: Duration::ZERO,
             last_failures: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
-            sole_crashes: BTreeSet::new(),
             offered_load: BTreeMap::new(),
             pending_of: BTreeMap::new(),
             quota_refusals: BTreeMap::new(),
@@ -112,9 +103,6 @@
             surges: SurgePattern::default(),
             release_budget: None,
             leading_since: now.monotonic,
-            crash_shares: BTreeMap::new(),
-            crashes_counted: false,
-            rack_crashes: BTreeMap::new(),
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
             state,
@@ -256,7 +244,6 @@
             self.executors.insert(key, view);
             self.take_over_lapsed(key);
         }
-        self.take_over_suspects(now);
         let jobs: Vec<_> = self.state.jobs().map(|(job, _)| job).collect();
         for job in jobs {
             self.update_pending(now, job);
@@ -283,7 +270,7 @@
             } else {
                 RunOrigin::Placed
             },
-            suspected: self.starts_apart(now, run.task),
+            suspected: self.is_suspected(run.task),
             percent: 0,
             served_at: None,
         }
@@ -305,7 +292,6 @@
         };
         self.last_failures.retain(|task, _| open(task.job));
         self.quota_waits.retain(|job| open(*job));
-        self.sole_crashes.retain(|job| open(*job));
         self.load_shedding.forget(now, open);
         self.shares.forget(open);
     }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use super::pending_job::{PendingJob, remaining_path_ms};
-use super::placement::Placement;
 use super::pool_view::PoolView;
 use super::{Defect, Leader, Moment};
 use crate::job::{JobId, Resources, RunId, TaskId};
@@ -15,11 +14,6 @@
 /// A task that is ready to start, and the number of its latest run.
 type StartableTask = (TaskId, u32);
 
-/// Returns whether two tasks of a job belong to the same step.
-pub(super) fn is_same_step((a, _): &StartableTask, (b, _): &StartableTask) -> bool {
-    (a.occurrence, a.step) == (b.occurrence, b.step)
-}
-
 impl Leader {
     /// Updates whether and where a job is in the pending jobs of its pool.
     pub(super) fn update_pending(&mut self, now: Moment, id: JobId) {
@@ -89,7 +83,6 @@
         }
         let usable = self.usable_executors(now, pool);
         let mut view = self.pool_view(now, &usable);
-        self.plan_suspects(now, pool, &mut view);
         if self.load_shedding.enabled {
             self.plan_by_value(now, pool, &mut view);
         } else {
@@ -179,24 +172,26 @@
             any |=
                 self.within_quota(&gang).len() == gang.len() && self.start_gang(now, &gang, pool);
         }
-        let (_, startable) = self.startable_tasks(now, id);
-        for tasks in startable.chunk_by(is_same_step) {
-            let placements = self.place_tasks(now, self.within_quota(tasks), pool);
-            any |= self.place_all(now, placements);
-        }
-        any
-    }
-
-    /// Starts placed tasks of one step; returns whether there are any.
-    pub(super) fn place_all(&mut self, now: Moment, placements: Vec<Placement>) -> bool {
-        let Some((first, ..)) = placements.first() else {
-            return false;
+        let (suspects, startable) = self.startable_tasks(now, id);
+        let same_step = |(a, _): &(TaskId, u32), (b, _): &(TaskId, u32)| {
+            (a.occurrence, a.step) == (b.occurrence, b.step)
         };
-        self.count_start(now, first.job);
-        for (task, last_run, executor) in placements {
-            self.place(now, task.run(last_run + 1), executor);
+        for tasks in suspects.chunk_by(same_step) {
+            for (task, last_run, executor) in
+                self.place_suspects(now, self.within_quota(tasks), pool)
+            {
+                self.place(now, task.run(last_run + 1), executor);
+                any = true;
+            }
         }
-        true
+        for tasks in startable.chunk_by(same_step) {
+            for (task, last_run, executor) in self.place_tasks(now, self.within_quota(tasks), pool)
+            {
+                self.place(now, task.run(last_run + 1), executor);
+                any = true;
+            }
+        }
+        any
     }
 
     /// Starts a run on an executor, and logs the figures that the choice was based on.
@@ -273,20 +268,15 @@
 
     /// Returns the tasks of a job, other than those of gangs, that are ready to start, with the
     /// number of their latest run; first those that may crash their executor.
-    pub(super) fn startable_tasks(
-        &self,
-        now: Moment,
-        id: JobId,
-    ) -> (Vec<StartableTask>, Vec<StartableTask>) {
+    fn startable_tasks(&self, now: Moment, id: JobId) -> (Vec<StartableTask>, Vec<StartableTask>) {
         let found = self.waiting_tasks(now, id);
-        let apart = self.queue_starts_apart(now, id);
-        if self.lapsed.is_empty() && !apart && !self.has_suspects(id) {
+        if self.lapsed.is_empty() && !self.has_suspects(id) {
             return (Vec::new(), found);
         }
         let settled = found
             .into_iter()
             .filter(|(task, _)| !self.awaits_lapsed(*task));
-        settled.partition(|(task, _)| apart || self.is_suspected(*task))
+        settled.partition(|(task, _)| self.is_suspected(*task))
     }
 
     fn waiting_tasks(&self, now: Moment, id: JobId) -> Vec<StartableTask> {
--- a/crates/masticfield-jobs/src/leader/pool_stats.rs
+++ b/crates/masticfield-jobs/src/leader/pool_stats.rs
@@ -13,8 +13,6 @@
 pub struct PoolStats {
     /// Number of jobs with tasks that are ready to start.
     pub jobs_waiting: u64,
-    /// Number of these jobs of which tasks may only start where no other job starts.
-    pub jobs_apart: u64,
     /// Number of known executors.
     pub executors: u64,
     /// Number of executors that accept tasks.
@@ -40,7 +38,6 @@
             let stats = pools.entry(Arc::clone(pool)).or_default();
             stats.jobs_waiting = jobs.len() as u64;
             stats.shed = self.load_shedding.stats(pool);
-            stats.jobs_apart = self.jobs_apart(now, pool) as u64;
         }
         for (key, record) in self.state.executors() {
             let Some(view) = self.executors.get(&key) else {
--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -275,7 +275,6 @@
             }
         }
         (load.waiting, load.spread_hosts) = self.waiting_demand(now, pool);
-        load.spread_hosts = load.spread_hosts.max(self.hosts_for_suspects(now, pool));
         let offered = self.offered_load.get(pool);
         load.offered_cores = offered.map_or(0.0, |offered| offered.forecast(now.monotonic));
         load
--- a/crates/masticfield-jobs/src/schedule/mod.rs
+++ b/crates/masticfield-jobs/src/schedule/mod.rs
@@ -5,7 +5,6 @@
 
 mod admission;
 mod availability;
-mod crash_share;
 mod job_order;
 mod job_value;
 mod lease;
@@ -24,8 +23,6 @@
 
 pub use admission::{Admission, Backlog, admit};
 pub use availability::may_interrupt;
-pub(crate) use crash_share::OUTLIVED;
-pub use crash_share::{CrashShare, quarantine_wait};
 pub use job_order::JobOrder;
 pub use job_value::{JobValues, ServiceHistory, value};
 pub use lease::{ClockReading, lease_end};
--- a/crates/masticfield-jobs/src/state/crashes.rs
+++ b/crates/masticfield-jobs/src/state/crashes.rs
@@ -170,12 +170,6 @@
         self.tasks_of(job).any(|(_, crashes)| crashes.suspected)
     }
 
-    /// Returns the jobs with suspected tasks; a job may occur repeatedly.
-    pub(super) fn suspected_jobs(&self) -> impl Iterator<Item = JobId> {
-        let suspected = self.tasks.iter().filter(|(_, crashes)| crashes.suspected);
-        suspected.map(|(task, _)| task.job)
-    }
-
     fn tasks_of(&self, job: JobId) -> impl Iterator<Item = (TaskId, TaskCrashes)> {
         let first = TaskId::new(job, 0, 0, 0);
         let last = TaskId::new(job, u32::MAX, u16::MAX, u32::MAX);
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -148,11 +148,6 @@
         self.crashes.has_suspects(job)
     }
 
-    /// Returns the jobs with suspected tasks; a job may occur repeatedly.
-    pub fn suspected_jobs(&self) -> impl Iterator<Item = JobId> {
-        self.crashes.suspected_jobs()
-    }
-
     /// Returns whether a task would be given up if the executors have crashed on which its runs have
     /// lapsed.
     pub fn reaches_crash_limit<'a>(
