test(jobs): a quota that long-running tasks hold refuses other jobs at once

Cause: found by a review; without a rate the estimate was not a number, so that the job was accepted. Change: the test fails without the check that was added with the review's findings.

--- a/crates/masticfield-jobs/tests/workspaces.rs
+++ b/crates/masticfield-jobs/tests/workspaces.rs
@@ -585,6 +585,24 @@
     assert_eq!(leader.state().running_of(FIRST), cores(4));
 }
 
+/// Guards against the acceptance of a job for whose tasks the quota never has room, as long-running
+/// tasks hold all of it and no other job waits.
+#[test]
+fn a_job_is_refused_while_long_running_tasks_hold_the_whole_quota() {
+    let mut leader = leader(two(cores(4)));
+    let held = StepSpec {
+        long_running: true,
+        ..step(1, cores(4))
+    };
+    let (_, decision) = submit(&mut leader, 100, spec(vec![held]), "old");
+    assert_eq!(started(&decision).len(), 1);
+    let (reply, _) = submit(&mut leader, JOB, one_task(), "old");
+    assert!(
+        matches!(reply, Reply::Refused(Refusal::Busy { .. })),
+        "{reply:?}"
+    );
+}
+
 /// Guards against jobs that are accepted although their quota lets them end too late, or never.
 /// A job of one task of a second is of use for 6.6 s.
 #[rstest]
