--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -240,7 +240,11 @@
         view.capacity = listed.capacity;
         let listed_executor = listed.executor.clone();
         view.executor = listed.executor;
-        view.up = listed.up;
+        // A list that was made while the host moves shows it as not up. Without the next list, which may
+        // take seconds, the host would not be used once it has arrived.
+        if listed.up || !view.is_away(now.monotonic) {
+            view.up = listed.up;
+        }
         if has_operation {
             self.set_cordoned(&listed.name, true);
         }
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -257,6 +257,70 @@
     );
 }
 
+/// Between two surges a host is released to standby and needed again. The list that was made while it
+/// moved showed it as not up, so that it was not used until the next list, up to 10 s later.
+#[test]
+fn a_host_is_moved_from_standby_again_as_soon_as_it_has_arrived_there() {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    let names = ["h1", "h2", "h3", "h4", "h5"];
+    let listed = |moved: Option<&str>| {
+        let hosts = names.iter().map(|name| match *name {
+            name if Some(name) == moved => ListedHost {
+                up: false,
+                ..host(name, "standby", None)
+            },
+            name => host(name, "p", (name == "h1").then_some("e1")),
+        });
+        let hosts = Some(hosts.collect());
+        Event::HostList { hosts }
+    };
+    leader.handle(moment(0), listed(None));
+    // The host of this executor is unknown, so that the list is requested again and again.
+    announce(&mut leader, 0, "e9", 5);
+    let standby = HostClaim::Move {
+        pool: "standby".into(),
+    };
+    let order = |leader: &mut Leader, ms: u64, to: &HostClaim| {
+        let effects = leader.decide(moment(ms)).after_commit;
+        let lists = effects.contains(&Effect::ListHosts);
+        let ordered = effects.into_iter().find_map(|effect| match effect {
+            Effect::OrderHost { host, claim, .. } if claim == *to => Some(host),
+            _ => None,
+        });
+        (lists, ordered)
+    };
+    let mut ticks = (0..100).map(|tick| tick * 100);
+    let released = ticks.find_map(|ms| {
+        let (lists, ordered) = order(&mut leader, ms, &standby);
+        if lists {
+            leader.handle(moment(ms), listed(None));
+        }
+        Some((ms, ordered?))
+    });
+    let (released_ms, name) = released.expect("the pool has more hosts than it needs");
+    let taken_ms = released_ms + 20;
+    let answer = Event::HostOrderResult {
+        host: Arc::clone(&name),
+        claim: standby.clone(),
+        result: Ok(()),
+    };
+    leader.handle(moment(taken_ms), answer);
+    let mut ticks = (1..15).map(|tick| released_ms + tick * 100);
+    let listed_ms = ticks.find(|ms| order(&mut leader, *ms, &standby).0);
+    let listed_ms = listed_ms.expect("a list is requested while the host moves");
+    leader.handle(moment(listed_ms + 10), listed(Some(&name)));
+    let back = HostClaim::Move { pool: "p".into() };
+    let arrived_ms = taken_ms + 1_500 + 400;
+    for job in 1..=400 {
+        leader.handle(moment(arrived_ms), submit(job));
+    }
+    let mut ticks = (0..40).map(|tick| arrived_ms + tick * 100);
+    let moved_ms = ticks.find(|ms| order(&mut leader, *ms, &back).1.as_ref() == Some(&name));
+    let moved_ms = moved_ms.expect("the pool is short of hosts");
+    assert!(moved_ms <= arrived_ms + 200, "moved after {moved_ms} ms");
+}
+
 /// A host that a former leader sent to upkeep may still be away, and counts towards the cap.
 #[test]
 fn a_new_leader_begins_no_upkeep_while_a_former_leaders_may_be_running() {
