--- a/crates/masticfield-jobs/src/leader/pools.rs
+++ b/crates/masticfield-jobs/src/leader/pools.rs
@@ -348,12 +348,12 @@
     }
 
     /// Returns whether a host is to be moved to standby and nothing has been requested yet, so that
-    /// it can be moved to another pool instead.
+    /// it can be moved to another pool instead, with one move instead of two.
     fn is_redirectable(&self, host: &HostView) -> bool {
         let operation = host.operation.as_ref();
         let draining =
             operation.is_some_and(|operation| operation.phase == OperationPhase::Draining);
-        self.options.pool_forecast && draining && self.is_released(host)
+        draining && self.is_released(host)
     }
 
     /// Cancels moves out of a pool that have not been requested from the platform yet; returns the
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticfield_jobs::job::{JobId, JobSpec, Resources, RunId, StepSpec};
+use masticfield_jobs::job::{JobId, JobSpec, Resources, RunId, StepSpec, TaskId};
 use masticfield_jobs::leader::{
     Announcement, Call, CallError, ClaimWatch, Effect, Event, HoldReport, HostError, HostOptions,
-    JobRequest, JobRequestKind, Leader, LeaderOptions, ListedHost, ListedRun, Moment, ReplyId,
+    JobRequest, JobRequestKind, Leader, LeaderOptions, ListedEnd, ListedHost, ListedRun, Moment,
+    ReplyId,
 };
 use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
 use masticfield_jobs::state::{
-    Command, ExecutorIncarnation, ExecutorKey, HostClaim, State, WaveOrder,
+    Command, EndKind, ExecutorIncarnation, ExecutorKey, HostClaim, State, WaveOrder,
 };
 use rstest::rstest;
 
@@ -321,6 +322,122 @@
     assert!(moved_ms <= arrived_ms + 200, "moved after {moved_ms} ms");
 }
 
+/// Two pools, and a former leader's job of which each executor of the first pool runs a task.
+fn state_with_two_pools(executors: u32) -> (State, Vec<RunId>) {
+    let mut config = config();
+    let mut queue = config.queues[0].clone();
+    queue.name = "r".into();
+    queue.prefix = "/r/".into();
+    queue.pool = "r".into();
+    config.queues.push(queue);
+    let mut pool = config.pools[0].clone();
+    pool.name = "r".into();
+    config.pools.push(pool);
+    let mut state = State::default();
+    let content = b"config"[..].into();
+    state.apply(Command::Configure { config, content });
+    let Event::JobRequest { request, .. } = submit(1_000) else {
+        unreachable!("a submission is a request");
+    };
+    let JobRequestKind::Submit(mut spec) = request.kind else {
+        unreachable!("the request submits a job");
+    };
+    spec.steps[0].count = executors;
+    let job = JobId::new(1_000);
+    let queue = state.queue_id("a.example", "/q/");
+    let queue = queue.expect("the queue is configured");
+    let wall_ms = moment(0).wall_ms;
+    state.apply(Command::submit(None, job, queue, spec, wall_ms));
+    let runs = (1..=executors).map(|number| {
+        let executor = ExecutorKey(number);
+        let incarnation = incarnation(&format!("e{number}"), 5);
+        state.apply(Command::Enlist {
+            executor,
+            incarnation,
+        });
+        let run = TaskId::new(job, 0, 0, number - 1).run(1);
+        state.apply(Command::Start { run, executor });
+        run
+    });
+    let runs = runs.collect();
+    (state, runs)
+}
+
+/// One pool releases hosts when the surge of another begins. A host that had to go to standby first
+/// would come to the other pool after two moves.
+#[test]
+fn a_host_that_drains_for_standby_goes_to_the_pool_that_lacks_one() {
+    let (state, runs) = state_with_two_pools(6);
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state, options(), watch, moment(0));
+    let names = ["h1", "h2", "h3", "h4", "h5", "h6"];
+    let hosts = (1..).zip(names).map(|(number, name)| {
+        let executor = format!("e{number}");
+        host(name, "p", Some(executor.as_str()))
+    });
+    let enough = ["r1", "r2", "r3"].map(|name| host(name, "r", None));
+    let hosts = Some(hosts.chain(enough).collect());
+    leader.handle(moment(0), Event::HostList { hosts });
+    let mut claims = Vec::new();
+    for ms in (0..8_000).step_by(50) {
+        let now = moment(ms);
+        // Released after 3 s, hosts drain until their tasks have ended.
+        if (3_200..3_600).contains(&ms) {
+            for job in ms..ms + 20 {
+                let Event::JobRequest {
+                    reply_to,
+                    mut request,
+                } = submit(job)
+                else {
+                    unreachable!("a submission is a request");
+                };
+                request.path = request.path.replace("/q/", "/r/");
+                leader.handle(now, Event::JobRequest { reply_to, request });
+            }
+        }
+        for effect in leader.decide(now).after_commit {
+            match effect {
+                Effect::OrderHost { claim, .. } => claims.push(claim),
+                Effect::Call {
+                    executor,
+                    call: Call::Hold { sent, .. },
+                    ..
+                } => {
+                    let run = runs[executor.0 as usize - 1];
+                    let ended = ms >= 3_400;
+                    let finished = ListedEnd {
+                        number: 1,
+                        run,
+                        kind: EndKind::Done,
+                        saved: None,
+                    };
+                    let running = ListedRun {
+                        run,
+                        saved: None,
+                        percent: 0,
+                        load: None,
+                    };
+                    let result = Ok(HoldReport {
+                        clock_ms: ms,
+                        started_ms: Some(5),
+                        running: if ended { Vec::new() } else { vec![running] },
+                        finished: if ended { vec![finished] } else { Vec::new() },
+                    });
+                    let held = Event::HoldResult {
+                        executor,
+                        sent,
+                        result,
+                    };
+                    leader.handle(now, held);
+                }
+                _ => {}
+            }
+        }
+    }
+    let first = claims.first().expect("hosts are moved");
+    assert_eq!(*first, HostClaim::Move { pool: "r".into() }, "{claims:?}");
+}
+
 /// A host that a former leader sent to upkeep may still be away, and counts towards the cap.
 #[test]
 fn a_new_leader_begins_no_upkeep_while_a_former_leaders_may_be_running() {
