fix(jobs): let the executor settle a clock that an announcement contradicts

What operators would see: one announcement of another writer with the identifier of an executor and a high sequence made all later announcements of that executor look old. It counted as silent, and no task started there. One with a clock ahead was taken over for good, as clocks only rise: each lease was asked for until a time that the executor does not reach, so the executor granted its own maximum (10 s) while the leader took the lease to be over after 5 s. A run that is restarted then runs twice.

Cause: the sequence alone told which announcement is the latest, and any higher clock was taken over.

Ruled out: a bound at the adapter alone.

Change: an announcement whose clock is more than 10 s from what is expected is answered with "not ready" and the executor is polled; its answer decides what its clock is, and sequences count from there. Until then leases by the wrong clock count as lasting 60 s at most. An announcement with a lower sequence and a later clock than the latest counts as the newest.

--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{ExecutorView, HoldPhase};
+use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase};
 use super::retirement::Retirement;
-use super::{Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Reply, ReplyId};
+use super::{
+    Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Refusal, Reply, ReplyId,
+};
 use crate::job::{Resources, RunId};
 use crate::schedule::poll_interval;
 use crate::state::{Command, EndKind, ExecutorKey};
@@ -32,13 +34,15 @@
         reply_to: ReplyId,
         announcement: &Announcement,
     ) {
-        if let Some(key) = self.resolve_incarnation(now, announcement) {
-            self.apply_announcement(now, key, announcement);
-        }
-        self.after_commit(Effect::Reply {
-            reply_to,
-            reply: Reply::Done,
-        });
+        let order = self
+            .resolve_incarnation(now, announcement)
+            .map(|key| self.apply_announcement(now, key, announcement));
+        let reply = match order {
+            // If it is of the executor, the executor repeats it.
+            Some(AnnouncementOrder::Disputed) => Reply::Refused(Refusal::NotReady),
+            Some(AnnouncementOrder::New | AnnouncementOrder::Late) | None => Reply::Done,
+        };
+        self.after_commit(Effect::Reply { reply_to, reply });
     }
 
     /// Returns the key of the announced incarnation, which is added if it is new.
@@ -95,12 +99,19 @@
         Some(key)
     }
 
-    fn apply_announcement(&mut self, now: Moment, key: ExecutorKey, announcement: &Announcement) {
+    fn apply_announcement(
+        &mut self,
+        now: Moment,
+        key: ExecutorKey,
+        announcement: &Announcement,
+    ) -> AnnouncementOrder {
+        let (sequence, clock_ms) = (announcement.sequence, announcement.clock_ms);
+        let order = self.check_announcement(now, key, sequence, clock_ms);
         let Some(view) = self.executors.get_mut(&key) else {
-            return;
+            return order;
         };
-        if view.last_announced.is_some() && announcement.sequence <= view.sequence {
-            return;
+        if order != AnnouncementOrder::New {
+            return order;
         }
         let is_first = view.last_announced.is_none();
         view.last_announced = Some(now.monotonic);
@@ -119,6 +130,29 @@
             self.changed_pools
                 .insert(Arc::clone(&announcement.incarnation.pool));
         }
+        order
+    }
+
+    /// Returns how to treat an announcement; the executor is polled if its clock is disputed.
+    fn check_announcement(
+        &mut self,
+        now: Moment,
+        key: ExecutorKey,
+        sequence: u64,
+        clock_ms: u64,
+    ) -> AnnouncementOrder {
+        let Some(view) = self.executors.get_mut(&key) else {
+            return AnnouncementOrder::Late;
+        };
+        let order = view.check_announcement(now.monotonic, sequence, clock_ms);
+        if order == AnnouncementOrder::Disputed {
+            if view.disputed_at.is_none() {
+                log::warn!(executor = key.0, sequence, clock_ms; "announcement contradicts the clock of its executor");
+            }
+            view.disputed_at.get_or_insert(now.monotonic);
+            self.hold_if_due(now, key);
+        }
+        order
     }
 
     fn update_capacity(&mut self, key: ExecutorKey, announcement: &Announcement) {
@@ -155,9 +189,11 @@
         if record.is_none_or(|record| record.incarnation.started_ms != announcement.started_ms) {
             return;
         }
+        let (sequence, clock_ms) = (announcement.sequence, announcement.clock_ms);
+        let order = self.check_announcement(now, key, sequence, clock_ms);
         if let Some(view) = self.executors.get_mut(&key)
             && view.last_announced.is_some()
-            && announcement.sequence > view.sequence
+            && order == AnnouncementOrder::New
         {
             view.last_announced = Some(now.monotonic);
             view.sequence = announcement.sequence;
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -7,6 +7,14 @@
 use crate::job::{Resources, RunId};
 use crate::schedule::{ClockReading, Reliability, ReliabilityStatus, expected_end};
 
+/// Time by which the clock of an announcement may differ from what is expected, in milliseconds.
+/// Announcements are delayed by several seconds at times.
+const MAX_CLOCK_DEVIATION_MS: u64 = 10_000;
+
+/// Longest lease that an executor grants whatever is asked for, in milliseconds; the platform sets
+/// 10 s.
+const LONGEST_LEASE_MS: u64 = 60_000;
+
 /// Progress of a long-running task that serves, in percent.
 pub(super) const SERVING_PERCENT: u32 = 100;
 
@@ -22,6 +30,8 @@
     pub(super) sequence: u64,
     /// Latest reading of the executor's clock.
     pub(super) clock: Option<ClockReading>,
+    /// Time at which an announcement contradicted the clock, until an answer settles it.
+    pub(super) disputed_at: Option<Duration>,
     /// Latest end of the lease that was sent, on the executor's clock.
     pub(super) deadline_ms: u64,
     /// Time until which a lease that a former leader granted may last.
@@ -72,6 +82,17 @@
     InFlight(Duration),
 }
 
+/// How an announcement relates to the earlier ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnnouncementOrder {
+    /// It is the latest one.
+    New,
+    /// A later one has arrived before.
+    Late,
+    /// It contradicts the known clock; the executor's answer to a call shows which is right.
+    Disputed,
+}
+
 /// A run that may be on an executor.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct RunView {
@@ -128,6 +149,7 @@
             last_announced: None,
             sequence: 0,
             clock: None,
+            disputed_at: None,
             deadline_ms: 0,
             former_leases_end,
             responsive: false,
@@ -151,6 +173,47 @@
         }
     }
 
+    /// Returns how to treat an announcement, which another process may have sent.
+    pub(super) fn check_announcement(
+        &self,
+        now: Duration,
+        sequence: u64,
+        clock_ms: u64,
+    ) -> AnnouncementOrder {
+        if self.contradicts_clock(now, clock_ms) {
+            return AnnouncementOrder::Disputed;
+        }
+        // The sequence of an odd announcement may be higher than any of the executor.
+        let is_newer = self.clock.is_none_or(|clock| clock_ms > clock.clock_ms);
+        if self.last_announced.is_some() && sequence <= self.sequence && !is_newer {
+            return AnnouncementOrder::Late;
+        }
+        AnnouncementOrder::New
+    }
+
+    /// Returns whether a reading is so far from the latest one that one of them is not of the
+    /// executor.
+    fn contradicts_clock(&self, now: Duration, clock_ms: u64) -> bool {
+        self.clock.is_some_and(|clock| {
+            let latest = clock.estimate(now).saturating_add(MAX_CLOCK_DEVIATION_MS);
+            let earliest = clock.clock_ms.saturating_sub(MAX_CLOCK_DEVIATION_MS);
+            clock_ms > latest || clock_ms < earliest
+        })
+    }
+
+    /// Records the executor's clock from its answer to a call, which settles what its clock is.
+    pub(super) fn record_answered_clock(&mut self, now: Duration, clock_ms: u64) {
+        if self.contradicts_clock(now, clock_ms) {
+            self.clock = None;
+            self.sequence = 0;
+            // A lease by the wrong clock ends no later than the longest one by the right clock.
+            let latest = clock_ms.saturating_add(LONGEST_LEASE_MS);
+            self.deadline_ms = self.deadline_ms.min(latest);
+        }
+        self.disputed_at = None;
+        self.record_clock(now, clock_ms);
+    }
+
     /// Records a reading of the executor's clock unless it is older than the latest one.
     pub(super) fn record_clock(&mut self, now: Duration, clock_ms: u64) {
         let newer = self.clock.is_none_or(|clock| clock_ms >= clock.clock_ms);
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -36,9 +36,9 @@
         let HoldPhase::Due(due) = view.hold else {
             return;
         };
-        // An executor that has failed, or that a former leader has left behind, is polled until it
-        // answers and becomes usable.
-        let known = view.failed_holds == 0 && view.clock.is_some();
+        // An executor that has failed, that a former leader has left behind, or whose clock is
+        // disputed, is polled until it answers and becomes usable.
+        let known = view.failed_holds == 0 && view.clock.is_some() && view.disputed_at.is_none();
         let idle = view.runs.is_empty() && view.unknown_runs.is_empty() && known;
         if idle || now.monotonic < due {
             return;
@@ -129,7 +129,7 @@
         let Some(view) = self.executors.get_mut(&key) else {
             return;
         };
-        view.record_clock(now.monotonic, report.clock_ms);
+        view.record_answered_clock(now.monotonic, report.clock_ms);
         if view.failed_holds > 0 {
             log::info!(executor = key.0, failures = view.failed_holds; "executor answers again");
         }
