fix(jobs): ignore announcements of pools that are not configured

What operators would see: an announcement of another writer with the identifier of an executor and a service that does not exist made the executor known in that pool. The executor's own announcements were then ignored, as pool or address differs, until the other was retired 20 s later. Each such announcement was also stored in the replicated state.

Cause: the leader enlisted the executor of any pool.

Ruled out: a check at the adapter, which does not know the configuration in force. The executors of a pool that is configured later announce themselves again within an interval.

Change: an announcement of a pool that is not configured is acknowledged and changes nothing.

Evidence: an_odd_announcement_neither_silences_an_executor_nor_shifts_its_clock ::case_7_another_pool::announcements_before_1_0 on the code before: odd_announcements.rs:223:5, left: [], right: [493113].

--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -47,14 +47,18 @@
 
     /// Returns the key of the announced incarnation, which is added if it is new.
     ///
-    /// Returns `None` if a later incarnation is known, or if the announcement contradicts an
-    /// earlier one of the same incarnation.
+    /// Returns `None` if no such pool is configured, if a later incarnation is known, or if the
+    /// announcement contradicts an earlier one of the same incarnation.
     fn resolve_incarnation(
         &mut self,
         now: Moment,
         announcement: &Announcement,
     ) -> Option<ExecutorKey> {
         let incarnation = &announcement.incarnation;
+        // An executor of a pool that is configured later announces itself again.
+        if !self.is_configured(&incarnation.pool) {
+            return None;
+        }
         if let Some(known) = self.key_by_id.get(&incarnation.id).copied() {
             let record = self.state.executor(known)?;
             if incarnation.started_ms < record.incarnation.started_ms {
@@ -99,6 +103,14 @@
         Some(key)
     }
 
+    fn is_configured(&self, pool: &str) -> bool {
+        let stored = self.state.config();
+        stored.is_some_and(|stored| {
+            let mut pools = stored.config.pools.iter();
+            pools.any(|configured| *configured.name == *pool)
+        })
+    }
+
     fn apply_announcement(
         &mut self,
         now: Moment,
--- a/crates/masticfield-jobs/tests/odd_announcements.rs
+++ b/crates/masticfield-jobs/tests/odd_announcements.rs
@@ -208,6 +208,7 @@
 #[case::clock_half_a_minute_ahead(|odd: &mut Announcement| odd.clock_ms += 30_000)]
 #[case::clock_and_sequence(|odd: &mut Announcement| (odd.clock_ms, odd.sequence) = (odd.clock_ms + DAY_MS, 1 << 40))]
 #[case::clock_behind(|odd: &mut Announcement| odd.clock_ms = 0)]
+#[case::another_pool(|odd: &mut Announcement| odd.incarnation.pool = "nowhere".into())]
 fn an_odd_announcement_neither_silences_an_executor_nor_shifts_its_clock(
     #[case] change: fn(&mut Announcement),
     #[values(0, 3)] announcements_before: u64,
