fix(jobs): keep hosts whose entries in the list cannot be read

What operators would see, since rows are decoded one by one: a host whose entry cannot be read in two lists in a row counts as gone. Its claim is dropped and it leaves its wave, which may be reported as completed although the host had no upkeep.

Cause: a list with skipped rows was passed on as complete.

Change: such a list is an event of its own, Event::PartialHostList, which updates the hosts that it names and leaves the others as they are.

--- a/crates/masticfield-jobs/src/leader/event.rs
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -68,6 +68,11 @@
         /// All hosts; `None` if the list could not be read.
         hosts: Option<Vec<ListedHost>>,
     },
+    /// The platform has returned its list of hosts, of which some entries cannot be read.
+    PartialHostList {
+        /// The hosts that can be read. Others may be hosts that were listed before.
+        hosts: Vec<ListedHost>,
+    },
     /// The platform has answered a request about a host, or the request has failed.
     HostOrderResult {
         /// Name of the host.
--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -168,15 +168,12 @@
     }
 
     pub(super) fn on_host_list(&mut self, now: Moment, listed: Option<Vec<ListedHost>>) {
-        self.hosts.list_pending = false;
         let Some(listed) = listed else {
+            self.hosts.list_pending = false;
             return;
         };
-        self.hosts.listed = true;
         let names: HashSet<_> = listed.iter().map(|host| Arc::clone(&host.name)).collect();
-        for host in listed {
-            self.update_host(now, host);
-        }
+        self.on_partial_host_list(now, listed);
         for (name, view) in &mut self.hosts.views {
             view.missing_lists = if names.contains(name) {
                 0
@@ -200,6 +197,15 @@
         }
     }
 
+    /// Updates the views of listed hosts; those of others stay as they are.
+    pub(super) fn on_partial_host_list(&mut self, now: Moment, listed: Vec<ListedHost>) {
+        self.hosts.list_pending = false;
+        self.hosts.listed = true;
+        for host in listed {
+            self.update_host(now, host);
+        }
+    }
+
     /// Updates the view of a host from the platform's list.
     fn update_host(&mut self, now: Moment, listed: ListedHost) {
         let claim = self.state.claims().get(&listed.name).cloned();
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -136,6 +136,7 @@
             Event::Left { reply_to, id } => self.on_left(now, reply_to, &id),
             Event::Wave { reply_to, order } => self.on_wave(now, reply_to, order),
             Event::HostList { hosts } => self.on_host_list(now, hosts),
+            Event::PartialHostList { hosts } => self.on_partial_host_list(now, hosts),
             Event::HostOrderResult {
                 host,
                 claim,
