fix(jobs): record announcements of known executors of withdrawn pools

Cause: with the check of an executor whose pool was taken out of the configuration could no longer announce that it drains, and executors that announced themselves before the first configuration were known one interval later. Change: the check holds for new incarnations only, before an earlier one is retired, and not without a configuration.

--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -47,19 +47,16 @@
 
     /// Returns the key of the announced incarnation, which is added if it is new.
     ///
-    /// Returns `None` if no such pool is configured, if a later incarnation is known, or if the
-    /// announcement contradicts an earlier one of the same incarnation.
+    /// Returns `None` if a new incarnation is of a pool that is not configured, if a later one is
+    /// known, or if the announcement contradicts an earlier one of the same incarnation.
     fn resolve_incarnation(
         &mut self,
         now: Moment,
         announcement: &Announcement,
     ) -> Option<ExecutorKey> {
         let incarnation = &announcement.incarnation;
-        // An executor of a pool that is configured later announces itself again.
-        if !self.is_configured(&incarnation.pool) {
-            return None;
-        }
-        if let Some(known) = self.key_by_id.get(&incarnation.id).copied() {
+        let known = self.key_by_id.get(&incarnation.id).copied();
+        if let Some(known) = known {
             let record = self.state.executor(known)?;
             if incarnation.started_ms < record.incarnation.started_ms {
                 return None;
@@ -77,6 +74,12 @@
                 }
                 return same.then_some(known);
             }
+        }
+        // An executor of a pool that is configured later announces itself again.
+        if !self.may_be_configured(&incarnation.pool) {
+            return None;
+        }
+        if let Some(known) = known {
             self.retire(now, known, Retirement::Reborn);
         }
         let key = self.state.next_executor_key();
@@ -103,9 +106,10 @@
         Some(key)
     }
 
-    fn is_configured(&self, pool: &str) -> bool {
+    /// Returns whether the pool is in the configuration, or no configuration is stored yet.
+    fn may_be_configured(&self, pool: &str) -> bool {
         let stored = self.state.config();
-        stored.is_some_and(|stored| {
+        stored.is_none_or(|stored| {
             let mut pools = stored.config.pools.iter();
             pools.any(|configured| *configured.name == *pool)
         })
