--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{ExecutorView, HoldPhase};
+use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase};
 use super::retirement::Retirement;
-use super::{Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Reply, ReplyId};
+use super::{
+    Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Refusal, Reply, ReplyId,
+};
 use crate::job::{Resources, RunId};
 use crate::schedule::poll_interval;
 use crate::state::{Command, EndKind, ExecutorKey};
@@ -32,26 +34,29 @@
         reply_to: ReplyId,
         announcement: &Announcement,
     ) {
-        if let Some(key) = self.resolve_incarnation(now, announcement) {
-            self.apply_announcement(now, key, announcement);
-        }
-        self.after_commit(Effect::Reply {
-            reply_to,
-            reply: Reply::Done,
-        });
+        let order = self
+            .resolve_incarnation(now, announcement)
+            .map(|key| self.apply_announcement(now, key, announcement));
+        let reply = match order {
+            // If it is of the executor, the executor repeats it.
+            Some(AnnouncementOrder::Disputed) => Reply::Refused(Refusal::NotReady),
+            Some(AnnouncementOrder::New | AnnouncementOrder::Late) | None => Reply::Done,
+        };
+        self.after_commit(Effect::Reply { reply_to, reply });
     }
 
     /// Returns the key of the announced incarnation, which is added if it is new.
     ///
-    /// Returns `None` if a later incarnation is known, or if the announcement contradicts an
-    /// earlier one of the same incarnation.
+    /// Returns `None` if a new incarnation is of a pool that is not configured, if a later one is
+    /// known, or if the announcement contradicts an earlier one of the same incarnation.
     fn resolve_incarnation(
         &mut self,
         now: Moment,
         announcement: &Announcement,
     ) -> Option<ExecutorKey> {
         let incarnation = &announcement.incarnation;
-        if let Some(known) = self.key_by_id.get(&incarnation.id).copied() {
+        let known = self.key_by_id.get(&incarnation.id).copied();
+        if let Some(known) = known {
             let record = self.state.executor(known)?;
             if incarnation.started_ms < record.incarnation.started_ms {
                 return None;
@@ -69,6 +74,12 @@
                 }
                 return same.then_some(known);
             }
+        }
+        // An executor of a pool that is configured later announces itself again.
+        if !self.may_be_configured(&incarnation.pool) {
+            return None;
+        }
+        if let Some(known) = known {
             self.retire(now, known, Retirement::Reborn);
         }
         let key = self.state.next_executor_key();
@@ -95,12 +106,28 @@
         Some(key)
     }
 
-    fn apply_announcement(&mut self, now: Moment, key: ExecutorKey, announcement: &Announcement) {
+    /// Returns whether the pool is in the configuration, or no configuration is stored yet.
+    fn may_be_configured(&self, pool: &str) -> bool {
+        let stored = self.state.config();
+        stored.is_none_or(|stored| {
+            let mut pools = stored.config.pools.iter();
+            pools.any(|configured| *configured.name == *pool)
+        })
+    }
+
+    fn apply_announcement(
+        &mut self,
+        now: Moment,
+        key: ExecutorKey,
+        announcement: &Announcement,
+    ) -> AnnouncementOrder {
+        let (sequence, clock_ms) = (announcement.sequence, announcement.clock_ms);
+        let order = self.check_announcement(now, key, sequence, clock_ms);
         let Some(view) = self.executors.get_mut(&key) else {
-            return;
+            return order;
         };
-        if view.last_announced.is_some() && announcement.sequence <= view.sequence {
-            return;
+        if order != AnnouncementOrder::New {
+            return order;
         }
         let is_first = view.last_announced.is_none();
         view.last_announced = Some(now.monotonic);
@@ -119,6 +146,29 @@
             self.changed_pools
                 .insert(Arc::clone(&announcement.incarnation.pool));
         }
+        order
+    }
+
+    /// Returns how to treat an announcement; the executor is polled if its clock is disputed.
+    fn check_announcement(
+        &mut self,
+        now: Moment,
+        key: ExecutorKey,
+        sequence: u64,
+        clock_ms: u64,
+    ) -> AnnouncementOrder {
+        let Some(view) = self.executors.get_mut(&key) else {
+            return AnnouncementOrder::Late;
+        };
+        let order = view.check_announcement(now.monotonic, sequence, clock_ms);
+        if order == AnnouncementOrder::Disputed {
+            if view.disputed_at.is_none() {
+                log::warn!(executor = key.0, sequence, clock_ms; "announcement contradicts the clock of its executor");
+            }
+            view.disputed_at.get_or_insert(now.monotonic);
+            self.hold_if_due(now, key);
+        }
+        order
     }
 
     fn update_capacity(&mut self, key: ExecutorKey, announcement: &Announcement) {
@@ -155,9 +205,11 @@
         if record.is_none_or(|record| record.incarnation.started_ms != announcement.started_ms) {
             return;
         }
+        let (sequence, clock_ms) = (announcement.sequence, announcement.clock_ms);
+        let order = self.check_announcement(now, key, sequence, clock_ms);
         if let Some(view) = self.executors.get_mut(&key)
             && view.last_announced.is_some()
-            && announcement.sequence > view.sequence
+            && order == AnnouncementOrder::New
         {
             view.last_announced = Some(now.monotonic);
             view.sequence = announcement.sequence;
