feat(control): log and count each request of an operator

Change: a line at receipt (version or number of the wave, whether this replica leads, leader, term, age of that belief) and one at the response (outcome, duration), and masticfield_operator_request_seconds by request and outcome. A request whose operator closed the connection counts as disconnected. Ruled out: passing the version in the log of the reply only; a follower redirects without decoding.

--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::reply_handle::ReplyHandle;
+use super::{JobMetrics, OperatorRequest, OperatorRequestKind};
 
 /// A message to the job control.
 #[derive(Debug)]
@@ -117,6 +118,10 @@
     pub is_leader: bool,
     /// Address at which the other replicas reach the leader, if a leader is known.
     pub leader: Option<SocketAddr>,
+    /// Term of the group, as far as this replica knows it.
+    pub term: u64,
+    /// Time of the boot clock since which this leader of this term, or none, has been known.
+    pub leader_since: Duration,
     /// Addresses at which the members of the group reach each other.
     pub members: Vec<SocketAddr>,
     /// Whether calls to executors go through relays, which take their announcements as well.
@@ -125,11 +130,19 @@
     pub limits: Option<RequestLimits>,
 }
 
+impl ControlView {
+    /// Returns how long this leader of this term, or none, has been known at `now`.
+    pub(super) fn leader_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.leader_since)
+    }
+}
+
 /// Sends events and requests to the job control.
 #[derive(Debug, Clone)]
 pub struct JobControlHandle {
     pub(super) tx: mpsc::UnboundedSender<Input>,
     pub(super) view: watch::Receiver<ControlView>,
+    pub(super) metrics: JobMetrics,
 }
 
 impl JobControlHandle {
@@ -149,6 +162,17 @@
         drop(self.tx.send(Input::Event(event)));
     }
 
+    /// Records that a request of an operator has arrived.
+    ///
+    /// `number` is the version of the configuration or the number of the wave that it names.
+    pub fn record_operator_request(
+        &self,
+        kind: OperatorRequestKind,
+        number: Option<u64>,
+    ) -> OperatorRequest {
+        OperatorRequest::new(kind, number, &self.view.borrow(), self.metrics.clone())
+    }
+
     /// Stores a configuration that was checked and puts it in force.
     ///
     /// `content` is the configuration as it was sent; [`Self::read_config`] returns it.
--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -113,11 +113,11 @@
             unreadable: false,
             leadership: None,
             work: WorkTimes::new(metrics.work.clone()),
-            observer: Observer::new(metrics),
+            observer: Observer::new(metrics.clone()),
             gauges_updated_at: Duration::ZERO,
             view: view_tx,
         };
-        (control, JobControlHandle { tx, view })
+        (control, JobControlHandle { tx, view, metrics })
     }
 
     /// Runs until the replica stops or every handle is dropped, or until a committed entry cannot be
@@ -451,12 +451,13 @@
             members.address(leader)
         });
         self.publish_view(
+            status.term,
             address,
             members.members().map(|(_, address)| address).collect(),
         );
     }
 
-    fn publish_view(&self, leader: Option<SocketAddr>, members: Vec<SocketAddr>) {
+    fn publish_view(&self, term: u64, leader: Option<SocketAddr>, members: Vec<SocketAddr>) {
         let is_leader = self.leadership.is_some();
         let uses_relays = self.leadership.as_ref().is_some_and(|leadership| {
             leadership
@@ -465,9 +466,16 @@
         });
         self.view.send_if_modified(|view| {
             let limits = view.limits;
+            let leader_since = if (view.term, view.leader) == (term, leader) {
+                view.leader_since
+            } else {
+                boot_now()
+            };
             let current = ControlView {
                 is_leader,
                 leader,
+                term,
+                leader_since,
                 members,
                 uses_relays,
                 limits,
--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -12,6 +12,7 @@
 };
 
 use super::work_times::WorkTimes;
+use super::{OperatorOutcome, OperatorRequestKind};
 
 /// Maximum number of pools with gauges of their own, as a configuration may have any number.
 const MAX_POOLS: usize = 64;
@@ -50,6 +51,7 @@
     executor_calls: HistogramVec,
     relayed_calls: IntCounterVec,
     host_calls: IntCounterVec,
+    operator_requests: HistogramVec,
     executor_crashes: IntCounter,
     state_differences: IntCounter,
     pub(super) work: CounterVec,
@@ -68,10 +70,6 @@
     ///
     /// Fails if a metric of the same name is already registered.
     pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let seconds = |name: &str, help: &str| -> Result<HistogramOpts, prometheus::Error> {
-            let buckets = exponential_buckets(0.001, 2.0, 16)?;
-            Ok(HistogramOpts::new(name, help).buckets(buckets))
-        };
         let metrics = Self {
             replies: IntCounterVec::new(
                 Opts::new(
@@ -124,6 +122,7 @@
                 ),
                 &["call", "outcome"],
             )?,
+            operator_requests: register_operator_requests(registry)?,
             executor_crashes: IntCounter::new(
                 "masticfield_executor_crashes_total",
                 "Executors that ended without notice while they ran tasks of open jobs",
@@ -239,6 +238,18 @@
         self.host_calls.with_label_values(&[call, outcome]).inc();
     }
 
+    /// Records the time from the receipt of a request of an operator to its outcome.
+    pub(super) fn observe_operator_request(
+        &self,
+        kind: OperatorRequestKind,
+        outcome: OperatorOutcome,
+        duration: Duration,
+    ) {
+        let labels = [kind.name(), outcome.name()];
+        let histogram = self.operator_requests.with_label_values(&labels);
+        histogram.observe(duration.as_secs_f64());
+    }
+
     /// Sets the gauges; those of the pools exist only while this replica leads.
     pub(super) fn update_gauges(
         &self,
@@ -327,6 +338,21 @@
     IntGaugeVec::new(Opts::new("masticfield_pool", help), &["pool", "what"])
 }
 
+/// Options of a histogram of durations from 1 ms to half a minute.
+fn seconds(name: &str, help: &str) -> Result<HistogramOpts, prometheus::Error> {
+    let buckets = exponential_buckets(0.001, 2.0, 16)?;
+    Ok(HistogramOpts::new(name, help).buckets(buckets))
+}
+
+/// Creates and registers the durations of requests of operators.
+fn register_operator_requests(registry: &Registry) -> Result<HistogramVec, prometheus::Error> {
+    let help = "Time from the receipt of a request of an operator to the response";
+    let opts = seconds("masticfield_operator_request_seconds", help)?;
+    let requests = HistogramVec::new(opts, &["request", "outcome"])?;
+    registry.register(Box::new(requests.clone()))?;
+    Ok(requests)
+}
+
 /// Creates and registers the gauges of the storage.
 fn register_storage(registry: &Registry) -> Result<IntGaugeVec, prometheus::Error> {
     let help = "Whether the data folder lacks space, whether those of a majority do (as known to \
--- a/crates/masticfield-control/tests/control/jobs.rs
+++ b/crates/masticfield-control/tests/control/jobs.rs
@@ -7,12 +7,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use masticfield_control::jobs::{JobControl, JobControlHandle, JobMetrics, WaveProgress};
+use masticfield_control::jobs::{
+    JobControl, JobControlHandle, JobMetrics, OperatorOutcome, OperatorRequestKind, WaveProgress,
+};
 use masticfield_core::ids::ReplicaId;
 use masticfield_jobs::leader::{LeaderOptions, Refusal, Reply};
 use masticfield_jobs::state::WaveOrder;
 use masticfield_replica::{Applied, AppliedKind, ReplicaHandle, ReplicaOptions};
 use prometheus::Registry;
+use prometheus::proto::Metric;
 use rstest::rstest;
 use tokio::sync::mpsc;
 
@@ -47,6 +50,7 @@
     replica: ReplicaHandle,
     control: JobControlHandle,
     is_full: Arc<AtomicBool>,
+    registry: Registry,
     _dir: tempfile::TempDir,
     _orders: mpsc::UnboundedReceiver<masticfield_control::jobs::OutboundOrder>,
 }
@@ -76,7 +80,8 @@
             }));
         let (replica, applied) = ReplicaHandle::open(options).await.unwrap();
         let (orders, orders_rx) = mpsc::unbounded_channel();
-        let metrics = JobMetrics::register(&Registry::new()).unwrap();
+        let registry = Registry::new();
+        let metrics = JobMetrics::register(&registry).unwrap();
         let leader = LeaderOptions::new(Duration::from_secs(5));
         let (job_control, control) =
             JobControl::new(replica.clone(), applied, leader, orders, metrics);
@@ -85,6 +90,7 @@
             replica,
             control,
             is_full,
+            registry,
             _dir: dir,
             _orders: orders_rx,
         });
@@ -143,3 +149,45 @@
     let ended = tokio::time::timeout(Duration::from_mins(1), scenario).await;
     ended.expect("the group works again");
 }
+
+/// Guards against a request of an operator that leaves no trace of how long it took and how it ended.
+#[tokio::test]
+async fn each_request_of_an_operator_is_counted_by_its_outcome() {
+    let members = start_group().await;
+    let control = &members[0].control;
+    let answered = control.record_operator_request(OperatorRequestKind::PutConfig, Some(7));
+    answered.finish(OperatorOutcome::Redirected);
+    drop(control.record_operator_request(OperatorRequestKind::ReadWave, None));
+    let counted = operator_requests(&members[0].registry);
+    let expected = [
+        ("put-config", "redirected", 1),
+        ("read-wave", "disconnected", 1),
+    ];
+    assert_eq!(
+        counted,
+        expected.map(|(request, outcome, count)| (request.into(), outcome.into(), count))
+    );
+}
+
+/// Returns the counted requests of operators as kind, outcome and number, in the order of the kinds.
+fn operator_requests(registry: &Registry) -> Vec<(String, String, u64)> {
+    let families = registry.gather();
+    let family = families
+        .iter()
+        .find(|family| family.name() == "masticfield_operator_request_seconds");
+    let metrics = family.map_or(&[][..], |family| family.get_metric());
+    let label = |metric: &Metric, name: &str| {
+        let labels = metric.get_label();
+        let found = labels.iter().find(|label| label.name() == name);
+        found.unwrap().value().to_owned()
+    };
+    let mut counted: Vec<_> = metrics
+        .iter()
+        .map(|metric| {
+            let count = metric.get_histogram().get_sample_count();
+            (label(metric, "request"), label(metric, "outcome"), count)
+        })
+        .collect();
+    counted.sort();
+    counted
+}
