feat(control): let requests of operators wait for the leader that is being elected

Cause: a follower named a leader that had frozen until its election timeout was over, and refused requests while no leader was known. An operator then waits for its own timeout of 1 s, or for its growing backoff, longer than an election takes. Ruled out: forwarding orders within the group; the operator's next hop costs 20 ms only. Holding announcements of executors: they try the next node at once. Change: jobs::refer decides from the view and the last contact with the leader: a request waits at most 1 s from the last contact, is refused at once when no leader is to be expected, and is referred as soon as one is known. The replica's status tells the last contact.

--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -4,15 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::{Announcement, Event, JobRequest, Refusal, Reply, ReplyId};
 use masticfield_jobs::protocol::{EntryRequest, ToEntry};
 use masticfield_jobs::queue::{ConfigContent, QueuesConfig, RequestLimits};
 use masticfield_jobs::relay::{CallResult, RelayOffer};
 use masticfield_jobs::state::WaveOrder;
+use masticfield_replica::ReplicaStatus;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::reply_handle::ReplyHandle;
-use super::{JobMetrics, OperatorRequest, OperatorRequestKind};
+use super::{JobMetrics, OperatorRequest, OperatorRequestKind, Referral, ReferralStep, refer};
+
+/// Interval at which the last contact with the leader is checked while a request waits.
+const CONTACT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A message to the job control.
 #[derive(Debug)]
@@ -142,6 +147,7 @@
 pub struct JobControlHandle {
     pub(super) tx: mpsc::UnboundedSender<Input>,
     pub(super) view: watch::Receiver<ControlView>,
+    pub(super) status: watch::Receiver<ReplicaStatus>,
     pub(super) metrics: JobMetrics,
 }
 
@@ -156,6 +162,27 @@
         self.view.clone()
     }
 
+    /// Returns where a request goes that only the leader can serve.
+    ///
+    /// Waits for a new leader while one can be expected, at most for the time of an election.
+    pub async fn find_leader(&self) -> Referral {
+        let arrived = boot_now();
+        let mut view = self.view.clone();
+        loop {
+            let now = boot_now();
+            let last_contact = self.status.borrow().last_contact;
+            let step = refer(&view.borrow_and_update(), last_contact, arrived, now);
+            let until = match step {
+                ReferralStep::Refer(referral) => return referral,
+                ReferralStep::WaitUntil(until) => until,
+            };
+            // The view does not change when a silent leader makes contact again.
+            let wait = until.saturating_sub(now).min(CONTACT_CHECK_INTERVAL);
+            // A view that no longer changes is that of a process that ends.
+            drop(tokio::time::timeout(wait, view.changed()).await);
+        }
+    }
+
     /// Sends an event that needs no reply; ignored unless this replica leads.
     pub fn send_event(&self, event: Event) {
         // Fails only while the process ends.
--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -98,6 +98,7 @@
     ) -> (Self, JobControlHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let (view_tx, view) = watch::channel(ControlView::default());
+        let status = replica.watch_status();
         let control = Self {
             replica,
             applied,
@@ -117,7 +118,13 @@
             gauges_updated_at: Duration::ZERO,
             view: view_tx,
         };
-        (control, JobControlHandle { tx, view, metrics })
+        let handle = JobControlHandle {
+            tx,
+            view,
+            status,
+            metrics,
+        };
+        (control, handle)
     }
 
     /// Runs until the replica stops or every handle is dropped, or until a committed entry cannot be
--- a/crates/masticfield-control/src/jobs/mod.rs
+++ b/crates/masticfield-control/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod observer;
 mod operator_request;
 mod order;
+mod referral;
 mod reply_handle;
 mod work_times;
 
@@ -21,3 +22,4 @@
 pub use metrics::JobMetrics;
 pub use operator_request::{OperatorOutcome, OperatorRequest, OperatorRequestKind};
 pub use order::{HostOrder, OutboundOrder};
+pub use referral::{Referral, ReferralStep, refer};
--- a/crates/masticfield-control/tests/control/main.rs
+++ b/crates/masticfield-control/tests/control/main.rs
@@ -3,4 +3,5 @@
 mod entries;
 mod jobs;
 mod operators;
+mod referral;
 mod support;
--- a/crates/masticfield-replica/src/consensus/replica.rs
+++ b/crates/masticfield-replica/src/consensus/replica.rs
@@ -88,6 +88,13 @@
         self.leader
     }
 
+    /// Time of the last contact by a leader, of the start, or of stepping down for lack of a
+    /// responsive quorum, whichever was last.
+    pub const fn last_contact(&self) -> Duration {
+        self.no_vote_before
+            .saturating_sub(self.timing.election_timeout)
+    }
+
     /// Whether this replica leads the current term.
     ///
     /// Another replica may lead a later term; see [`lease_until`](Self::lease_until).
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -366,6 +366,7 @@
         let current = ReplicaStatus {
             id: replica.identity().id(),
             leader: replica.leader().map(Identity::id),
+            last_contact: replica.last_contact(),
             term: replica.term(),
             committed: self.last_payload_index,
             lease_until,
@@ -380,11 +381,12 @@
         self.status.send_if_modified(|status| {
             let had_lease = status.lease_until.is_some();
             let previous = std::mem::replace(status, current);
-            let same_lease = ReplicaStatus {
+            let same_times = ReplicaStatus {
                 lease_until: previous.lease_until,
+                last_contact: previous.last_contact,
                 ..current
             };
-            previous != same_lease || had_lease != current.lease_until.is_some()
+            previous != same_times || had_lease != current.lease_until.is_some()
         });
         self.members.send_if_modified(|members| {
             let changed = members != replica.log().members();
--- a/crates/masticfield-replica/src/runtime/start.rs
+++ b/crates/masticfield-replica/src/runtime/start.rs
@@ -57,6 +57,7 @@
     let (status_tx, status) = watch::channel(ReplicaStatus {
         id: options.id(),
         leader: None,
+        last_contact: boot_now(),
         term: replica.term(),
         committed: 0,
         lease_until: None,
--- a/crates/masticfield-replica/src/status.rs
+++ b/crates/masticfield-replica/src/status.rs
@@ -40,6 +40,11 @@
     pub id: ReplicaId,
     /// Leader of the current term; `None` if it is not known.
     pub leader: Option<ReplicaId>,
+    /// Time by [`boot_now`] of the last contact by a leader, or of the start or of stepping down if
+    /// that was later.
+    ///
+    /// Receivers of the status are not woken when only this time changes.
+    pub last_contact: Duration,
     /// Current term; 0 before a group is formed.
     pub term: u64,
     /// Index of the last committed payload or snapshot, which is or will be delivered.
