--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -4,14 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::{Announcement, Event, JobRequest, Refusal, Reply, ReplyId};
 use masticfield_jobs::protocol::{EntryRequest, ToEntry};
 use masticfield_jobs::queue::{ConfigContent, QueuesConfig, RequestLimits};
 use masticfield_jobs::relay::{CallResult, RelayOffer};
 use masticfield_jobs::state::WaveOrder;
+use masticfield_replica::ReplicaStatus;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::reply_handle::ReplyHandle;
+use super::{JobMetrics, OperatorRequest, OperatorRequestKind, Referral, ReferralStep, refer};
+
+/// Interval at which the last contact with the leader is checked while a request waits.
+const CONTACT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A message to the job control.
 #[derive(Debug)]
@@ -117,6 +123,10 @@
     pub is_leader: bool,
     /// Address at which the other replicas reach the leader, if a leader is known.
     pub leader: Option<SocketAddr>,
+    /// Term of the group, as far as this replica knows it.
+    pub term: u64,
+    /// Time of the boot clock since which this leader of this term, or none, has been known.
+    pub leader_since: Duration,
     /// Addresses at which the members of the group reach each other.
     pub members: Vec<SocketAddr>,
     /// Whether calls to executors go through relays, which take their announcements as well.
@@ -125,11 +135,20 @@
     pub limits: Option<RequestLimits>,
 }
 
+impl ControlView {
+    /// Returns how long this leader of this term, or none, has been known at `now`.
+    pub(super) fn leader_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.leader_since)
+    }
+}
+
 /// Sends events and requests to the job control.
 #[derive(Debug, Clone)]
 pub struct JobControlHandle {
     pub(super) tx: mpsc::UnboundedSender<Input>,
     pub(super) view: watch::Receiver<ControlView>,
+    pub(super) status: watch::Receiver<ReplicaStatus>,
+    pub(super) metrics: JobMetrics,
 }
 
 impl JobControlHandle {
@@ -143,12 +162,44 @@
         self.view.clone()
     }
 
+    /// Returns where a request goes that only the leader can serve.
+    ///
+    /// Waits for a new leader while one can be expected, at most for the time of an election.
+    pub async fn find_leader(&self) -> Referral {
+        let arrived = boot_now();
+        let mut view = self.view.clone();
+        loop {
+            let now = boot_now();
+            let last_contact = self.status.borrow().last_contact;
+            let step = refer(&view.borrow_and_update(), last_contact, arrived, now);
+            let until = match step {
+                ReferralStep::Refer(referral) => return referral,
+                ReferralStep::WaitUntil(until) => until,
+            };
+            // The view does not change when a silent leader makes contact again.
+            let wait = until.saturating_sub(now).min(CONTACT_CHECK_INTERVAL);
+            // A view that no longer changes is that of a process that ends.
+            drop(tokio::time::timeout(wait, view.changed()).await);
+        }
+    }
+
     /// Sends an event that needs no reply; ignored unless this replica leads.
     pub fn send_event(&self, event: Event) {
         // Fails only while the process ends.
         drop(self.tx.send(Input::Event(event)));
     }
 
+    /// Records that a request of an operator has arrived.
+    ///
+    /// `number` is the version of the configuration or the number of the wave that it names.
+    pub fn record_operator_request(
+        &self,
+        kind: OperatorRequestKind,
+        number: Option<u64>,
+    ) -> OperatorRequest {
+        OperatorRequest::new(kind, number, &self.view.borrow(), self.metrics.clone())
+    }
+
     /// Stores a configuration that was checked and puts it in force.
     ///
     /// `content` is the configuration as it was sent; [`Self::read_config`] returns it.
--- a/crates/masticfield-control/src/jobs/mod.rs
+++ b/crates/masticfield-control/src/jobs/mod.rs
@@ -10,7 +10,9 @@
 mod leadership;
 mod metrics;
 mod observer;
+mod operator_request;
 mod order;
+mod referral;
 mod reply_handle;
 mod work_times;
 
@@ -18,4 +20,6 @@
 pub use handle::{ControlView, JobControlHandle, WaveProgress};
 pub use job_control::JobControl;
 pub use metrics::JobMetrics;
+pub use operator_request::{OperatorOutcome, OperatorRequest, OperatorRequestKind};
 pub use order::{HostOrder, OutboundOrder};
+pub use referral::{Referral, ReferralStep, refer};
