fix(jobs): take no run for gone while more ends are to be listed

Callers would see a task start again although its run had ended as done. Cause: an executor lists at most 500 ends at a time. A run whose end was not among them was in neither list of the report, and was taken for gone. Change: a report with 500 ends does not settle runs that it does not list. Test: a_run_is_not_taken_for_gone_while_an_executor_has_more_ends_to_list.

--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -10,9 +10,6 @@
 /// Maximum time by which a call can extend the lease, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
-/// Maximum number of ends in one report.
-const MAX_LISTED_ENDS: usize = 500;
-
 /// A simulated incarnation of an executor.
 #[derive(Debug, Clone)]
 pub(crate) struct Executor {
@@ -259,7 +256,7 @@
             finished: self
                 .unacknowledged
                 .iter()
-                .take(MAX_LISTED_ENDS)
+                .take(HoldReport::MAX_ENDS)
                 .cloned()
                 .collect(),
         })
--- a/crates/masticfield-jobs/src/leader/event.rs
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -194,6 +194,17 @@
     pub finished: Vec<ListedEnd>,
 }
 
+impl HoldReport {
+    /// Maximum number of ends in one report. The ends that follow are in the next one, once these are
+    /// acknowledged.
+    pub const MAX_ENDS: usize = 500;
+
+    /// Returns whether the report has every end that is not acknowledged.
+    pub fn has_all_ends(&self) -> bool {
+        self.finished.len() < Self::MAX_ENDS
+    }
+}
+
 /// A run in an executor's report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListedRun {
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -190,7 +190,9 @@
             return;
         };
         let listed: HashSet<RunId> = report.running.iter().map(|listed| listed.run).collect();
-        let missing = view.runs.iter().filter(|(run, _)| !listed.contains(run));
+        // A run may have ended that is in neither list if there are more ends than one report holds.
+        let missing = view.runs.iter();
+        let missing = missing.filter(|(run, _)| report.has_all_ends() && !listed.contains(run));
         let missing: Vec<_> = missing.map(|(run, view)| (*run, view.phase)).collect();
         for (run, phase) in missing {
             match phase {
--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -707,6 +707,45 @@
     assert!(ended, "{runs:?} is missing in a poll sent since");
 }
 
+/// An executor lists at most 500 ends at a time. That of the run follows in the next report.
+#[test]
+fn a_run_is_not_taken_for_gone_while_an_executor_has_more_ends_to_list() {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    leader.decide(moment(0));
+    leader.handle(moment(1), held(moment(0), 900, &[]));
+    leader.handle(moment(2), submit(7));
+    let runs = started_runs(&leader.decide(moment(2)).commands);
+    leader.handle(moment(30), held(moment(5), 930, &runs));
+    leader.decide(moment(31));
+    let end = |number: u64, run: RunId| ListedEnd {
+        number,
+        run,
+        kind: EndKind::Done,
+        saved: None,
+    };
+    let ended = |sent: Moment, finished: Vec<ListedEnd>| Event::HoldResult {
+        executor: EXECUTOR,
+        sent: sent.monotonic,
+        result: Ok(HoldReport {
+            clock_ms: 1_500,
+            started_ms: Some(5),
+            running: Vec::new(),
+            finished,
+        }),
+    };
+    let other = |number: u64| TaskId::new(JobId::new(number), 0, 0, 0).run(1);
+    let first = (1..=500).map(|number| end(number, other(1_000 + number)));
+    leader.handle(moment(600), ended(moment(40), first.collect()));
+    assert_eq!(started_runs(&leader.decide(moment(600)).commands), []);
+    leader.handle(moment(610), ended(moment(601), vec![end(501, runs[0])]));
+    let commands = leader.decide(moment(610)).commands;
+    let done = commands.iter().any(|command| {
+        matches!(command, Command::End { run, kind: EndKind::Done, .. } if *run == runs[0])
+    });
+    assert!(done, "{commands:?}");
+}
+
 /// Announces the executor of [`state`] with an amount of processor time.
 fn announce_capacity(leader: &mut Leader, ms: u64, cpu_milli: u64) {
     let state = state();
