feat(jobs): log an end as done that is not recorded

Cause: an end of a run that the state does not have is acknowledged and leaves no trace. Change: one line for such an end while its task is not done, with the end's number and the latest run.

--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -7,7 +7,7 @@
 use super::crashes::START_WINDOW;
 use super::executor::{HoldPhase, RunLocation, RunOrigin, RunPhase, SERVING_PERCENT};
 use super::retirement::Retirement;
-use super::{Call, CallError, HoldReport, Leader, Moment, Rejection};
+use super::{Call, CallError, HoldReport, Leader, ListedEnd, Moment, Rejection};
 use crate::job::RunId;
 use crate::state::{EndKind, ExecutorKey};
 
@@ -161,6 +161,7 @@
             }
         }
         for ended in &report.finished {
+            self.log_unknown_end(key, ended);
             let saved = ended.saved.clone();
             self.end_run(now, key, ended.run, ended.kind, saved);
         }
@@ -177,6 +178,25 @@
         }
     }
 
+    /// Logs an end that is not recorded although its task is not done: the state does not have the run
+    /// any more, or never had it.
+    fn log_unknown_end(&self, key: ExecutorKey, ended: &ListedEnd) {
+        let run = ended.run;
+        let record = self.state.executor(key);
+        let known = record.is_some_and(|record| record.runs.contains(&run));
+        let Some(job) = self.state.job(run.task.job).filter(|job| job.needs(run)) else {
+            return;
+        };
+        if known || ended.kind != EndKind::Done {
+            return;
+        }
+        let last_run = job.task(run.task).map(|task| task.last_run);
+        log::warn!(
+            run:%, executor = key.0, number = ended.number, last_run;
+            "a run that the state does not have has ended as done"
+        );
+    }
+
     /// Settles runs that the executor reports neither as running nor as ended, and stops those
     /// that are no longer needed.
     fn settle_missing_runs(
