fix(control): carry out nothing under the lease of a later term

Cause: effects of a decision were checked against the lease of the replica, not of the term in which the decision was made. If another replica has led meanwhile, and this one leads again before its loop has looked at the status, effects of the earlier term would be carried out. Found by reading; not reproduced, and without a test. Change: the term of the lease must be that of the leadership.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -545,7 +545,9 @@
         let now = Self::now();
         // The process may have been paused since the effects were decided. Another replica may lead
         // then, and nothing is sent under an expired lease.
-        let may_act = self.replica.status().holds_lease();
+        let status = self.replica.status();
+        // A lease of a later term covers nothing that was decided before the term began.
+        let may_act = status.holds_lease() && status.term == leadership.term;
         for effect in effects {
             match effect {
                 Effect::Reply { reply_to, reply } => {
