fix(jobs): count leases of former leaders on a reborn executor

Cause: ended the lease that a reborn executor may hold by the latest end that this leader had sent to it. A former leader or incarnation may have extended it further, so that a run was over too early. Change: that end counts only for an executor which this leader has enlisted; otherwise the longest lease.

--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -262,10 +262,14 @@
     /// Returns the time by which every lease has certainly expired that a later incarnation of the
     /// executor may have got from this leader's calls.
     ///
-    /// Its clock starts anew, so that the lease may last for as long as the end that was sent, but no
-    /// longer than the longest lease that it grants.
+    /// Its clock starts anew, so that it shortens a lease only to the longest that it grants, or to the
+    /// latest end that was sent, which is known if no former leader sent one.
     pub(super) fn later_leases_end(&self, max_lease: Duration) -> Duration {
-        let lease = max_lease.min(Duration::from_millis(self.deadline_ms));
+        let lease = if self.former_leases_end.is_zero() {
+            max_lease.min(Duration::from_millis(self.deadline_ms))
+        } else {
+            max_lease
+        };
         lease_end(self.lease_extended_at + CALL_VALIDITY, lease)
     }
 
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -11,6 +11,7 @@
 use super::retirement::Retirement;
 use super::{Defect, Leader, Moment};
 use crate::job::RunId;
+use crate::schedule::lease_end;
 use crate::state::{Command, ExecutorKey};
 
 impl Leader {
@@ -62,10 +63,10 @@
                 executor.add_run(run, view);
             }
         }
-        let former = self.executors.get(&from);
-        let leases_end = former.map(|view| view.later_leases_end(self.options.max_lease));
-        if let (Some(end), Some(view)) = (leases_end, self.executors.get_mut(&to)) {
-            view.former_leases_end = end;
+        // Former incarnations and leaders may have extended the lease as well.
+        let leases_end = lease_end(now.monotonic, self.options.max_lease);
+        if let Some(view) = self.executors.get_mut(&to) {
+            view.former_leases_end = leases_end;
         }
     }
 
