--- a/crates/masticfield-jobs/tests/leader.rs
+++ b/crates/masticfield-jobs/tests/leader.rs
@@ -746,6 +746,50 @@
     assert!(done, "{commands:?}");
 }
 
+/// An order without an answer is repeated for seconds, while an executor that leaves may be given no
+/// more tasks.
+#[test]
+fn an_order_to_an_executor_that_leaves_is_not_repeated() {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    leader.decide(moment(0));
+    leader.handle(moment(1), held(moment(0), 900, &[]));
+    leader.handle(moment(2), submit(7));
+    let runs = started_runs(&leader.decide(moment(2)).commands);
+    let state = state();
+    let record = state.executor(EXECUTOR).expect("in the state");
+    let announcement = Announcement {
+        incarnation: record.incarnation.clone(),
+        sequence: 1,
+        clock_ms: 1_000,
+        leaving: true,
+    };
+    let reply_to = ReplyId(9);
+    let leaves = Event::Announced {
+        reply_to,
+        announcement,
+    };
+    leader.handle(moment(100), leaves);
+    let unanswered = Event::StartResult {
+        executor: EXECUTOR,
+        run: runs[0],
+        result: Err(CallError::Unknown),
+    };
+    leader.handle(moment(1_200), unanswered);
+    let decisions = [1_200, 1_400, 1_600].map(|ms| leader.decide(moment(ms)));
+    let calls = decisions.iter().flat_map(|decision| &decision.after_commit);
+    let calls: Vec<_> = calls
+        .filter_map(|effect| match effect {
+            Effect::Call { call, .. } => Some(call),
+            _ => None,
+        })
+        .collect();
+    let is_start = |call: &&Call| matches!(call, Call::Start { .. });
+    let is_stop = |call: &&Call| matches!(call, Call::Stop { run } if *run == runs[0]);
+    assert!(!calls.iter().any(is_start), "{calls:?}");
+    assert!(calls.iter().any(is_stop), "{calls:?}");
+}
+
 /// Announces the executor of [`state`] with an amount of processor time.
 fn announce_capacity(leader: &mut Leader, ms: u64, cpu_milli: u64) {
     let state = state();
