--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use super::crashes::START_WINDOW;
-use super::executor::{HoldPhase, RunPhase, SERVING_PERCENT};
+use super::executor::{HoldPhase, RunLocation, RunOrigin, RunPhase, SERVING_PERCENT};
 use super::retirement::Retirement;
-use super::{Call, CallError, HoldReport, Leader, Moment, Rejection};
+use super::{Call, CallError, HoldReport, Leader, ListedEnd, Moment, Rejection};
 use crate::job::RunId;
 use crate::state::{EndKind, ExecutorKey};
 
@@ -40,7 +40,7 @@
         // disputed, is polled until it answers and becomes usable.
         let known = view.failed_holds == 0 && view.clock.is_some() && view.disputed_at.is_none();
         let idle = view.runs.is_empty() && view.unknown_runs.is_empty() && known;
-        if idle || now.monotonic < due {
+        if idle || now.monotonic < due || view.superseded_at.is_some() {
             return;
         }
         view.hold = HoldPhase::InFlight(now.monotonic);
@@ -49,7 +49,8 @@
             .runs
             .values()
             .any(|run| !matches!(run.phase, RunPhase::Confirmed(_) | RunPhase::Ordered));
-        let up_to_date = view.responsive && view.failed_holds == 0;
+        let answers = view.failed_holds == 0;
+        let up_to_date = view.responsive && answers;
         let starting = !self.hosts.upkeep_due.is_empty() && view.is_starting_long_running();
         let in_doubt = view.suspects > 0 || view.quarantine.is_some();
         let wait = match (up_to_date, uncertain) {
@@ -64,7 +65,12 @@
                     .map_or(longest, |next| next.min(longest))
             }
         };
-        let deadline_ms = self.extend_lease(now, key);
+        // While calls fail the lease must expire, also on an incarnation with another clock.
+        let deadline_ms = if answers {
+            self.extend_lease(now, key)
+        } else {
+            None
+        };
         self.call(
             key,
             Call::Hold {
@@ -106,6 +112,7 @@
                 view.failed_holds += 1;
                 view.was_silent = true;
                 view.responsive = false;
+                view.withhold_acknowledgement(self.options.defect);
                 let idle = view.runs.is_empty();
                 let wait = if idle { IDLE_RETRY_DELAY } else { RETRY_DELAY };
                 view.hold = HoldPhase::Due(now.monotonic + wait);
@@ -124,7 +131,7 @@
             .started_ms
             .is_some_and(|reported_ms| reported_ms != started_ms)
         {
-            return self.retire(now, key, Retirement::Reborn);
+            return self.supersede(now, key);
         }
         let Some(view) = self.executors.get_mut(&key) else {
             return;
@@ -138,18 +145,23 @@
         self.lapsed.take(key);
         for listed in &report.running {
             if let Some(run) = view.runs.get_mut(&listed.run) {
+                run.location = RunLocation::This;
                 run.percent = listed.percent;
                 let serves = listed.percent >= SERVING_PERCENT;
                 run.served_at = serves.then_some(now.monotonic);
                 run.baseline
                     .get_or_insert((report.clock_ms, listed.percent));
-                if matches!(run.phase, RunPhase::Inherited | RunPhase::Ordered) {
+                if matches!(
+                    run.phase,
+                    RunPhase::Inherited | RunPhase::Ordered | RunPhase::Retry(_)
+                ) {
                     // Polls overlap: one that was sent later may have been answered earlier.
                     run.phase = RunPhase::Confirmed(now.monotonic);
                 }
             }
         }
         for ended in &report.finished {
+            self.log_unknown_end(key, ended);
             let saved = ended.saved.clone();
             self.end_run(now, key, ended.run, ended.kind, saved);
         }
@@ -166,6 +178,25 @@
         }
     }
 
+    /// Logs an end that is not recorded although its task is not done: the state does not have the run
+    /// any more, or never had it.
+    fn log_unknown_end(&self, key: ExecutorKey, ended: &ListedEnd) {
+        let run = ended.run;
+        let record = self.state.executor(key);
+        let known = record.is_some_and(|record| record.runs.contains(&run));
+        let Some(job) = self.state.job(run.task.job).filter(|job| job.needs(run)) else {
+            return;
+        };
+        if known || ended.kind != EndKind::Done {
+            return;
+        }
+        let last_run = job.task(run.task).map(|task| task.last_run);
+        log::warn!(
+            run:%, executor = key.0, number = ended.number, last_run;
+            "a run that the state does not have has ended as done"
+        );
+    }
+
     /// Settles runs that the executor reports neither as running nor as ended, and stops those
     /// that are no longer needed.
     fn settle_missing_runs(
@@ -179,7 +210,9 @@
             return;
         };
         let listed: HashSet<RunId> = report.running.iter().map(|listed| listed.run).collect();
-        let missing = view.runs.iter().filter(|(run, _)| !listed.contains(run));
+        // A run may have ended that is in neither list if there are more ends than one report holds.
+        let missing = view.runs.iter();
+        let missing = missing.filter(|(run, _)| report.has_all_ends() && !listed.contains(run));
         let missing: Vec<_> = missing.map(|(run, view)| (*run, view.phase)).collect();
         for (run, phase) in missing {
             match phase {
@@ -218,7 +251,9 @@
             .state
             .executor(key)
             .is_some_and(|record| record.leaving);
-        if needed && !leaving {
+        let view = self.run_mut(key, run);
+        let reassigned = view.is_some_and(|view| view.origin == RunOrigin::Reassigned);
+        if needed && !leaving && !reassigned {
             if let Some(view) = self.run_mut(key, run) {
                 view.phase = RunPhase::Retry(now.monotonic);
             }
