fix(routing): answer an entry that has no vote in a complete term

Cause: once all slots of a term were accounted for, the home answered only its followers, that is, entries whose vote counts. An entry that had restarted, or whose requests had not arrived for one vote_ttl (1 s), got no answer, therefore no timestamp to vote for, and no slots of that home until the term ended.

Ruled out: the wait at the start of an entry (vote_ttl). The new test waits longer than that.

Change: a home in a term answers each new slot request; one of an entry that is not a follower gets an answer that grants nothing but carries the timestamp.

Before: both cases of an_entry_without_a_vote_gets_slots_of_a_home_in_its_term failed with "the requester is answered".

--- a/crates/masticfield-routing/src/slots/home.rs
+++ b/crates/masticfield-routing/src/slots/home.rs
@@ -280,13 +280,14 @@
         let demands: Vec<EntryDemand> = followers.iter().map(|id| self.demand_of(*id)).collect();
         let demand: u32 = demands.iter().map(|entry| u32::from(entry.demand)).sum();
         let scarce = demand > u32::from(self.slots);
-        let shares = apportion(self.grantable(now), &demands);
-        let mut order: Vec<(EntryId, u16)> = followers.into_iter().zip(shares).collect();
-        order.sort_by_key(|(id, share)| *share > self.accounts[id].granted);
         let mut grants = Vec::new();
-        if !self.accounts[&from].reported && !self.is_complete(now) {
+        if !followers.contains(&from) {
+            // Without a timestamp to vote for, the entry would never become a follower.
             grants.push((from, self.empty_grant(now, from)));
         }
+        let shares = apportion(self.grantable(now), &demands);
+        let mut order: Vec<(EntryId, u16)> = followers.into_iter().zip(shares).collect();
+        order.sort_by_key(|(id, share)| *share > self.accounts[id].granted);
         for (id, share) in order {
             let slots = share.min(self.available_to(now, id));
             let account = &self.accounts[&id];
--- a/crates/masticfield-routing/tests/leases.rs
+++ b/crates/masticfield-routing/tests/leases.rs
@@ -35,15 +35,18 @@
     home
 }
 
-fn lease(guards: Guards) -> Lease {
-    let options = LeaseOptions {
+fn options() -> LeaseOptions {
+    LeaseOptions {
         upstream: "cutter-1".into(),
         incarnation: Incarnation::new(1),
         sender: Incarnation::new(1),
         local: true,
         vote_ttl: VOTE_TTL,
-    };
-    Lease::new(options, guards)
+    }
+}
+
+fn lease(guards: Guards) -> Lease {
+    Lease::new(options(), guards)
 }
 
 /// Exchanges a slot request and its answer without delay; returns the grant of the requester.
@@ -191,3 +194,36 @@
     let both = old.is_active(ms(1_005)) && new.is_active(Duration::from_millis(5));
     assert_eq!(both, elected);
 }
+
+#[rstest]
+#[case::after_a_restart(true)]
+#[case::after_a_pause_longer_than_the_vote(false)]
+fn an_entry_without_a_vote_gets_slots_of_a_home_in_its_term(#[case] restarted: bool) {
+    let mut leases = [lease(Guards::ALL), lease(Guards::ALL), lease(Guards::ALL)];
+    let mut home = home(0, 3, Guards::ALL);
+    for now in (0..3_000).step_by(10) {
+        for (number, lease) in (0_u16..).zip(&mut leases) {
+            if number == 2 && now >= 2_000 {
+                continue;
+            }
+            lease.follow(ms(now), Some(entry(0)));
+            exchange(ms(now), number, lease, &mut home, 1);
+        }
+    }
+    if restarted {
+        leases[2] = Lease::new(
+            LeaseOptions {
+                sender: Incarnation::new(2),
+                ..options()
+            },
+            Guards::ALL,
+        );
+    }
+    for now in (3_000..3_100).step_by(10) {
+        for (number, lease) in (0_u16..).zip(&mut leases) {
+            lease.follow(ms(now), Some(entry(0)));
+            exchange(ms(now), number, lease, &mut home, 1);
+        }
+    }
+    assert_eq!(leases[2].limit(ms(3_100)), 1);
+}
