test(programs): print the commands' results when concurrent notes fail

Cause: one_of_two_concurrent_notes_wins_and_the_other_is_refused reports only two counts, so that a failure beside load could not be traced.

Change: on a failure the test prints the exit status and the standard error of both commands. The expectation is the same.

Ruled out as the cause, by trials that are not kept: a leader that loses its lease between the two notes. A replica without a leader waits up to 2 s for one before it answers, which gives the five rounds of the command that time. By reading, code 1 fits as well as code 4: no response of any replica within 5 s in five rounds.

--- a/crates/masticfield-programs/tests/processes/failover.rs
+++ b/crates/masticfield-programs/tests/processes/failover.rs
@@ -3,6 +3,7 @@
 
 use std::fs;
 use std::path::PathBuf;
+use std::process::Output;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use rustix::process::Signal;
@@ -152,6 +153,12 @@
         .unwrap()
 }
 
+/// Exit code and standard error of an operator's command.
+fn describe(output: &Output) -> String {
+    let errors = String::from_utf8_lossy(&output.stderr);
+    format!("{}, {}", output.status, errors.trim())
+}
+
 #[test]
 fn one_of_two_concurrent_notes_wins_and_the_other_is_refused() {
     let cluster = Cluster::start();
@@ -172,7 +179,12 @@
             .iter()
             .filter(|output| output.status.code() == Some(3))
             .count();
-        assert_eq!((accepted, refused), (1, 1), "note {number}");
+        assert_eq!(
+            (accepted, refused),
+            (1, 1),
+            "note {number}: {}",
+            outputs.each_ref().map(describe).join("; ")
+        );
         let winner = outputs
             .iter()
             .position(|output| output.status.success())
