--- /dev/null
+++ b/crates/masticfield-soak/src/faults/plan.rs
@@ -0,0 +1,193 @@
+//! Plans of faults.
+
+use std::fmt;
+use std::ops::Range;
+
+use clap::ValueEnum;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{Direction, Fault, Link, Program};
+
+/// Time before the first fault, in milliseconds.
+const FIRST_AT_MS: u64 = 3_000;
+
+/// Time that a fault lasts, in milliseconds.
+const DURATION_MS: Range<u64> = 100..5_000;
+
+/// Time before and after the loss of data in which no other control program is disturbed. After a
+/// loss, the replica must be a voter again before another fault may count against the tolerance.
+const AROUND_DATA_LOSS_MS: (u64, u64) = (8_000, 20_000);
+
+/// Share of the faults that come as a series on one target.
+const SERIES_SHARE: f64 = 0.2;
+
+/// Number of faults in a series.
+const SERIES: Range<u64> = 2..5;
+
+/// Interval between the faults of a series, in milliseconds.
+const SERIES_INTERVAL_MS: Range<u64> = 50..1_500;
+
+/// The faults that a plan may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum FaultSet {
+    /// No faults.
+    None,
+    /// Signals, short interruptions of links, and executors that come and go.
+    Basic,
+    /// All faults.
+    All,
+}
+
+/// Options of a plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlanOptions {
+    /// Seed of the plan.
+    pub seed: u64,
+    /// Time in which faults begin, in milliseconds.
+    pub length_ms: u64,
+    /// Average time between two faults, in milliseconds.
+    pub interval_ms: u64,
+    /// Number of control programs.
+    pub controls: usize,
+    /// Number of entry programs.
+    pub entries: usize,
+    /// Number of executors.
+    pub executors: usize,
+    /// The faults that may be in the plan.
+    pub faults: FaultSet,
+}
+
+/// A fault with its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannedFault {
+    /// Time since the start of the soak, in milliseconds.
+    pub at_ms: u64,
+    /// Time until the fault ends, in milliseconds.
+    pub duration_ms: u64,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// Faults in the order in which they begin.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// The faults.
+    pub faults: Vec<PlannedFault>,
+}
+
+impl Plan {
+    /// Draws a plan; equal options give equal plans.
+    pub fn draw(options: &PlanOptions) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+        let mut faults = Vec::new();
+        let mut at_ms = FIRST_AT_MS;
+        while options.faults != FaultSet::None && at_ms < options.length_ms {
+            let fault = draw_fault(&mut rng, options);
+            let series = if rng.random_bool(SERIES_SHARE) && !fault.loses_data() {
+                rng.random_range(SERIES)
+            } else {
+                1
+            };
+            let mut next = at_ms;
+            for _ in 0..series {
+                faults.push(PlannedFault {
+                    at_ms: next,
+                    duration_ms: rng.random_range(DURATION_MS),
+                    fault,
+                });
+                next += rng.random_range(SERIES_INTERVAL_MS);
+            }
+            at_ms += rng.random_range(options.interval_ms / 4..=options.interval_ms * 7 / 4);
+        }
+        faults.sort_by_key(|planned| planned.at_ms);
+        Self {
+            faults: keep_tolerated(faults),
+        }
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for planned in &self.faults {
+            let PlannedFault {
+                at_ms,
+                duration_ms,
+                fault,
+            } = planned;
+            writeln!(f, "{at_ms:>7} ms for {duration_ms:>5} ms: {fault}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Drops losses of data that come together with other faults of control programs: what is lost must
+/// be on the other replicas, and the replica must have caught up before others fail.
+fn keep_tolerated(faults: Vec<PlannedFault>) -> Vec<PlannedFault> {
+    let near = |loss: &PlannedFault, other: &PlannedFault| {
+        let (before, after) = AROUND_DATA_LOSS_MS;
+        let end = loss.at_ms + loss.duration_ms;
+        other.fault.hits_control()
+            && other.at_ms + before >= loss.at_ms
+            && other.at_ms < end + after
+    };
+    let mut kept: Vec<PlannedFault> = Vec::new();
+    let mut losses: Vec<PlannedFault> = Vec::new();
+    for planned in faults {
+        let after_loss = losses.iter().any(|loss| near(loss, &planned));
+        if after_loss {
+            continue;
+        }
+        if planned.fault.loses_data() {
+            if kept.iter().any(|other| near(&planned, other)) {
+                continue;
+            }
+            losses.push(planned);
+        }
+        kept.push(planned);
+    }
+    kept
+}
+
+fn draw_fault(rng: &mut ChaCha8Rng, options: &PlanOptions) -> Fault {
+    let all = options.faults == FaultSet::All;
+    let control = rng.random_range(0..options.controls);
+    let executor = rng.random_range(0..options.executors);
+    let program = if rng.random_bool(0.5) {
+        Program::Control(control)
+    } else {
+        Program::Entry(rng.random_range(0..options.entries))
+    };
+    let link = match rng.random_range(0..4) {
+        0 => Link::Callers(rng.random_range(0..options.entries)),
+        1 => Link::Control(control),
+        _ => Link::Executor(executor),
+    };
+    let direction = if rng.random_bool(0.5) {
+        Direction::Forward
+    } else {
+        Direction::Backward
+    };
+    match rng.random_range(0..if all { 29 } else { 19 }) {
+        0..3 => Fault::Pause(program),
+        3..6 => Fault::Kill(program),
+        6..8 => Fault::Terminate(program),
+        8 => Fault::Reload(program),
+        9..11 => Fault::Delay(link),
+        11..13 => Fault::Reset(link),
+        13..15 => Fault::Cut(link, direction),
+        15..17 => Fault::CrashExecutor {
+            executor,
+            same_id: rng.random_bool(0.5),
+        },
+        17..19 => Fault::DrainExecutor(executor),
+        19..21 => Fault::Silence(link),
+        21..23 => Fault::SilenceOpen(link),
+        23 => Fault::KillAll,
+        24 => Fault::KillAllControl,
+        25 => Fault::FullDisk(control),
+        26..28 => Fault::EmptyData(control),
+        _ => Fault::TruncateData(control),
+    }
+}
