--- a/crates/masticfield-soak/src/args.rs
+++ b/crates/masticfield-soak/src/args.rs
@@ -70,8 +70,8 @@
     #[arg(long, value_enum, default_value = "all")]
     faults: FaultSet,
     /// Factor on bounds that hold only without disturbance, for busy machines
-    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=100))]
-    stretch: u64,
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u32).range(1..=100))]
+    stretch: u32,
     /// Folder of logs, settings and data; by default a new one in the folder for temporary files
     #[arg(long)]
     folder: Option<PathBuf>,
--- a/crates/masticfield-soak/src/checker/mod.rs
+++ b/crates/masticfield-soak/src/checker/mod.rs
@@ -3,6 +3,7 @@
 //! The checker has no clock and does no I/O, so that tests can feed it histories.
 
 mod bounds;
+#[expect(clippy::module_inception, reason = "the file has the type's name")]
 mod checker;
 mod configs;
 mod job_view;
--- a/crates/masticfield-soak/src/faults/plan.rs
+++ b/crates/masticfield-soak/src/faults/plan.rs
@@ -20,6 +20,16 @@
 /// loss, the replica must be a voter again before another fault may count against the tolerance.
 const AROUND_DATA_LOSS_MS: (u64, u64) = (8_000, 20_000);
 
+/// Interval between two losses of data, in milliseconds.
+const LOSS_INTERVAL_MS: Range<u64> = 35_000..120_000;
+
+/// Time for which a replica is down that loses data, in milliseconds: long enough for the others to
+/// commit what it had acknowledged.
+const LOSS_DURATION_MS: Range<u64> = 2_000..7_000;
+
+/// Share of the losses in which the whole folder is emptied.
+const EMPTIED_SHARE: f64 = 0.6;
+
 /// Share of the faults that come as a series on one target.
 const SERIES_SHARE: f64 = 0.2;
 
@@ -81,30 +91,32 @@
     /// Draws a plan; equal options give equal plans.
     pub fn draw(options: &PlanOptions) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-        let mut faults = Vec::new();
+        let losses = draw_losses(&mut rng, options);
+        let mut faults = losses.clone();
         let mut at_ms = FIRST_AT_MS;
         while options.faults != FaultSet::None && at_ms < options.length_ms {
             let fault = draw_fault(&mut rng, options);
-            let series = if rng.random_bool(SERIES_SHARE) && !fault.loses_data() {
+            let series = if rng.random_bool(SERIES_SHARE) {
                 rng.random_range(SERIES)
             } else {
                 1
             };
             let mut next = at_ms;
             for _ in 0..series {
-                faults.push(PlannedFault {
+                let planned = PlannedFault {
                     at_ms: next,
                     duration_ms: rng.random_range(DURATION_MS),
                     fault,
-                });
+                };
+                if !is_near_loss(&losses, &planned) {
+                    faults.push(planned);
+                }
                 next += rng.random_range(SERIES_INTERVAL_MS);
             }
             at_ms += rng.random_range(options.interval_ms / 4..=options.interval_ms * 7 / 4);
         }
         faults.sort_by_key(|planned| planned.at_ms);
-        Self {
-            faults: keep_tolerated(faults),
-        }
+        Self { faults }
     }
 }
 
@@ -122,32 +134,36 @@
     }
 }
 
-/// Drops losses of data that come together with other faults of control programs: what is lost must
-/// be on the other replicas, and the replica must have caught up before others fail.
-fn keep_tolerated(faults: Vec<PlannedFault>) -> Vec<PlannedFault> {
-    let near = |loss: &PlannedFault, other: &PlannedFault| {
-        let (before, after) = AROUND_DATA_LOSS_MS;
-        let end = loss.at_ms + loss.duration_ms;
-        other.fault.hits_control()
-            && other.at_ms + before >= loss.at_ms
-            && other.at_ms < end + after
-    };
-    let mut kept: Vec<PlannedFault> = Vec::new();
-    let mut losses: Vec<PlannedFault> = Vec::new();
-    for planned in faults {
-        let after_loss = losses.iter().any(|loss| near(loss, &planned));
-        if after_loss {
-            continue;
-        }
-        if planned.fault.loses_data() {
-            if kept.iter().any(|other| near(&planned, other)) {
-                continue;
-            }
-            losses.push(planned);
-        }
-        kept.push(planned);
+/// Draws losses of data, which are far apart.
+fn draw_losses(rng: &mut ChaCha8Rng, options: &PlanOptions) -> Vec<PlannedFault> {
+    let mut losses = Vec::new();
+    let mut at_ms = rng.random_range(LOSS_INTERVAL_MS) / 2;
+    while options.faults == FaultSet::All && at_ms < options.length_ms {
+        let control = rng.random_range(0..options.controls);
+        let fault = if rng.random_bool(EMPTIED_SHARE) {
+            Fault::EmptyData(control)
+        } else {
+            Fault::TruncateData(control)
+        };
+        losses.push(PlannedFault {
+            at_ms,
+            duration_ms: rng.random_range(LOSS_DURATION_MS),
+            fault,
+        });
+        at_ms += rng.random_range(LOSS_INTERVAL_MS);
     }
-    kept
+    losses
+}
+
+/// Whether a fault would leave a loss of data without the replicas that have the data, or that the
+/// replica needs to catch up.
+fn is_near_loss(losses: &[PlannedFault], planned: &PlannedFault) -> bool {
+    let (before, after) = AROUND_DATA_LOSS_MS;
+    planned.fault.hits_control()
+        && losses.iter().any(|loss| {
+            let end = loss.at_ms + loss.duration_ms;
+            planned.at_ms + before >= loss.at_ms && planned.at_ms < end + after
+        })
 }
 
 fn draw_fault(rng: &mut ChaCha8Rng, options: &PlanOptions) -> Fault {
@@ -169,7 +185,7 @@
     } else {
         Direction::Backward
     };
-    match rng.random_range(0..if all { 29 } else { 19 }) {
+    match rng.random_range(0..if all { 26 } else { 19 }) {
         0..3 => Fault::Pause(program),
         3..6 => Fault::Kill(program),
         6..8 => Fault::Terminate(program),
@@ -186,8 +202,6 @@
         21..23 => Fault::SilenceOpen(link),
         23 => Fault::KillAll,
         24 => Fault::KillAllControl,
-        25 => Fault::FullDisk(control),
-        26..28 => Fault::EmptyData(control),
-        _ => Fault::TruncateData(control),
+        _ => Fault::FullDisk(control),
     }
 }
--- a/crates/masticfield-soak/src/soak/injector.rs
+++ b/crates/masticfield-soak/src/soak/injector.rs
@@ -16,10 +16,6 @@
 /// Interval at which the end of a process is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Shortest time for which a replica is down that loses data, so that the others have committed
-/// what it had acknowledged.
-const MIN_DATA_LOSS: Duration = Duration::from_secs(2);
-
 /// The proxies of an installation.
 #[derive(Debug, Default)]
 pub(super) struct Links {
@@ -86,7 +82,7 @@
             Fault::EmptyData(control) => {
                 let program = Program::Control(control);
                 self.installation.lock().hold_down(program, true);
-                tokio::time::sleep(time.max(MIN_DATA_LOSS)).await;
+                tokio::time::sleep(time).await;
                 let mut installation = self.installation.lock();
                 installation.empty_data(control)?;
                 installation.release(program)
@@ -94,7 +90,7 @@
             Fault::TruncateData(control) => {
                 let program = Program::Control(control);
                 self.installation.lock().hold_down(program, true);
-                tokio::time::sleep(time.max(MIN_DATA_LOSS)).await;
+                tokio::time::sleep(time).await;
                 let mut installation = self.installation.lock();
                 let cut = installation.truncate_data(control)?;
                 self.recorder.note(format_args!("truncated {cut}"));
--- a/crates/masticfield-soak/src/soak/options.rs
+++ b/crates/masticfield-soak/src/soak/options.rs
@@ -23,7 +23,7 @@
     /// The faults that may be injected.
     pub faults: FaultSet,
     /// Factor on bounds that hold only without disturbance, for busy machines.
-    pub stretch: u64,
+    pub stretch: u32,
     /// Folder of logs, settings and data.
     pub folder: PathBuf,
     /// The programs.
--- a/crates/masticfield-soak/src/soak/run.rs
+++ b/crates/masticfield-soak/src/soak/run.rs
@@ -26,7 +26,7 @@
 };
 
 /// Time limit for the first configuration to be acknowledged.
-const START_LIMIT: Duration = Duration::from_secs(60);
+const START_LIMIT: Duration = Duration::from_mins(1);
 
 /// Time after all faults within which a configuration must be acknowledged: the recovery time of
 /// 12 s that the platform sets.
@@ -34,7 +34,7 @@
 
 /// Time after the recovery within which all jobs must have ended. Their backlog is at most some
 /// hundred tasks of about a second.
-const FINISH: Duration = Duration::from_secs(60);
+const FINISH: Duration = Duration::from_mins(1);
 
 /// Interval at which conditions are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -66,7 +66,7 @@
     let plan = Plan::draw(&options.plan_options());
     let plan_file = folder.join("plan.txt");
     std::fs::write(&plan_file, plan.to_string()).context(FileSnafu { path: plan_file })?;
-    let bounds = Bounds::new(options.stretch);
+    let bounds = Bounds::new(options.stretch.into());
     let recorder = Recorder::create(&folder, bounds)?;
     let installation = Installation::start(InstallationOptions {
         binaries: options.binaries.clone(),
@@ -85,7 +85,7 @@
         controls.clone(),
         recorder.clone(),
     );
-    let serving = tokio::time::timeout(START_LIMIT, operator.change(&ended.subscribe())).await;
+    let serving = tokio::time::timeout(START_LIMIT, operator.complete(&ended.subscribe())).await;
     let limit_s = START_LIMIT.as_secs();
     ensure!(serving == Ok(true), NotServingSnafu { limit_s });
     let executor_options = ExecutorOptions {
@@ -118,17 +118,11 @@
         ended,
         excused_ends: 0,
     };
-    let summary = soak.play(stretched(bounds)).await;
+    let summary = soak.play().await;
     recorder.flush();
     summary
 }
 
-/// Factor on time limits, from the bounds.
-const fn stretched(bounds: Bounds) -> u32 {
-    // Bounds are multiples of those that the platform sets.
-    (bounds.cancel_ms / Bounds::new(1).cancel_ms) as u32
-}
-
 /// A running soak.
 struct Soak {
     options: SoakOptions,
@@ -141,7 +135,7 @@
 }
 
 impl Soak {
-    async fn play(mut self, stretch: u32) -> Result<Summary, SoakError> {
+    async fn play(mut self) -> Result<Summary, SoakError> {
         let (handing_in, changing) = (ShutdownTrigger::new(), ShutdownTrigger::new());
         let callers = run_callers(
             self.caller_options(),
@@ -153,14 +147,16 @@
         let operating = tokio::spawn(self.operator.clone().run(changing.subscribe()));
         self.play_plan().await?;
         let faults_over = Instant::now();
-        self.check_recovery(stretch).await?;
-        handing_in.shut_down();
+        let stretch = self.options.stretch;
         changing.shut_down();
+        pass_panic_on(operating.await);
+        // Jobs of queues that were withdrawn can be read again once these are back.
+        self.check_recovery().await?;
+        handing_in.shut_down();
         let limit = faults_over + (RECOVERY + FINISH) * stretch;
         if let Ok(ended) = tokio::time::timeout_at(limit.into(), callers).await {
             pass_panic_on(ended);
         }
-        pass_panic_on(operating.await);
         let settled_after = faults_over.elapsed();
         self.restart_ended()?;
         self.recorder.observe(Observation::RunOver);
@@ -226,10 +222,11 @@
     }
 
     /// Checks that configurations are acknowledged and read again in time.
-    async fn check_recovery(&mut self, stretch: u32) -> Result<(), SoakError> {
-        let until = Instant::now() + RECOVERY * stretch;
+    async fn check_recovery(&mut self) -> Result<(), SoakError> {
+        let limit = RECOVERY * self.options.stretch;
+        let until = Instant::now() + limit;
         let shutdown = self.ended.subscribe();
-        let changed = self.operator.change(&shutdown);
+        let changed = self.operator.complete(&shutdown);
         let changed = tokio::time::timeout_at(until.into(), changed).await;
         let mut read = false;
         while !read && Instant::now() < until {
@@ -240,7 +237,6 @@
             (read, "the configuration was not read"),
         ] {
             if !ok {
-                let limit = RECOVERY * stretch;
                 let what = format!("{what} within {limit:?} after all faults").into();
                 self.recorder.observe(Observation::NotRecovered { what });
             }
--- a/crates/masticfield-soak/src/stand_ins/executor_life.rs
+++ b/crates/masticfield-soak/src/stand_ins/executor_life.rs
@@ -179,8 +179,8 @@
         observed: &mut Vec<Observation>,
     ) -> Result<(), Rejection> {
         self.accept(now, fence, deadline_ms)?;
-        let forgotten = self.ends.iter().filter(|end| end.number <= acknowledged);
-        if let Some(last) = forgotten.last() {
+        let mut forgotten = self.ends.iter().filter(|end| end.number <= acknowledged);
+        if let Some(last) = forgotten.next_back() {
             observed.push(Observation::EndsAcknowledged {
                 executor: self.number,
                 up_to: last.number,
--- a/crates/masticfield-soak/src/stand_ins/operator.rs
+++ b/crates/masticfield-soak/src/stand_ins/operator.rs
@@ -31,6 +31,9 @@
 /// Share of the configurations that are invalid.
 const INVALID_SHARE: f64 = 0.1;
 
+/// Share of the configurations after which an older one is sent again.
+const REPEATED_SHARE: f64 = 0.2;
+
 /// Interval between two configurations, in milliseconds.
 const CHANGE_INTERVAL_MS: std::ops::Range<u64> = 300..4_000;
 
@@ -66,6 +69,17 @@
     sent: BTreeMap<u64, Arc<str>>,
 }
 
+/// What a new configuration is like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConfigKind {
+    /// Valid, with all queues.
+    Complete,
+    /// Valid, perhaps without some queues.
+    Partial,
+    /// To be refused.
+    Invalid,
+}
+
 /// The end of an attempt to hand in a configuration.
 enum PutAnswer {
     Acknowledged,
@@ -92,10 +106,10 @@
         }
     }
 
-    /// Hands in a valid configuration until it is acknowledged, or until the shutdown; returns
-    /// whether it is.
-    pub(crate) async fn change(&self, shutdown: &Shutdown) -> bool {
-        self.hand_in(true, shutdown).await
+    /// Hands in a configuration with all queues until it is acknowledged, or until the shutdown;
+    /// returns whether it is.
+    pub(crate) async fn complete(&self, shutdown: &Shutdown) -> bool {
+        self.hand_in(ConfigKind::Complete, shutdown).await
     }
 
     /// Reads the newest configuration at one of the control programs; returns whether it comes.
@@ -128,15 +142,20 @@
 
     async fn change_always(&self, shutdown: Shutdown) {
         while !shutdown.is_requested() {
-            let (pause, valid, repeat) = {
+            let (pause, kind, repeat) = {
                 let rng = &mut self.state.lock().rng;
+                let kind = if rng.random_bool(INVALID_SHARE) {
+                    ConfigKind::Invalid
+                } else {
+                    ConfigKind::Partial
+                };
                 (
                     rng.random_range(CHANGE_INTERVAL_MS),
-                    !rng.random_bool(INVALID_SHARE),
-                    rng.random_bool(0.2),
+                    kind,
+                    rng.random_bool(REPEATED_SHARE),
                 )
             };
-            self.hand_in(valid, &shutdown).await;
+            self.hand_in(kind, &shutdown).await;
             if repeat {
                 self.repeat_old().await;
             }
@@ -152,11 +171,11 @@
     }
 
     /// Hands in a new configuration until there is a clear answer.
-    async fn hand_in(&self, valid: bool, shutdown: &Shutdown) -> bool {
-        let (version, body, queues) = self.draw(valid);
+    async fn hand_in(&self, kind: ConfigKind, shutdown: &Shutdown) -> bool {
+        let (version, body, queues) = self.draw(kind);
         self.recorder.observe(Observation::ConfigSent {
             version,
-            valid,
+            valid: kind != ConfigKind::Invalid,
             queues,
         });
         loop {
@@ -212,7 +231,7 @@
     }
 
     /// Draws the next configuration, and records its body.
-    fn draw(&self, valid: bool) -> (u64, Arc<str>, BTreeSet<Arc<str>>) {
+    fn draw(&self, kind: ConfigKind) -> (u64, Arc<str>, BTreeSet<Arc<str>>) {
         let mut state = self.state.lock();
         state.version += state.rng.random_range(1..5);
         let version = state.version;
@@ -221,14 +240,14 @@
             .map(|name| queue(name))
             .collect();
         for name in &QUEUES[LASTING_QUEUES..] {
-            if state.rng.random_bool(0.5) {
+            if kind == ConfigKind::Complete || state.rng.random_bool(0.5) {
                 queues.push(queue(name));
             }
         }
         for queue in &mut queues {
             queue.timeout_ms = state.rng.random_range(2_000..4_000);
         }
-        if !valid {
+        if kind == ConfigKind::Invalid {
             // Each of these must be refused: an unknown pool, no time for a response, two equal
             // prefixes.
             match state.rng.random_range(0..3) {
--- a/crates/masticfield-soak/tests/plan.rs
+++ b/crates/masticfield-soak/tests/plan.rs
@@ -6,7 +6,7 @@
 fn options(seed: u64, faults: FaultSet) -> PlanOptions {
     PlanOptions {
         seed,
-        length_ms: 180_000,
+        length_ms: 300_000,
         interval_ms: 1_200,
         controls: 3,
         entries: 9,
