--- a/crates/masticfield-soak/src/checker/observation.rs
+++ b/crates/masticfield-soak/src/checker/observation.rs
@@ -161,3 +161,19 @@
     /// The run is over; every job had the time to end.
     RunOver,
 }
+
+impl Observation {
+    /// The job that the observation is about.
+    pub const fn job(&self) -> Option<JobId> {
+        match self {
+            Self::SubmitSent { job, .. }
+            | Self::SubmitAnswered { job, .. }
+            | Self::CancelSent { job }
+            | Self::CancelAcknowledged { job }
+            | Self::StatusSeen { job, .. }
+            | Self::StatusGone { job, .. } => Some(*job),
+            Self::RunStarted { run, .. } | Self::RunEnded { run, .. } => Some(run.task.job),
+            _ => None,
+        }
+    }
+}
--- a/crates/masticfield-soak/src/recorder.rs
+++ b/crates/masticfield-soak/src/recorder.rs
@@ -53,7 +53,10 @@
         let mut inner = self.inner.lock();
         // The time is taken under the lock, so that it rises with the order of observations.
         let at = self.now_ms();
-        inner.write(format_args!("{at} {observation:?}"));
+        // The programs' logs name jobs like this.
+        let job = observation.job().map(|job| job.to_string());
+        let job = job.as_deref().unwrap_or("-");
+        inner.write(format_args!("{at} {job} {observation:?}"));
         inner.checker.observe(at, observation);
         inner.log_violations();
     }
@@ -61,7 +64,7 @@
     /// Adds a line to the history that is not checked.
     pub(crate) fn note(&self, text: impl std::fmt::Display) {
         let at = self.now_ms();
-        self.inner.lock().write(format_args!("{at} {text}"));
+        self.inner.lock().write(format_args!("{at} - {text}"));
     }
 
     /// Reads from the checker.
--- a/crates/masticfield-soak/src/soak/summary.rs
+++ b/crates/masticfield-soak/src/soak/summary.rs
@@ -6,6 +6,9 @@
 
 use crate::checker::{Counts, Violation};
 
+/// Maximum number of violations that are printed; `history.log` has all of them.
+const MAX_PRINTED: usize = 20;
+
 /// The result of a soak.
 #[derive(Debug, Clone)]
 pub struct Summary {
@@ -56,7 +59,14 @@
              disturbed disk; settled after {} ms",
             self.excused_ends, self.settled_after_ms
         )?;
+        let mut by_promise = BTreeMap::new();
         for violation in &self.violations {
+            *by_promise.entry(violation.promise).or_insert(0_u32) += 1;
+        }
+        for (promise, number) in by_promise {
+            writeln!(f, "{number} violations of {promise:?}")?;
+        }
+        for violation in self.violations.iter().take(MAX_PRINTED) {
             writeln!(f, "violation {violation}")?;
         }
         write!(f, "logs: {}", self.folder.display())
--- a/crates/masticfield-soak/tests/short_run.rs
+++ b/crates/masticfield-soak/tests/short_run.rs
@@ -10,7 +10,7 @@
 use tempfile::TempDir;
 
 /// Time limit for the programs to start, long enough for a busy machine.
-const START_LIMIT: Duration = Duration::from_secs(60);
+const START_LIMIT: Duration = Duration::from_mins(1);
 
 /// Number of programs in these runs.
 const PROCESSES: usize = 5;
