feat(soak): a last fault right after an acknowledged configuration

Change: with all faults, a plan ends with KillAll after an acknowledged configuration, and in half of the seeds with one data folder emptied.

--- a/crates/masticfield-soak/src/faults/plan.rs
+++ b/crates/masticfield-soak/src/faults/plan.rs
@@ -85,6 +85,9 @@
 pub struct Plan {
     /// The faults.
     pub faults: Vec<PlannedFault>,
+    /// Faults that begin together, right after a configuration was acknowledged, once the others
+    /// have ended.
+    pub last: Vec<PlannedFault>,
 }
 
 impl Plan {
@@ -116,13 +119,14 @@
             at_ms += rng.random_range(options.interval_ms / 4..=options.interval_ms * 7 / 4);
         }
         faults.sort_by_key(|planned| planned.at_ms);
-        Self { faults }
+        let last = draw_last(&mut rng, options, &losses);
+        Self { faults, last }
     }
 }
 
 impl fmt::Display for Plan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for planned in &self.faults {
+        for planned in self.faults.iter().chain(&self.last) {
             let PlannedFault {
                 at_ms,
                 duration_ms,
@@ -155,6 +159,29 @@
     losses
 }
 
+/// Draws the faults at the end: all programs are killed, and one of the disks may be lost as well.
+fn draw_last(
+    rng: &mut ChaCha8Rng,
+    options: &PlanOptions,
+    losses: &[PlannedFault],
+) -> Vec<PlannedFault> {
+    if options.faults != FaultSet::All {
+        return Vec::new();
+    }
+    let control = rng.random_range(0..options.controls);
+    let mut planned = |fault| PlannedFault {
+        at_ms: options.length_ms,
+        duration_ms: rng.random_range(LOSS_DURATION_MS),
+        fault,
+    };
+    let mut last = vec![planned(Fault::KillAll)];
+    let emptied = planned(Fault::EmptyData(control));
+    if options.seed.is_multiple_of(2) && !is_near_loss(losses, &emptied) {
+        last.push(emptied);
+    }
+    last
+}
+
 /// Whether a fault would leave a loss of data without the replicas that have the data, or that the
 /// replica needs to catch up.
 fn is_near_loss(losses: &[PlannedFault], planned: &PlannedFault) -> bool {
--- a/crates/masticfield-soak/src/soak/run.rs
+++ b/crates/masticfield-soak/src/soak/run.rs
@@ -146,6 +146,7 @@
         let callers = tokio::spawn(callers);
         let operating = tokio::spawn(self.operator.clone().run(changing.subscribe()));
         self.play_plan().await?;
+        self.play_last().await?;
         let faults_over = Instant::now();
         let stretch = self.options.stretch;
         changing.shut_down();
@@ -185,6 +186,31 @@
         }
         self.watch_until(started + Duration::from_millis(self.options.length_ms))
             .await?;
+        self.await_faults(active).await
+    }
+
+    /// Injects the last faults right after a configuration was acknowledged.
+    async fn play_last(&mut self) -> Result<(), SoakError> {
+        if self.plan.last.is_empty() {
+            return Ok(());
+        }
+        let limit = RECOVERY * self.options.stretch;
+        let shutdown = self.ended.subscribe();
+        let changed = tokio::time::timeout(limit, self.operator.complete(&shutdown)).await;
+        if changed != Ok(true) {
+            let what = format!("no configuration was acknowledged within {limit:?}").into();
+            self.recorder.observe(Observation::NotRecovered { what });
+        }
+        let injecting = self.plan.last.iter();
+        let injecting = injecting.map(|planned| self.injector.clone().inject(*planned));
+        self.await_faults(injecting.collect()).await
+    }
+
+    /// Watches the programs until faults have ended.
+    async fn await_faults(
+        &mut self,
+        mut active: JoinSet<Result<(), SoakError>>,
+    ) -> Result<(), SoakError> {
         while !active.is_empty() {
             self.restart_ended()?;
             let ended = tokio::time::timeout(POLL_INTERVAL, active.join_next()).await;
@@ -246,7 +272,7 @@
 
     fn summary(&self, settled_after: Duration) -> Summary {
         let mut faults = BTreeMap::new();
-        for planned in &self.plan.faults {
+        for planned in self.plan.faults.iter().chain(&self.plan.last) {
             *faults.entry(planned.fault.kind()).or_insert(0) += 1;
         }
         let (counts, violations) = self
--- a/crates/masticfield-soak/tests/plan.rs
+++ b/crates/masticfield-soak/tests/plan.rs
@@ -61,5 +61,5 @@
 #[test]
 fn a_plan_without_faults_is_empty() {
     let plan = Plan::draw(&options(1, FaultSet::None));
-    assert_eq!(plan.faults, []);
+    assert_eq!((plan.faults, plan.last), (vec![], vec![]));
 }
