--- a/crates/masticfield-soak/src/programs/installation.rs
+++ b/crates/masticfield-soak/src/programs/installation.rs
@@ -53,8 +53,6 @@
 pub(crate) struct ProgramEnd {
     pub(crate) program: Program,
     pub(crate) status: ExitStatus,
-    /// Whether a fault of its disk explains the end.
-    pub(crate) excused: bool,
 }
 
 /// The programs of an installation, which end when it is dropped.
@@ -74,8 +72,6 @@
     down: u32,
     paused: u32,
     full: u32,
-    /// Whether its disk was full or lost data in its current life.
-    disk_disturbed: bool,
 }
 
 impl Installation {
@@ -184,7 +180,6 @@
         } else {
             slot.full.saturating_sub(1)
         };
-        slot.disk_disturbed = true;
         slot.limit_files()
     }
 
@@ -199,7 +194,6 @@
     pub(crate) fn truncate_data(&mut self, control: usize) -> Result<String, SoakError> {
         let program = Program::Control(control);
         let folder = self.data_folder(program);
-        self.with(program, |slot| slot.disk_disturbed = true);
         let mut newest: Option<(SystemTime, PathBuf, u64)> = None;
         for entry in fs::read_dir(&folder).context(FileSnafu { path: &folder })? {
             let path = entry.context(FileSnafu { path: &folder })?.path();
@@ -231,7 +225,6 @@
                 ends.push(ProgramEnd {
                     program: *program,
                     status,
-                    excused: slot.disk_disturbed,
                 });
                 slot.start()?;
             }
@@ -282,7 +275,6 @@
             down: 0,
             paused: 0,
             full: 0,
-            disk_disturbed: false,
         }
     }
 }
@@ -297,7 +289,6 @@
         if self.full > 0 {
             return self.limit_files();
         }
-        self.disk_disturbed = false;
         Ok(())
     }
 
--- a/crates/masticfield-soak/src/soak/run.rs
+++ b/crates/masticfield-soak/src/soak/run.rs
@@ -116,7 +116,6 @@
         operator,
         recorder: recorder.clone(),
         ended,
-        excused_ends: 0,
     };
     let summary = soak.play().await;
     recorder.flush();
@@ -131,7 +130,6 @@
     operator: Operator,
     recorder: Recorder,
     ended: ShutdownTrigger,
-    excused_ends: u32,
 }
 
 impl Soak {
@@ -237,12 +235,8 @@
         for end in ends {
             let name = format!("{:?} ({})", end.program, end.status);
             self.recorder.note(format_args!("ended: {name}"));
-            if end.excused {
-                self.excused_ends += 1;
-            } else {
-                let name = name.into();
-                self.recorder.observe(Observation::ProgramEnded { name });
-            }
+            let name = name.into();
+            self.recorder.observe(Observation::ProgramEnded { name });
         }
         Ok(())
     }
@@ -283,7 +277,6 @@
             folder: self.options.folder.clone(),
             faults,
             counts,
-            excused_ends: self.excused_ends,
             settled_after_ms: u64::try_from(settled_after.as_millis()).unwrap_or(u64::MAX),
             violations,
         }
--- a/crates/masticfield-soak/src/soak/summary.rs
+++ b/crates/masticfield-soak/src/soak/summary.rs
@@ -20,8 +20,6 @@
     pub faults: BTreeMap<&'static str, u32>,
     /// What was observed.
     pub counts: Counts,
-    /// Programs that ended by themselves while their disk was disturbed.
-    pub excused_ends: u32,
     /// Time from the end of the last fault until all jobs had ended, in milliseconds.
     pub settled_after_ms: u64,
     /// Promises that were not kept.
@@ -55,9 +53,8 @@
         )?;
         writeln!(
             f,
-            "configurations: {configs} acknowledged, {config_reads} read; {} program ends with a \
-             disturbed disk; settled after {} ms",
-            self.excused_ends, self.settled_after_ms
+            "configurations: {configs} acknowledged, {config_reads} read; settled after {} ms",
+            self.settled_after_ms
         )?;
         let mut by_promise = BTreeMap::new();
         for violation in &self.violations {
