feat(cli): check a release note before it is sent

Purpose: operators learned of one error at a time from `apply`, and of entries without effect not at all. `masticfield check FILE` reports all errors with line, column and field, entries that can never match, limits that contradict each other, and the differences from the version in force, as text and as JSON; exit codes are 0, 1 (warnings with `--strict`) and 2 (errors, or a file that cannot be read). Weighed: validation of its own was rejected; the note is parsed by `ReleaseNote::from_bytes` and applied by `FleetConfig::merge`, which `apply` uses now, so that both agree. The parser stops at the first invalid field: the field is replaced and the declaration parsed again, as a second description of all fields would have to be kept equal to the types. A service cannot be hidden by a wider one, as requests name it by a whole segment. Without a replica that answers, the note is checked alone with a warning; a note that builds on 0 has an empty base. Change: `check` and `check_command` in the command line; `GET /v1/config` of the operators' API; `LineIndex`, `HostSpec::capacity` and `TeamSpec::quota` in the core, which the planner uses as well. With names that are taken not reported, the number not compared, errors of fields lost, or references to unknown objects reported without a base, one or two of the four property tests fail.

--- a/crates/masticfield-cli/src/args.rs
+++ b/crates/masticfield-cli/src/args.rs
@@ -14,7 +14,7 @@
 /// Operates a masticfield installation.
 ///
 /// Exit codes: 0 done, 1 unreachable, 2 invalid settings, 3 refused, 4 outcome not known,
-/// 5 timed out waiting.
+/// 5 timed out waiting. `check` has codes of its own.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "masticfield", version)]
 pub struct Cli {
@@ -69,6 +69,24 @@
         /// The release note, in TOML
         file: PathBuf,
     },
+    /// Check a release note before it is sent: errors, entries that can never match, limits that
+    /// contradict each other, and what differs from the version in force
+    ///
+    /// Exit codes: 0 no errors, 1 warnings with `--strict`, 2 errors, or the file cannot be read.
+    Check {
+        /// The release note, in TOML
+        file: PathBuf,
+        /// Check the note alone, without the version in force
+        #[arg(long)]
+        offline: bool,
+        /// Compare with the result of this earlier note instead of the version in force; repeated
+        /// for all notes from the first on
+        #[arg(long, conflicts_with = "offline")]
+        base: Vec<PathBuf>,
+        /// Exit with 1 if there are warnings
+        #[arg(long)]
+        strict: bool,
+    },
     /// Show an overview of the installation
     Status,
     /// List the hosts
@@ -159,6 +177,17 @@
         checker.finish_with(settings)
     }
 
+    /// Validates the flags of `check` that are used without a connection to an installation.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every invalid setting.
+    pub fn check_output(&self) -> Result<OutputFormat, InvalidSettings> {
+        let mut checker = Checker::new();
+        let output = checker.parse("--output", &self.output);
+        checker.finish_with(output)
+    }
+
     /// Validates the flags of all other subcommands.
     ///
     /// # Errors
--- a/crates/masticfield-cli/src/commands.rs
+++ b/crates/masticfield-cli/src/commands.rs
@@ -67,7 +67,7 @@
                 )
             })
         }
-        Command::Completions { .. } | Command::Logs { .. } => Ok(()),
+        Command::Check { .. } | Command::Completions { .. } | Command::Logs { .. } => Ok(()),
     };
     printed.context(OutputSnafu)
 }
--- a/crates/masticfield-cli/src/error.rs
+++ b/crates/masticfield-cli/src/error.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use masticfield_core::config::NoteError;
 use masticfield_core::note::ParseNoteError;
 use masticfield_core::operator::Problem;
 use masticfield_node::http::ClientError;
@@ -30,6 +31,14 @@
         /// The cause.
         source: ParseNoteError,
     },
+    /// A note given as the base does not apply to the ones before it.
+    #[snafu(display("{} does not apply to the notes before it", path.display()))]
+    Base {
+        /// Path of the file.
+        path: PathBuf,
+        /// The cause.
+        source: NoteError,
+    },
     /// No control replica responded.
     #[snafu(display("no control replica answered; the last one tried was {address}"))]
     Unreachable {
--- a/crates/masticfield-cli/src/lib.rs
+++ b/crates/masticfield-cli/src/lib.rs
@@ -11,6 +11,9 @@
 //! | 4 | the outcome is not known, or there is no quorum or leader; send the same request again |
 //! | 5 | `--wait` timed out; the note stays accepted |
 //!
+//! `check` has codes of its own: 0 if the note has no errors, 1 if it has warnings and `--strict` is
+//! given, 2 if it has errors or cannot be read.
+//!
 //! # Examples
 //!
 //! ```
@@ -20,6 +23,8 @@
 //! ```
 
 mod args;
+pub mod check;
+mod check_command;
 mod commands;
 mod control_client;
 mod error;
@@ -52,6 +57,9 @@
             Err(error) => reject_settings(&error),
         };
     }
+    if let Command::Check { .. } = cli.command {
+        return check_command::main(&cli);
+    }
     match cli.check() {
         Ok(settings) => run(&settings, cli.command),
         Err(error) => reject_settings(&error),
--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -71,6 +71,9 @@
             }
             (&Method::GET, ["v1", "notes", number]) => ok(&self.rollout(number).await?),
             (&Method::GET, ["v1", "status"]) => ok(&self.status().await?),
+            (&Method::GET, ["v1", "config"]) => {
+                ok(&self.query(|state| state.config().clone()).await?)
+            }
             (&Method::GET, ["v1", "hosts"]) => {
                 let health = self.health.clone();
                 ok(&self
--- a/crates/masticfield-core/src/config/fleet_config.rs
+++ b/crates/masticfield-core/src/config/fleet_config.rs
@@ -7,7 +7,7 @@
 
 use super::error::{InvalidSnafu, NumberNotRisingSnafu, StaleBaseSnafu};
 use super::named::apply_sections;
-use super::{NoteError, validate};
+use super::{NoteError, NoteProblem, validate};
 use crate::note::{
     HostSpec, JobSpec, MaintenanceSpec, PoolSpec, ReleaseNote, ServiceSpec, TeamSpec,
 };
@@ -79,9 +79,21 @@
         if number <= builds_on {
             return NumberNotRisingSnafu { number, builds_on }.fail();
         }
+        let (next, problems) = self.merge(note);
+        if problems.is_empty() {
+            Ok(next)
+        } else {
+            InvalidSnafu { problems }.fail()
+        }
+    }
+
+    /// Returns the configuration with the objects of `note`, and every inconsistency in it.
+    ///
+    /// Unlike [`apply`](Self::apply), the version that the note builds on is not checked.
+    pub fn merge(&self, note: &ReleaseNote) -> (Self, Vec<NoteProblem>) {
         let mut problems = Vec::new();
         let mut next = self.clone();
-        next.version = number;
+        next.version = note.number;
         macro_rules! apply {
             ($($kind:ident),*) => {
                 $(apply_sections(
@@ -95,10 +107,6 @@
         }
         apply!(hosts, pools, services, teams, jobs, maintenance);
         validate::check(&next, &mut problems);
-        if problems.is_empty() {
-            Ok(next)
-        } else {
-            InvalidSnafu { problems }.fail()
-        }
+        (next, problems)
     }
 }
--- a/crates/masticfield-core/src/note/host.rs
+++ b/crates/masticfield-core/src/note/host.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Resources;
+
 /// A host that pools may use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,3 +26,10 @@
     #[serde(default)]
     pub accelerators: u32,
 }
+
+impl HostSpec {
+    /// Returns the total resources of the host.
+    pub const fn capacity(&self) -> Resources {
+        Resources::from_units(self.cores, self.memory_gb, self.accelerators)
+    }
+}
--- a/crates/masticfield-core/src/note/job.rs
+++ b/crates/masticfield-core/src/note/job.rs
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Creates an amount from cores, gigabytes and accelerators, saturating at the numeric bounds.
+    pub const fn from_units(cores: u32, memory_gb: u32, accelerators: u32) -> Self {
+        Self {
+            millicores: cores.saturating_mul(1_000),
+            memory_mb: memory_gb.saturating_mul(1_024),
+            accelerators,
+        }
+    }
+
     /// Returns whether this amount fits into `free`.
     pub const fn fits_into(self, free: Self) -> bool {
         self.millicores <= free.millicores
--- a/crates/masticfield-core/src/note/mod.rs
+++ b/crates/masticfield-core/src/note/mod.rs
@@ -24,18 +24,22 @@
 
 mod host;
 mod job;
+mod line_index;
 mod maintenance;
 mod parse_error;
 mod pool;
+mod position;
 mod release_note;
 mod service;
 mod team;
 
 pub use host::HostSpec;
 pub use job::{JobPriority, JobSpec, Resources};
+pub use line_index::LineIndex;
 pub use maintenance::MaintenanceSpec;
 pub use parse_error::ParseNoteError;
 pub use pool::PoolSpec;
+pub use position::Position;
 pub use release_note::{Declared, ReleaseNote, Withdrawn};
 pub use service::{Promise, ServiceSpec};
 pub use team::TeamSpec;
--- a/crates/masticfield-core/src/note/parse_error.rs
+++ b/crates/masticfield-core/src/note/parse_error.rs
@@ -4,7 +4,7 @@
 
 use snafu::Snafu;
 
-use super::ReleaseNote;
+use super::{LineIndex, Position, ReleaseNote};
 
 /// Reason why a release note cannot be parsed.
 #[derive(Debug, Snafu)]
@@ -57,16 +57,8 @@
 
     /// Converts an error of the TOML parser, locating it in `text`.
     pub(super) fn syntax(text: &str, source: toml::de::Error) -> Self {
-        let offset = source.span().map_or(0, |span| span.start.min(text.len()));
-        let before = &text[..text.floor_char_boundary(offset)];
-        let line = before.matches('\n').count() + 1;
-        let column = before
-            .rsplit('\n')
-            .next()
-            .unwrap_or_default()
-            .chars()
-            .count()
-            + 1;
+        let offset = source.span().map_or(0, |span| span.start);
+        let Position { line, column } = LineIndex::new(text).position(offset);
         Self::Syntax {
             line,
             column,
--- a/crates/masticfield-core/src/note/team.rs
+++ b/crates/masticfield-core/src/note/team.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Resources;
+
 /// A team and the resources that its jobs may hold at the same time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -18,3 +20,10 @@
     #[serde(default)]
     pub accelerators: u32,
 }
+
+impl TeamSpec {
+    /// Returns the quota as resources.
+    pub const fn quota(&self) -> Resources {
+        Resources::from_units(self.cores, self.memory_gb, self.accelerators)
+    }
+}
--- a/crates/masticfield-core/src/operator.rs
+++ b/crates/masticfield-core/src/operator.rs
@@ -9,6 +9,7 @@
 //! | `POST /v1/plan` | TOML of a release note | [`PlanPreview`] |
 //! | `GET /v1/notes/{number}` | | [`RolloutStatus`] |
 //! | `GET /v1/status` | | [`FleetStatus`] |
+//! | `GET /v1/config` | | [`FleetConfig`](crate::config::FleetConfig) |
 //! | `GET /v1/hosts` | | list of [`HostRow`] |
 //! | `GET /v1/upstreams` | | list of [`UpstreamRow`] |
 //! | `GET /v1/jobs` | | list of [`JobRow`] |
--- a/crates/masticfield-fleet/src/index/host.rs
+++ b/crates/masticfield-fleet/src/index/host.rs
@@ -126,13 +126,7 @@
 
     /// Total resources; `None` once the host is withdrawn.
     pub fn capacity(&self) -> Option<Resources> {
-        let spec = self.spec?;
-        let (cores, memory) = (spec.cores, spec.memory_gb);
-        Some(Resources::new(
-            cores.saturating_mul(1_000),
-            memory.saturating_mul(1_024),
-            spec.accelerators,
-        ))
+        self.spec.map(HostSpec::capacity)
     }
 
     /// Region, availability zone and rack; `None` once the host is withdrawn.
--- a/crates/masticfield-fleet/src/placement/start.rs
+++ b/crates/masticfield-fleet/src/placement/start.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use masticfield_core::fleet::{Action, Reason};
-use masticfield_core::note::{JobPriority, JobSpec, Resources, TeamSpec};
+use masticfield_core::note::{JobPriority, JobSpec, Resources};
 
 use super::{LiveTask, Load, eviction, fault_attribution};
 use crate::index::{HostKey, OwnershipPhase, Pool};
@@ -89,16 +89,11 @@
 /// Whether another task stays within the quota of the team.
 fn within_quota(draft: &Draft<'_>, load: &Load<'_>, job: &JobSpec, size: Resources) -> bool {
     let team = draft.index().view().config.teams().get(&job.team);
-    team.is_some_and(|team| load.team_usage(&job.team).plus(size).fits_into(quota(team)))
-}
-
-/// Quota of a team as resources.
-const fn quota(team: &TeamSpec) -> Resources {
-    Resources::new(
-        team.cores.saturating_mul(1_000),
-        team.memory_gb.saturating_mul(1_024),
-        team.accelerators,
-    )
+    team.is_some_and(|team| {
+        load.team_usage(&job.team)
+            .plus(size)
+            .fits_into(team.quota())
+    })
 }
 
 /// The host with the least free capacity on which the task fits.
