feat(jobs,platform): check a configuration of queues before it is sent

Purpose: the leader refuses such a configuration with the first problem only, and accepts entries that have no effect without a word. A queue is hidden only by one with an equal prefix, which is an error already, as the longest prefix wins. Quotas are not compared with tasks, since a configuration of queues has no jobs. A connection to the leader was left out: the file is checked alone, and differences from the version in force are not shown. Errors of the decoder have line and column; all others name the queue, pool or workspace. No key is printed.

--- a/crates/masticfield-jobs/src/queue/config.rs
+++ b/crates/masticfield-jobs/src/queue/config.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use snafu::{OptionExt, Snafu, ensure};
+use snafu::Snafu;
 
-use super::workspace::check_workspaces;
+use super::workspace::find_workspace_problems;
 use super::{RequestLimits, WorkspaceConfig};
 
 /// The complete configuration; a new version replaces the earlier one as a whole.
@@ -83,7 +83,6 @@
 
 /// Error of [`QueuesConfig::check`].
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
-#[snafu(visibility(pub(super)))]
 pub enum InvalidConfig {
     /// A queue refers to a pool that is not configured.
     #[snafu(display("queue {queue} names the unknown pool {pool}"))]
@@ -146,31 +145,40 @@
     ///
     /// Returns the first problem found.
     pub fn check(&self) -> Result<(), InvalidConfig> {
+        self.problems().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Returns every problem for which [`check`](Self::check) refuses the configuration.
+    pub fn problems(&self) -> Vec<InvalidConfig> {
+        let mut problems = Vec::new();
         let mut pools = BTreeSet::new();
         for pool in &self.pools {
-            ensure!(
-                pools.insert(&pool.name),
-                DuplicateNameSnafu {
-                    name: Arc::clone(&pool.name)
-                }
-            );
+            if !pools.insert(&pool.name) {
+                let name = Arc::clone(&pool.name);
+                problems.push(InvalidConfig::DuplicateName { name });
+            }
         }
         let mut routes = BTreeSet::new();
         let mut names = BTreeSet::new();
         for queue in &self.queues {
             let name = || Arc::clone(&queue.name);
-            pools.get(&queue.pool).context(UnknownPoolSnafu {
-                queue: name(),
-                pool: Arc::clone(&queue.pool),
-            })?;
-            let route = (&queue.authority, &queue.prefix);
-            ensure!(routes.insert(route), DuplicateRouteSnafu { queue: name() });
-            ensure!(
-                names.insert(&queue.name),
-                DuplicateNameSnafu { name: name() }
-            );
-            ensure!(queue.timeout_ms > 0, ZeroTimeoutSnafu { queue: name() });
+            if !pools.contains(&queue.pool) {
+                let pool = Arc::clone(&queue.pool);
+                let queue = name();
+                problems.push(InvalidConfig::UnknownPool { queue, pool });
+            }
+            if !routes.insert((&queue.authority, &queue.prefix)) {
+                problems.push(InvalidConfig::DuplicateRoute { queue: name() });
+            }
+            if !names.insert(&queue.name) {
+                problems.push(InvalidConfig::DuplicateName { name: name() });
+            }
+            if queue.timeout_ms == 0 {
+                problems.push(InvalidConfig::ZeroTimeout { queue: name() });
+            }
         }
-        check_workspaces(self.workspaces.as_deref().unwrap_or_default())
+        let workspaces = self.workspaces.as_deref().unwrap_or_default();
+        find_workspace_problems(workspaces, &mut problems);
+        problems
     }
 }
--- a/crates/masticfield-jobs/src/queue/mod.rs
+++ b/crates/masticfield-jobs/src/queue/mod.rs
@@ -6,6 +6,7 @@
 mod key_digest;
 mod request_limits;
 mod route;
+mod warning;
 mod workspace;
 
 pub use config::{AdviceConfig, InvalidConfig, PoolConfig, QueueConfig, QueuesConfig};
@@ -14,4 +15,5 @@
 pub use key_digest::{InvalidKey, KeyDigest};
 pub use request_limits::RequestLimits;
 pub use route::{Route, RouteTable};
+pub use warning::ConfigWarning;
 pub use workspace::{WorkspaceConfig, WorkspaceId};
--- a/crates/masticfield-jobs/src/queue/workspace.rs
+++ b/crates/masticfield-jobs/src/queue/workspace.rs
@@ -4,13 +4,8 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use snafu::ensure;
 
-use super::KeyDigest;
-use super::config::{
-    DuplicateKeySnafu, DuplicateWorkspaceSnafu, EmptyWorkspaceNameSnafu, InvalidConfig,
-    InvalidWeightSnafu,
-};
+use super::{InvalidConfig, KeyDigest};
 use crate::job::Resources;
 
 /// Identifier of a workspace; never reused.
@@ -33,26 +28,29 @@
     pub quota: Resources,
 }
 
-/// Checks the rules that span several workspaces.
-pub(super) fn check_workspaces(workspaces: &[WorkspaceConfig]) -> Result<(), InvalidConfig> {
+/// Adds every violation of the rules that span several workspaces to `problems`.
+pub(super) fn find_workspace_problems(
+    workspaces: &[WorkspaceConfig],
+    problems: &mut Vec<InvalidConfig>,
+) {
     let mut names = BTreeSet::new();
     let mut keys = BTreeMap::new();
     for (index, workspace) in workspaces.iter().enumerate() {
-        let name = &workspace.name;
-        ensure!(!name.is_empty(), EmptyWorkspaceNameSnafu { index });
-        let new = names.insert(name);
-        ensure!(new, DuplicateWorkspaceSnafu { name: &**name });
-        let valid = workspace.weight.is_finite() && workspace.weight >= 0.0;
-        ensure!(valid, InvalidWeightSnafu { workspace: &**name });
+        let name = || Arc::clone(&workspace.name);
+        if workspace.name.is_empty() {
+            problems.push(InvalidConfig::EmptyWorkspaceName { index });
+        } else if !names.insert(&workspace.name) {
+            problems.push(InvalidConfig::DuplicateWorkspace { name: name() });
+        }
+        if !workspace.weight.is_finite() || workspace.weight < 0.0 {
+            let workspace = name();
+            problems.push(InvalidConfig::InvalidWeight { workspace });
+        }
         for key in &workspace.keys {
-            if let Some(other) = keys.insert(key, name) {
-                return DuplicateKeySnafu {
-                    workspace: &**name,
-                    other: &**other,
-                }
-                .fail();
+            if let Some(other) = keys.insert(key, &workspace.name) {
+                let (workspace, other) = (name(), Arc::clone(other));
+                problems.push(InvalidConfig::DuplicateKey { workspace, other });
             }
         }
     }
-    Ok(())
 }
