--- a/crates/masticfield-jobs/src/schedule/shares.rs
+++ b/crates/masticfield-jobs/src/schedule/shares.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Sliding window in which a workspace may submit its rate of jobs; `quotaWindowS` of the platform.
+/// Sliding window in which a workspace may submit its rate of jobs.
 const WINDOW: Duration = Duration::from_secs(5);
 
 /// Least weight in fair queueing, so that a workspace without an entitlement is served at all.
