test(jobs): split the tests of the leader by what they test

Cause: one file of 844 lines held the tests of new leaders, standby, upkeep and runs; one test of it built the fleet, played a surge, answered polls and checked the orders in one function. Change: a folder `tests/leader` with a file for each and their common state. The long test has a function for each of its parts.

--- /dev/null
+++ b/crates/masticfield-jobs/tests/leader/main.rs
@@ -0,0 +1,7 @@
+//! Decisions of the leader.
+
+mod new_leader;
+mod runs;
+mod standby;
+mod support;
+mod upkeep;
--- /dev/null
+++ b/crates/masticfield-jobs/tests/leader/runs.rs
@@ -0,0 +1,150 @@
+//! Starts, progress and ends of runs.
+
+use std::time::Duration;
+
+use masticfield_jobs::leader::{
+    Call, CallError, ClaimWatch, Effect, Event, HoldReport, Leader, ListedRun,
+};
+use masticfield_jobs::state::Command;
+use rstest::rstest;
+
+use crate::support::{
+    EXECUTOR, announce_capacity, held, moment, options, started_runs, state, submit,
+};
+
+/// With thousands of tasks a second, answers wait before the leader processes them. Progress is
+/// measured by the executor's clock, or every executor would seem slow.
+#[rstest]
+#[case::processed_late(1_150, 10, false)]
+#[case::slow(4_000, 5, true)]
+fn progress_is_measured_by_the_executors_clock(
+    #[case] clock_ms: u64,
+    #[case] percent: u32,
+    #[case] expected: bool,
+) {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    let held = |sent, clock_ms, running| Event::HoldResult {
+        executor: EXECUTOR,
+        sent,
+        result: Ok(HoldReport {
+            clock_ms,
+            started_ms: Some(5),
+            running,
+            finished: Vec::new(),
+        }),
+    };
+    leader.decide(moment(0));
+    leader.handle(moment(1), held(moment(0).monotonic, 900, Vec::new()));
+    for job in [7, 8] {
+        leader.handle(moment(2), submit(job));
+    }
+    let decision = leader.decide(moment(2));
+    let starts = decision
+        .commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Start { run, .. } => Some(*run),
+            _ => None,
+        });
+    let starts: Vec<_> = starts.collect();
+    assert_eq!(starts.len(), 2);
+    for run in &starts {
+        let started = Event::StartResult {
+            executor: EXECUTOR,
+            run: *run,
+            result: Ok(1_000),
+        };
+        leader.handle(moment(5), started);
+    }
+    let running = starts.iter().map(|run| ListedRun {
+        run: *run,
+        saved: None,
+        percent,
+        load: None,
+    });
+    leader.handle(
+        moment(3_000),
+        held(moment(6).monotonic, clock_ms, running.collect()),
+    );
+    let effects = leader.decide(moment(3_000)).after_commit;
+    let stopped = effects.iter().any(|effect| {
+        matches!(
+            effect,
+            Effect::Call {
+                call: Call::Stop { .. },
+                ..
+            }
+        )
+    });
+    assert_eq!(stopped, expected);
+}
+
+/// Two polls are under way while a run starts, and the executor answers the later one first.
+#[test]
+fn a_run_is_not_ended_by_a_poll_that_was_answered_before_it_started() {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    leader.decide(moment(0));
+    leader.handle(moment(1), held(moment(0), 900, &[]));
+    leader.handle(moment(2), submit(7));
+    let runs = started_runs(&leader.decide(moment(2)).commands);
+    leader.handle(moment(30), held(moment(5), 930, &runs));
+    leader.handle(moment(31), held(moment(10), 925, &[]));
+    let commands = leader.decide(moment(31)).commands;
+    assert_eq!(commands, [], "{runs:?} was listed at 30 ms");
+    leader.handle(moment(60), held(moment(31), 960, &[]));
+    let ended = leader.decide(moment(60)).commands;
+    let ended = ended
+        .iter()
+        .any(|command| matches!(command, Command::End { .. }));
+    assert!(ended, "{runs:?} is missing in a poll sent since");
+}
+
+#[test]
+fn tasks_start_within_the_capacity_that_was_announced_last() {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    announce_capacity(&mut leader, 0, 32_000);
+    announce_capacity(&mut leader, 10, 2_000);
+    leader.handle(moment(11), held(moment(0), 11, &[]));
+    for job in 1..=4 {
+        leader.handle(moment(12), submit(job));
+    }
+    let shrunk = started_runs(&leader.decide(moment(12)).commands);
+    assert_eq!(shrunk.len(), 2, "each task needs one core");
+    leader.handle(moment(20), held(moment(13), 20, &shrunk));
+    announce_capacity(&mut leader, 30, 32_000);
+    let grown = started_runs(&leader.decide(moment(30)).commands);
+    assert_eq!(grown.len(), 2, "{grown:?}");
+}
+
+/// An order to start has got no answer, and the capacity shrinks before it is repeated.
+#[test]
+fn an_order_that_no_longer_fits_is_not_repeated() {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    announce_capacity(&mut leader, 0, 32_000);
+    leader.handle(moment(1), submit(1));
+    let run = started_runs(&leader.decide(moment(1)).commands)[0];
+    let result = Err(CallError::Unknown);
+    let executor = EXECUTOR;
+    leader.handle(
+        moment(50),
+        Event::StartResult {
+            executor,
+            run,
+            result,
+        },
+    );
+    announce_capacity(&mut leader, 60, 500);
+    let effects = leader.decide(moment(300)).after_commit;
+    let calls = effects.iter().filter_map(|effect| match effect {
+        Effect::Call { call, .. } => Some(call),
+        _ => None,
+    });
+    let calls: Vec<_> = calls.collect();
+    assert!(calls.contains(&&Call::Stop { run }), "{calls:?}");
+    let repeated = calls.iter().any(|call| matches!(call, Call::Start { .. }));
+    assert!(!repeated, "{calls:?}");
+}
