fix(measure): measure the time until a release note is in force

Weighed: leases simulated beside the group would measure the simulation; a control process and three entries over loopback measure what operators see. Change: 20 notes are sent one after the other, and the median of the times that the control process reports is the figure. The start of these processes is shared with the experiment `path`.

--- a/crates/masticfield-measure/src/lib.rs
+++ b/crates/masticfield-measure/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod fleet_name;
 pub mod jobs;
+mod loopback;
 pub mod path;
 pub mod routing;
 pub mod state;
--- a/crates/masticfield-measure/src/path/mod.rs
+++ b/crates/masticfield-measure/src/path/mod.rs
@@ -48,9 +48,6 @@
         /// Report of the last request, as JSON.
         last_report: Value,
     },
-    /// The control or the entry has not bound one of its listeners.
-    #[snafu(display("a listener has no bound address"))]
-    NoAddress,
 }
 
 fn run(_args: ExperimentArgs) -> Result<Value, ExperimentError> {
--- a/crates/masticfield-measure/src/state/mod.rs
+++ b/crates/masticfield-measure/src/state/mod.rs
@@ -8,12 +8,15 @@
 mod disk;
 mod error;
 mod group;
+mod in_force;
 mod load;
 mod node;
 mod run;
 
 use crate::experiment::Experiment;
 
+pub use in_force::in_force_ms;
+
 inventory::submit! {
     Experiment {
         name: "state",
--- a/crates/masticfield-measure/src/state/run.rs
+++ b/crates/masticfield-measure/src/state/run.rs
@@ -17,6 +17,7 @@
 use super::disk;
 use super::error::{IoSnafu, ProcessSnafu, StateError};
 use super::group::{Group, SIZE};
+use super::in_force::in_force_ms;
 use super::load::{self, AcknowledgedWrites, Workload, WriteLimit, WriteResults};
 use super::node::Node;
 use crate::experiment::{ExperimentArgs, ExperimentError};
@@ -27,6 +28,9 @@
 /// Number of leaders that are killed, one after the other.
 const FAILOVERS: usize = 20;
 
+/// Number of release notes whose time until they are in force is measured.
+const NOTES: u64 = 20;
+
 /// Number of changes that a replica misses before it catches up, and replays after a restart.
 const RECOVERED_CHANGES: u64 = 100_000;
 
@@ -42,7 +46,11 @@
         .worker_threads(4)
         .enable_all()
         .build()?;
-    Ok(runtime.block_on(measure(args.seed))?)
+    runtime.block_on(async {
+        let mut report = measure(args.seed).await?;
+        report["in_force_ms"] = json!(in_force_ms(NOTES).await?);
+        Ok(report)
+    })
 }
 
 async fn measure(seed: u64) -> Result<Value, StateError> {
@@ -74,7 +82,6 @@
             "median": failovers[FAILOVERS / 2].round(),
             "largest": failovers[FAILOVERS - 1].round(),
         },
-        "in_force_ms": null,
         "catch_up_changes_per_s": catch_up.round(),
         "restart_100k_ms": restart_ms.round(),
         "restart_all_100k_ms": restart_all_ms.round(),
