--- a/crates/masticfield-soak/src/programs/installation.rs
+++ b/crates/masticfield-soak/src/programs/installation.rs
@@ -7,7 +7,7 @@
 use std::process::ExitStatus;
 use std::time::SystemTime;
 
-use masticfield_platform::stand_ins::ProgramSettings;
+use masticfield_platform_stand_ins::ProgramSettings;
 use rustix::process::Signal;
 use snafu::ResultExt;
 
--- a/crates/masticfield-soak/src/soak/run.rs
+++ b/crates/masticfield-soak/src/soak/run.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use masticfield_core::kernel::ShutdownTrigger;
-use masticfield_platform::stand_ins::{CALLERS_PORT, CONTROL_PORT};
+use masticfield_platform_stand_ins::{CALLERS_PORT, CONTROL_PORT};
 use parking_lot::Mutex;
 use snafu::{ResultExt, ensure};
 use tokio::signal::unix::{SignalKind, signal};
--- a/crates/masticfield-soak/src/stand_ins/callers.rs
+++ b/crates/masticfield-soak/src/stand_ins/callers.rs
@@ -12,7 +12,7 @@
 use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec};
 use masticfield_jobs::state::JobStatus;
 use masticfield_node::http::Client;
-use masticfield_platform::stand_ins::{decode_status, encode_job};
+use masticfield_platform_stand_ins::{decode_status, encode_job};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/masticfield-soak/src/stand_ins/executors.rs
+++ b/crates/masticfield-soak/src/stand_ins/executors.rs
@@ -11,7 +11,7 @@
 use masticfield_jobs::leader::{Announcement, Rejection};
 use masticfield_jobs::state::{EndKind, ExecutorIncarnation};
 use masticfield_node::http::{HttpLimits, Reply, Server, json_reply, read_body};
-use masticfield_platform::stand_ins::{
+use masticfield_platform_stand_ins::{
     ExecutorOrder, decode_next_address, encode_announcement, encode_clock, encode_hold,
     encode_rejection, leave_path, names_executor,
 };
--- a/crates/masticfield-soak/src/stand_ins/operator.rs
+++ b/crates/masticfield-soak/src/stand_ins/operator.rs
@@ -8,7 +8,7 @@
 use http::{Method, StatusCode};
 use masticfield_core::kernel::Shutdown;
 use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
-use masticfield_platform::stand_ins::{
+use masticfield_platform_stand_ins::{
     CONFIG_READ_PATH, CONFIG_WRITE_PATH, content_equals, decode_version, encode_config,
 };
 use parking_lot::Mutex;
