fix(jobs): settle runs with open orders, clocks and late leaves of executors

Three faults found by a review of the fixes for executors that start again, each in a place that those fixes touch: - a run that a report had listed counted as gone with its incarnation although an order without an answer could still arrive at the later one: a_listed_run_with_an_order_without_an_answer_is_not_taken_for_gone; - the answer to an order, which does not tell the incarnation, replaced the clock of the executor, so that all its runs looked as if they had just started and its jobs could fail as ones that crash executors. Only a report settles the clock now; - an announcement that arrived late was confirmed without recording that the executor leaves: a_late_announcement_that_an_executor_leaves_is_recorded.

--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -124,24 +124,24 @@
     ) -> AnnouncementOrder {
         let (sequence, clock_ms) = (announcement.sequence, announcement.clock_ms);
         let order = self.check_announcement(now, key, sequence, clock_ms);
-        let Some(view) = self.executors.get_mut(&key) else {
-            return order;
-        };
+        if order == AnnouncementOrder::Late && announcement.leaving {
+            // Leaving is final within an incarnation, whatever has arrived before.
+            self.record_leaving(now, key, announcement);
+        }
         if order != AnnouncementOrder::New {
             return order;
         }
+        let Some(view) = self.executors.get_mut(&key) else {
+            return order;
+        };
         let is_first = view.last_announced.is_none();
         view.last_announced = Some(now.monotonic);
         view.sequence = announcement.sequence;
         view.record_clock(now.monotonic, announcement.clock_ms);
         self.update_capacity(key, announcement);
         self.end_overdue(key);
-        if announcement.leaving && self.propose(Command::Leaving { executor: key }) {
-            log::info!(
-                executor = announcement.incarnation.id.as_ref(), sequence = announcement.sequence;
-                "executor leaves"
-            );
-            self.drain(now, key, true);
+        if announcement.leaving {
+            self.record_leaving(now, key, announcement);
         }
         if is_first {
             self.changed_pools
@@ -150,6 +150,16 @@
         order
     }
 
+    fn record_leaving(&mut self, now: Moment, key: ExecutorKey, announcement: &Announcement) {
+        if self.propose(Command::Leaving { executor: key }) {
+            log::info!(
+                executor = announcement.incarnation.id.as_ref(), sequence = announcement.sequence;
+                "executor leaves"
+            );
+            self.drain(now, key, true);
+        }
+    }
+
     /// Returns how to treat an announcement; the executor is polled if its clock is disputed.
     fn check_announcement(
         &mut self,
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -227,8 +227,8 @@
         })
     }
 
-    /// Records the executor's clock from its answer to a call, which settles what its clock is.
-    pub(super) fn record_answered_clock(&mut self, now: Duration, clock_ms: u64) {
+    /// Records the executor's clock from its report, which settles what its clock is.
+    pub(super) fn record_reported_clock(&mut self, now: Duration, clock_ms: u64) {
         if self.contradicts_clock(now, clock_ms) {
             self.clock = None;
             self.sequence = 0;
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -136,7 +136,7 @@
         let Some(view) = self.executors.get_mut(&key) else {
             return;
         };
-        view.record_answered_clock(now.monotonic, report.clock_ms);
+        view.record_reported_clock(now.monotonic, report.clock_ms);
         if view.failed_holds > 0 {
             log::info!(executor = key.0, failures = view.failed_holds; "executor answers again");
         }
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -70,14 +70,17 @@
         }
     }
 
-    /// Returns the runs on an executor that may be on a later incarnation of it.
+    /// Returns the runs on an executor that may be on a later incarnation of it: those that no report
+    /// has located, and those with an order that may still be carried out.
     fn unlocated_runs(&self, key: ExecutorKey) -> Vec<RunId> {
         if self.options.defect == Some(Defect::GoneWithIncarnation) {
             return Vec::new();
         }
         let runs = self.executors.get(&key).into_iter();
         let runs = runs.flat_map(|view| &view.runs);
-        let unlocated = runs.filter(|(_, view)| view.location == RunLocation::ThisOrLater);
+        let unlocated = runs.filter(|(_, view)| {
+            view.location == RunLocation::ThisOrLater || view.pending_starts > 0
+        });
         unlocated.map(|(run, _)| *run).collect()
     }
 }
--- a/crates/masticfield-jobs/tests/odd_announcements.rs
+++ b/crates/masticfield-jobs/tests/odd_announcements.rs
@@ -222,3 +222,18 @@
     let deadline_ms = fleet.clock_ms() + LEASE_MS;
     assert_eq!(fleet.submit(), [deadline_ms]);
 }
+
+/// Guards against an executor that gets new tasks although it has announced that it leaves: an
+/// announcement of another writer, with a high sequence, makes its own look late.
+#[test]
+fn a_late_announcement_that_an_executor_leaves_is_recorded() {
+    let mut fleet = Fleet::new();
+    fleet.run(2);
+    let mut odd = fleet.announcement();
+    odd.sequence = 1 << 40;
+    fleet.announce(odd);
+    let mut leaves = fleet.announcement();
+    leaves.leaving = true;
+    fleet.announce(leaves);
+    assert_eq!(fleet.submit(), []);
+}
--- a/crates/masticfield-jobs/tests/rebirth.rs
+++ b/crates/masticfield-jobs/tests/rebirth.rs
@@ -279,6 +279,25 @@
     assert_eq!(starts(&leader.decide(moment(60))), [run.task.run(2)]);
 }
 
+/// A report of the former incarnation has listed the run, and an order that got no answer may still
+/// arrive at the later one.
+#[test]
+fn a_listed_run_with_an_order_without_an_answer_is_not_taken_for_gone() {
+    let (mut leader, run) = leader_with_order();
+    let unanswered = Event::StartResult {
+        executor: FORMER,
+        run,
+        result: Err(CallError::Unknown),
+    };
+    leader.handle(moment(10), unanswered);
+    leader.handle(moment(20), report(FORMER, FORMER_START, 1, &[run], &[]));
+    leader.decide(moment(20));
+    leader.handle(moment(30), announce(LATER_START, 2));
+    assert_eq!(starts(&leader.decide(moment(30))), []);
+    leader.handle(moment(40), report(LATER, LATER_START, 31, &[run], &[]));
+    assert_eq!(starts(&leader.decide(moment(40))), []);
+}
+
 /// A run that a report of the former incarnation has listed has ended with it.
 #[test]
 fn a_run_that_a_former_incarnation_had_starts_again_at_once() {
