--- a/crates/masticfield-control/src/jobs/operator_request.rs
+++ b/crates/masticfield-control/src/jobs/operator_request.rs
@@ -57,9 +57,10 @@
         metrics: JobMetrics,
     ) -> Self {
         let received = boot_now();
+        let leader = view.leader.map(|leader| leader.to_string());
         log::info!(
             request = kind.name(), number, leads = view.is_leader, term = view.term,
-            leader:? = view.leader, leader_known_ms = view.leader_age(received).as_millis();
+            leader = leader.as_deref().unwrap_or("none"), leader_known_ms = view.leader_age(received).as_millis();
             "operator request received"
         );
         Self {
