--- a/crates/masticfield-cli/src/check/document.rs
+++ b/crates/masticfield-cli/src/check/document.rs
@@ -132,7 +132,7 @@
     }
 
     /// Whether a problem is certain in spite of the values that were replaced.
-    pub(super) fn vouches_for(&self, problem: &NoteProblem, map: &SourceMap<'_>) -> bool {
+    pub(super) fn is_certain_of(&self, problem: &NoteProblem, map: &SourceMap<'_>) -> bool {
         let (kind, name) = problems::object(problem);
         let is_field_alone = matches!(problem, NoteProblem::OutOfRange { .. });
         (is_field_alone || !self.lacks_declarations)
--- a/crates/masticfield-cli/src/check/mod.rs
+++ b/crates/masticfield-cli/src/check/mod.rs
@@ -79,7 +79,7 @@
     if under.is_none() {
         invalid.retain(|problem| problems::is_certain(problem, &map));
     }
-    invalid.retain(|problem| document.vouches_for(problem, &map));
+    invalid.retain(|problem| document.is_certain_of(problem, &map));
     findings.extend(
         invalid
             .iter()
