--- a/review/stand-ins/installation.rs
+++ b/review/stand-ins/installation.rs
@@ -189,8 +189,8 @@
             "{} at {ip} gets SIGTERM and does not come back",
             program.name
         ));
-        let _ = Command::new("kill")
-            .args(["-TERM", &program.child.id().to_string()])
+        let _ = Command::new("sh")
+            .args(["-c", &format!("kill -TERM {}", program.child.id())])
             .status();
         let until = Instant::now() + Duration::from_secs(6);
         while Instant::now() < until && matches!(program.child.try_wait(), Ok(None)) {
