--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -18,18 +18,18 @@
 /// Estimate of a task, in milliseconds.
 const ESTIMATE_MS: u32 = 640;
 
-fn seconds(seconds: f64) -> Duration {
+pub fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
 
-fn job(payload: &str, count: u32, cpu: u32, estimate_ms: u32) -> String {
+pub fn job(payload: &str, count: u32, cpu: u32, estimate_ms: u32) -> String {
     format!(
         r#"{{"spec":"{payload}","steps":[{{"count":{count},"cpu":{cpu},"memMb":1024,"estimateMs":{estimate_ms}}}]}}"#
     )
 }
 
 /// Starts an installation that serves, with `executors` executors.
-fn ready(
+pub fn ready(
     record: &Arc<Record>,
     entries: u8,
     executors: u8,
@@ -46,7 +46,7 @@
     Ok((installation, executors))
 }
 
-fn state_of(answer: Option<crate::http::Response>) -> Option<String> {
+pub fn state_of(answer: Option<crate::http::Response>) -> Option<String> {
     let answer = answer.filter(|answer| answer.status == 200)?;
     Json::parse(&answer.body)?.text("state").map(str::to_owned)
 }
@@ -152,77 +152,6 @@
     Err("the job does not end".into())
 }
 
-/// Seven of eight executors are full. The eighth answers orders to start with 503 for 6.5 s, in
-/// which a job waits that has begun nowhere.
-pub fn pending(record: &Arc<Record>, trouble: bool) -> Result<Outcome, String> {
-    let (installation, executors) = ready(record, 1, 8)?;
-    for number in 0..7 {
-        let id = format!("5c0e7a21d94b36f{number}");
-        let accepted = installation.client(0, "POST", &id, &job("ms=12000", 1, 32_000, 12_000));
-        if accepted.is_none_or(|answer| answer.status != 200) {
-            return Err("a job is not accepted".into());
-        }
-    }
-    let full = || {
-        executors
-            .iter()
-            .filter(|executor| !executor.running().is_empty())
-            .count()
-            == 7
-    };
-    if !installation.until(seconds(3.0), full) {
-        return Err("the first jobs do not run".into());
-    }
-    let last = executors
-        .iter()
-        .find(|executor| executor.running().is_empty());
-    let last = last.ok_or("no executor is free")?;
-    if trouble {
-        record.line(&format!(
-            "executor {} answers orders to start with 503",
-            last.id
-        ));
-        last.refuses.store(true, Ordering::SeqCst);
-    } else {
-        // The eighth executor is full as well, so that the job waits without having been tried.
-        let accepted = installation.client(
-            0,
-            "POST",
-            "5c0e7a21d94b36f7",
-            &job("ms=9000", 1, 32_000, 9_000),
-        );
-        if accepted.is_none_or(|answer| answer.status != 200) {
-            return Err("a job is not accepted".into());
-        }
-        std::thread::sleep(seconds(1.0));
-    }
-    let id = "aaaaaaaaaaaaaaaa";
-    // Stretch and target leave room for a wait: 1.6 x 12 s.
-    let accepted = installation.client(0, "POST", id, &job("ms=1000", 1, 32_000, 12_000));
-    if accepted.is_none_or(|answer| answer.status != 200) {
-        return Err("the job is not accepted".into());
-    }
-    // visible_ms + 2 s are 5 s.
-    std::thread::sleep(seconds(5.4));
-    let began = executors.iter().flat_map(|executor| executor.running());
-    if began.into_iter().any(|(task, ..)| task.starts_with(id)) {
-        return Err("the job has begun".into());
-    }
-    let answer = installation
-        .client(0, "GET", "", "")
-        .filter(|answer| answer.status == 200);
-    let answer = answer.ok_or("the number of pending jobs is not given")?;
-    let shown = Json::parse(&answer.body).and_then(|body| body.number("pending"));
-    let shown = shown.ok_or("the answer has no number")?;
-    record.line(&format!("1 job is pending, and {shown} are shown"));
-    last.refuses.store(false, Ordering::SeqCst);
-    Ok(if shown == 0 {
-        Outcome::Broken
-    } else {
-        Outcome::Held
-    })
-}
-
 /// An executor ends as planned and starts again under its id. Its last call, that it leaves, is held
 /// up by a cut of 5.5 s and arrives after the cut, when the next life has work.
 pub fn late_leave(record: &Arc<Record>, trouble: bool) -> Result<Outcome, String> {
--- a/review/stand-ins/executor.rs
+++ b/review/stand-ins/executor.rs
@@ -1,6 +1,6 @@
 //! An executor that behaves as the users' pages say, with faults that a case switches on.
 //!
-//! The job's `spec` tells how long its tasks take: `ms=1700`.
+//! The job's `spec` tells how long its tasks take: `ms=1700`, or `lasts` for tasks that last.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
@@ -15,6 +15,9 @@
 /// Longest lease that is granted, `maxHoldMs`.
 const MAX_HOLD: Duration = Duration::from_millis(10_000);
 
+/// Running time of a task that lasts; longer than any case.
+const DAY: Duration = Duration::from_secs(86_400);
+
 /// Interval of heartbeats, `heartbeatMs`.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
@@ -40,6 +43,10 @@
     open: Arc<AtomicBool>,
     /// Whether orders to start get 503, while heartbeats and lists stay good.
     pub refuses: AtomicBool,
+    /// Whether orders to start get no answer, and are carried out late.
+    pub delays_starts: AtomicBool,
+    /// Whether nothing is sent or answered any more, while connections stay open.
+    pub silent: AtomicBool,
     /// Whether a planned end is near.
     pub draining: AtomicBool,
     /// Whether the executor is cut off from the control programs.
@@ -47,6 +54,8 @@
     /// Number of heartbeats that were acknowledged.
     pub acknowledged: AtomicU64,
     state: Mutex<State>,
+    /// The first order to start that was delayed.
+    delayed: Mutex<Option<String>>,
     ended: Condvar,
     record: Arc<Record>,
 }
@@ -95,10 +104,13 @@
             started: Instant::now(),
             open: Arc::new(AtomicBool::new(true)),
             refuses: AtomicBool::new(false),
+            delays_starts: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             cut: AtomicBool::new(cut),
             acknowledged: AtomicU64::new(0),
             state: Mutex::default(),
+            delayed: Mutex::default(),
             ended: Condvar::new(),
             record: Arc::clone(record),
         });
@@ -153,7 +165,7 @@
     fn announce(&self) {
         let (mut sequence, mut next): (u64, Option<SocketAddr>) = (0, None);
         while self.open.load(Ordering::SeqCst) {
-            if self.cut.load(Ordering::SeqCst) {
+            if self.cut.load(Ordering::SeqCst) || self.silent.load(Ordering::SeqCst) {
                 std::thread::sleep(Duration::from_millis(20));
                 continue;
             }
@@ -254,7 +266,36 @@
         }
     }
 
+    /// Ends the run of a task as failed by the task's own fault.
+    pub fn fail(&self, task: &str) {
+        let mut state = self.state.lock().expect("not poisoned");
+        for ((name, _), run) in &mut state.running {
+            if name == task {
+                run.ends_at = Instant::now();
+                run.how = "failed";
+            }
+        }
+        self.advance(&mut state);
+    }
+
+    /// The body of the first order to start that was delayed.
+    pub fn delayed(&self) -> Option<String> {
+        self.delayed.lock().expect("not poisoned").clone()
+    }
+
+    /// Carries out an order to start that was delayed on its way, whose answer nobody awaits.
+    pub fn carry_out_late(&self, order: &str) {
+        let answer = Json::parse(order).map(|body| self.start_run(&body));
+        self.record.line(&format!(
+            "executor {}: the delayed order -> {answer:?}",
+            self.id
+        ));
+    }
+
     fn answer(&self, request: &Request) -> Option<(u16, String)> {
+        while self.silent.load(Ordering::SeqCst) && self.open.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
         if request.method == "GET" {
             return Some((200, "{}".into()));
         }
@@ -269,6 +310,15 @@
             return Some((400, self.clock_body()));
         };
         match request.path.as_str() {
+            "/v1/run-start" if self.delays_starts.load(Ordering::SeqCst) => {
+                let mut delayed = self.delayed.lock().expect("not poisoned");
+                delayed.get_or_insert_with(|| request.body.clone());
+                drop(delayed);
+                while self.open.load(Ordering::SeqCst) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                None
+            }
             "/v1/run-start" => Some(self.start_run(&body)),
             "/v1/run-stop" => Some(self.stop_run(&body)),
             "/v1/hold" => Some(self.hold(&body)),
@@ -342,8 +392,10 @@
         let lasts = spec
             .split(';')
             .find_map(|part| part.strip_prefix("ms=")?.parse().ok());
+        let time = Duration::from_millis(lasts.unwrap_or(1_000));
+        let time = if spec == "lasts" { DAY } else { time };
         let started = Instant::now();
-        let ends_at = started + Duration::from_millis(lasts.unwrap_or(1_000));
+        let ends_at = started + time;
         state.running.insert(
             key,
             Run {
@@ -395,16 +447,15 @@
         }
         let now = Instant::now();
         let running = state.running.iter().map(|((task, number), run)| {
-            let total = run
-                .ends_at
-                .saturating_duration_since(run.started)
-                .as_millis()
-                .max(1);
-            let done = now.saturating_duration_since(run.started).as_millis();
-            format!(
-                r#"["{task}",{number},"",{},1000]"#,
-                (done * 100 / total).min(99)
-            )
+            let total = run.ends_at.saturating_duration_since(run.started);
+            let done = now.saturating_duration_since(run.started);
+            let percent = if total >= DAY {
+                // At work after a short startup.
+                if done.as_millis() > 300 { 100 } else { 0 }
+            } else {
+                (done.as_millis() * 100 / total.as_millis().max(1)).min(99)
+            };
+            format!(r#"["{task}",{number},"",{percent},1000]"#)
         });
         let running: Vec<_> = running.collect();
         let ends = state.ends.iter().take(500);
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -8,6 +8,7 @@
 mod installation;
 mod json;
 mod record;
+mod trials;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -62,7 +63,9 @@
         "crashes" => cases::crashes(&record, trouble),
         "long-jobs" => cases::long_jobs(&record, trouble),
         "late-leave" => cases::late_leave(&record, trouble),
-        "pending" => cases::pending(&record, trouble),
+        "lasting" => trials::lasting(&record, trouble),
+        "inherited" => trials::inherited(&record, trouble),
+        "pending" => trials::pending(&record, trouble),
         _ => Err(format!("there is no case {case}")),
     };
     let (code, text) = match result {
