fix(jobs): tell entries of new members while they are connected

Cause: an entry learned the members of the control group from the first message of a connection only. The connection lasts as long as the leadership, in which all other members can be replaced; the entry was left with three addresses that were gone, and with its seeds.

Change: the leader sends the group to all connected entries whenever the members change. An entry keeps the replicas to try in `KnownReplicas`; of the lists that replicas send, only the leader's replaces the members, as another replica may have been removed, cut off or not caught up. Entries log a change of the members, and warn with the addresses when none of the known replicas leads.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -412,14 +412,9 @@
     }
 
     fn connect_entry(&mut self, process: u64, sent: Duration, session: EntrySession) {
-        let view = self.view.borrow().clone();
-        let leads = self.leadership.is_some();
-        drop(session.tx.send(ToEntry::Group {
-            leads,
-            leader: view.leader,
-            members: view.members,
-        }));
-        drop(session.tx.send(ToEntry::Limits(view.limits)));
+        drop(session.tx.send(self.group_message()));
+        let limits = self.view.borrow().limits;
+        drop(session.tx.send(ToEntry::Limits(limits)));
         let stamp = boot_now();
         drop(session.tx.send(ToEntry::Clock { sent, stamp }));
         if let Some(leadership) = &mut self.leadership {
@@ -433,6 +428,27 @@
         }
     }
 
+    /// Returns the message that tells an entry who leads and who the members are.
+    fn group_message(&self) -> ToEntry {
+        let view = self.view.borrow();
+        ToEntry::Group {
+            leads: self.leadership.is_some(),
+            leader: view.leader,
+            members: view.members.clone(),
+        }
+    }
+
+    /// Sends the group to all connected entries.
+    ///
+    /// A connection lasts as long as the leadership, in which all other members may be replaced. An
+    /// entry that knows only the replicas of its beginning does not find the next leader.
+    fn notify_entries(&self) {
+        let sessions = self.leadership.iter();
+        for session in sessions.flat_map(|leadership| leadership.entries.values()) {
+            drop(session.tx.send(self.group_message()));
+        }
+    }
+
     /// Begins or ends the leadership when the replica's status has changed, and publishes the view.
     async fn update_leadership(&mut self) {
         let status = self.replica.status();
@@ -466,6 +482,7 @@
 
     fn publish_view(&self, term: u64, leader: Option<SocketAddr>, members: Vec<SocketAddr>) {
         let is_leader = self.leadership.is_some();
+        let members_change = self.view.borrow().members != members;
         let uses_relays = self.leadership.as_ref().is_some_and(|leadership| {
             leadership
                 .relays
@@ -491,6 +508,9 @@
             *view = current;
             changed
         });
+        if members_change {
+            self.notify_entries();
+        }
     }
 
     fn step_down(&mut self, why: &str) {
--- a/crates/masticfield-control/tests/control/main.rs
+++ b/crates/masticfield-control/tests/control/main.rs
@@ -4,4 +4,5 @@
 mod jobs;
 mod operators;
 mod referral;
+mod replaced_members;
 mod support;
--- a/crates/masticfield-entry/src/jobs/link.rs
+++ b/crates/masticfield-entry/src/jobs/link.rs
@@ -1,6 +1,5 @@
 //! The task that keeps an entry connected to the leading replica.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use masticfield_wire::{Connection, FrameReader, FrameWriter, WireError};
 use tokio::sync::{mpsc, watch};
 
+use super::known_replicas::KnownReplicas;
 use super::link_handle::{LeaderLinkHandle, LeaderLinkStatus, LinkInput, SharedAnnouncements};
 use super::metrics::JobRequestMetrics;
 use super::pending_requests::PendingRequests;
@@ -22,6 +22,10 @@
 /// Pause between attempts once every known replica was tried without finding the leader.
 const RETRY_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Number of passes over all known replicas without finding the leader after which this is logged,
+/// and again after as many.
+const REPORTED_PASSES: usize = 8;
+
 /// Silence after which a connection counts as lost; the leader sends at least every 0.4 s.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_100);
 
@@ -71,12 +75,7 @@
     announcements: SharedAnnouncements,
     /// Relays the leader's calls to executors; `None` if this entry does not.
     relay: Option<Relay>,
-    /// Replicas to try: the seeds and the members that replicas reported.
-    known: BTreeSet<SocketAddr>,
-    /// Replica that was reported as the leader and is tried next.
-    reported_leader: Option<SocketAddr>,
-    /// Number of attempts without a reported leader; selects the replica to try.
-    rotation: usize,
+    replicas: KnownReplicas,
 }
 
 /// Result of an attempt to connect to the leading replica.
@@ -95,7 +94,7 @@
         let (status_tx, status) = watch::channel(LeaderLinkStatus::default());
         let announcements = SharedAnnouncements::default();
         let link = Self {
-            known: options.seeds.iter().copied().collect(),
+            replicas: KnownReplicas::new(options.seeds.iter().copied()),
             options,
             rx,
             tx: tx.downgrade(),
@@ -104,8 +103,6 @@
             pending: PendingRequests::default(),
             announcements: announcements.clone(),
             relay: None,
-            reported_leader: None,
-            rotation: 0,
         };
         let handle = LeaderLinkHandle {
             tx,
@@ -146,8 +143,13 @@
                 ConnectOutcome::NoLeader => {
                     failures += 1;
                     // The first pass over all known replicas is made without pauses.
-                    let passes = failures.div_ceil(self.known.len().max(1));
-                    if failures.is_multiple_of(self.known.len().max(1)) || passes > 1 {
+                    let count = self.replicas.count().max(1);
+                    let passes = failures.div_ceil(count);
+                    if failures.is_multiple_of(count * REPORTED_PASSES) {
+                        let replicas = self.replicas.addresses();
+                        log::warn!(replicas:? = replicas, passes; "none of the known replicas leads");
+                    }
+                    if failures.is_multiple_of(count) || passes > 1 {
                         self.pause(RETRY_INTERVAL).await;
                     }
                 }
@@ -172,14 +174,9 @@
         self.pending.expire(now);
     }
 
-    /// Tries the reported leader if there is one, and the next known replica otherwise.
+    /// Tries the next known replica.
     async fn connect_to_leader(&mut self) -> ConnectOutcome {
-        let address = self.reported_leader.take().or_else(|| {
-            self.rotation += 1;
-            let index = self.rotation % self.known.len().max(1);
-            self.known.iter().nth(index).copied()
-        });
-        let Some(address) = address else {
+        let Some(address) = self.replicas.next_to_try() else {
             return ConnectOutcome::NoLeader;
         };
         let (process, sent) = (self.options.process, boot_now());
@@ -208,27 +205,30 @@
         else {
             return ConnectOutcome::NoLeader;
         };
-        let port = self.options.port;
-        let with_port = |address: SocketAddr| SocketAddr::new(address.ip(), port);
-        if !members.is_empty() {
-            self.known = members.into_iter().map(with_port).collect();
-            self.known.extend(&self.options.seeds);
-        }
+        let members = self.entry_addresses(members);
         if leads {
+            self.replicas.record_leader_list(members);
             if let Some(relay) = &mut self.relay {
                 relay.connect();
             }
             first.for_each(|message| self.handle_message(message));
             return ConnectOutcome::Leader(Box::new((reader, writer)));
         }
-        self.reported_leader = leader.map(with_port).filter(|leader| *leader != address);
-        if self.reported_leader.is_some() {
+        let leader = self.entry_addresses(leader).pop();
+        if self.replicas.record_follower_list(address, leader, members) {
             ConnectOutcome::Redirected
         } else {
             ConnectOutcome::NoLeader
         }
     }
 
+    /// Returns the addresses at which these replicas accept entries.
+    fn entry_addresses(&self, replicas: impl IntoIterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+        let replicas = replicas.into_iter();
+        let with_port = |address: SocketAddr| SocketAddr::new(address.ip(), self.options.port);
+        replicas.map(with_port).collect()
+    }
+
     /// Exchanges messages until the connection is lost or every handle is dropped.
     async fn serve(
         &mut self,
@@ -321,11 +321,12 @@
                 }
             }
             ToEntry::Limits(limits) => self.status.send_modify(|status| status.limits = limits),
+            // A connection that has begun is one to the leader, which lists the members anew when
+            // they change.
             ToEntry::Group { members, .. } => {
-                let port = self.options.port;
-                let members = members.into_iter();
-                let members = members.map(|address| SocketAddr::new(address.ip(), port));
-                self.known.extend(members);
+                let members = self.entry_addresses(members);
+                log::info!(members:? = members; "the members of the control group have changed");
+                self.replicas.record_leader_list(members);
             }
         }
     }
--- a/crates/masticfield-entry/src/jobs/mod.rs
+++ b/crates/masticfield-entry/src/jobs/mod.rs
@@ -3,12 +3,14 @@
 //! [`LeaderLink`] finds the leading replica and keeps a connection to it; requests go through a
 //! [`LeaderLinkHandle`], and calls of the leader to executors arrive as [`RelayTask`]s.
 
+mod known_replicas;
 mod link;
 mod link_handle;
 mod metrics;
 mod pending_requests;
 mod relay;
 
+pub use known_replicas::KnownReplicas;
 pub use link::{LeaderLink, LeaderLinkOptions};
 pub use link_handle::{LeaderLinkHandle, LeaderLinkStatus};
 pub use metrics::JobRequestMetrics;
--- a/crates/masticfield-jobs/src/protocol.rs
+++ b/crates/masticfield-jobs/src/protocol.rs
@@ -64,7 +64,8 @@
 /// A message from a replica to an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToEntry {
-    /// The leader and the members of the replica group. Sent first, and again on each change.
+    /// The leader and the members of the replica group. Sent first, and by the leader again
+    /// whenever the members change.
     Group {
         /// Whether this replica leads and answers requests.
         leads: bool,
