--- a/crates/masticfield-control/tests/control/replaced_members.rs
+++ b/crates/masticfield-control/tests/control/replaced_members.rs
@@ -22,7 +22,7 @@
 const ENTRY_PORT: u16 = 7061;
 
 /// Time limit for a condition to hold, long enough for a busy machine.
-const TIMEOUT: Duration = Duration::from_secs(60);
+const TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
