fix(jobs): end only the incarnation that reports its end

The report that an executor ends arrived after the executor had started again under its identifier and had got the task.

Cause: the report was matched by the identifier of the executor. The leader took the runs of the latest incarnation for gone a second later.

Change: the report carries the start of the incarnation, if the executor names it, over relays as well. One of a former incarnation has no effect; one of a later one ends the known one, as a report of runs does. One that names none counts for the known incarnation only if that has announced that it leaves, and its runs then end with their leases. An executor that still answers polls has not ended: by the platform's protocol it goes on for some seconds if its report got no acknowledgement.

--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use masticfield_core::clock::boot_now;
-use masticfield_jobs::leader::{Announcement, Event, JobRequest, Refusal, Reply, ReplyId};
+use masticfield_jobs::leader::{
+    Announcement, Departure, Event, JobRequest, Refusal, Reply, ReplyId,
+};
 use masticfield_jobs::protocol::{EntryRequest, ToEntry};
 use masticfield_jobs::queue::{ConfigContent, QueuesConfig, RequestLimits};
 use masticfield_jobs::relay::{CallResult, RelayOffer};
@@ -97,8 +99,8 @@
     Configure(QueuesConfig, ConfigContent),
     /// An executor announces itself.
     Announce(Announcement),
-    /// The executor with this identifier ends.
-    Leave(Arc<str>),
+    /// An executor ends.
+    Leave(Departure),
     /// Starts a wave of upkeep.
     StartWave(WaveOrder),
 }
@@ -233,9 +235,9 @@
         found.await.ok().flatten()
     }
 
-    /// Records that the executor with identifier `id` is ending.
-    pub async fn leave(&self, id: impl Into<Arc<str>>) -> Reply {
-        self.request(Request::Leave(id.into())).await
+    /// Records that an executor is ending.
+    pub async fn leave(&self, departure: Departure) -> Reply {
+        self.request(Request::Leave(departure)).await
     }
 
     /// Starts a wave of upkeep.
@@ -286,7 +288,10 @@
                 reply_to,
                 announcement,
             },
-            Self::Leave(id) => Event::Left { reply_to, id },
+            Self::Leave(departure) => Event::Left {
+                reply_to,
+                departure,
+            },
             Self::StartWave(order) => Event::Wave { reply_to, order },
         }
     }
@@ -297,7 +302,7 @@
         match request {
             EntryRequest::Job(request) => Self::Job(request),
             EntryRequest::Announce(announcement) => Self::Announce(announcement),
-            EntryRequest::Leave(id) => Self::Leave(id),
+            EntryRequest::Leave(departure) => Self::Leave(departure),
         }
     }
 }
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -92,7 +92,8 @@
     pub lost_answers: f64,
     /// Mean time between crashes of executors, in milliseconds; 0 for none.
     pub crash_interval_ms: u64,
-    /// Share of crashed executors that are back under their identifier, after 20 to 1,500 ms.
+    /// Share of executors that crash, or report their end, and are back under their identifier after
+    /// 20 to 1,500 ms.
     pub reborn_executors: f64,
     /// Mean time between changes of the leader, in milliseconds; 0 for none.
     pub leader_change_interval_ms: u64,
@@ -126,6 +127,10 @@
     ///
     /// Such an executor ends after 6 to 10 s, whether or not its tasks have been moved.
     pub leave_interval_ms: u64,
+    /// Share of executors that leave whose report that they end is held up, for 0.3 to 12 s; the
+    /// others report it in time. Half of the reports name the incarnation. With 0.0, none reports
+    /// its end.
+    pub held_up_departures: f64,
     /// Share by which estimates may be off in either direction; 0 for the usual 0.15.
     pub estimate_error: f64,
     /// Share of the runs of finite tasks that take seven times as long.
@@ -189,6 +194,7 @@
                 capacity_change_interval_ms: 0,
                 crashing_jobs: 0.0,
                 leave_interval_ms: 0,
+                held_up_departures: 0.0,
                 estimate_error: 0.0,
                 long_runs: 0.0,
                 crashes_before_upkeep: 0.0,
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use masticfield_jobs::job::RunId;
-use masticfield_jobs::leader::{Announcement, Call, CallError, Event};
+use masticfield_jobs::leader::{Announcement, Call, CallError, Departure, Event};
 use masticfield_jobs::relay::{CallResult, CallTag, ExecutorCall};
 use masticfield_jobs::state::{ExecutorIncarnation, ExecutorKey};
 use rand::RngExt;
@@ -23,6 +23,9 @@
 /// Time until a crashed executor is back that keeps its identifier, in milliseconds.
 const REBORN_MS: std::ops::Range<u64> = 20..1_500;
 
+/// Time for which the report of an executor that it ends may be held up, in milliseconds.
+const HELD_UP_MS: std::ops::Range<u64> = 300..12_000;
+
 /// Factor on the duration of a run that takes unusually long.
 const LONG_RUN_FACTOR: f64 = 7.0;
 
@@ -476,11 +479,52 @@
             self.advance(index);
             self.end_executor(index);
             let host = self.executors[index].host;
-            let after = self.rng.random_range(1_000..3_000);
+            let after = if self.report_end(index) {
+                self.rng.random_range(REBORN_MS)
+            } else {
+                self.rng.random_range(1_000..3_000)
+            };
             self.schedule(after, ScheduledEvent::HostReturns(host));
         }
     }
 
+    /// Sends the report of an executor that it ends, unless the scenario has none; returns whether the
+    /// executor is back under its identifier.
+    fn report_end(&mut self, index: usize) -> bool {
+        let faults = self.scenario.faults;
+        if faults.held_up_departures == 0.0 {
+            return false;
+        }
+        let incarnation = &self.executors[index].incarnation;
+        let (id, started_ms) = (Arc::clone(&incarnation.id), incarnation.started_ms);
+        let departure = Departure {
+            id,
+            started_ms: self.rng.random_bool(0.5).then_some(started_ms),
+        };
+        let after = if self.rng.random_bool(faults.held_up_departures) {
+            self.rng.random_range(HELD_UP_MS)
+        } else {
+            NETWORK_DELAY_MS
+        };
+        let is_reborn = self.rng.random_bool(faults.reborn_executors);
+        if is_reborn {
+            let host = self.executors[index].host;
+            self.hosts[host].kept_id = Some(Arc::clone(&departure.id));
+        }
+        self.schedule(after, ScheduledEvent::Depart(departure));
+        is_reborn
+    }
+
+    /// Passes on the report of an executor that it ends.
+    pub(super) fn depart(&mut self, departure: Departure) {
+        let reply_to = self.next_reply_id();
+        let event = Event::Left {
+            reply_to,
+            departure,
+        };
+        self.notify_leader(self.epoch, event);
+    }
+
     /// Checks that an order may end a run; see [`Checker::check_ordered_end`].
     ///
     /// [`Checker::check_ordered_end`]: crate::checker::Checker::check_ordered_end
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -13,8 +13,8 @@
 
 use masticfield_jobs::job::{JobId, RunId};
 use masticfield_jobs::leader::{
-    Call, ClaimWatch, Decision, Defect, Effect, Event, HostOptions, Leader, LeaderOptions, Moment,
-    ReplyId,
+    Call, ClaimWatch, Decision, Defect, Departure, Effect, Event, HostOptions, Leader,
+    LeaderOptions, Moment, ReplyId,
 };
 use masticfield_jobs::relay::{CallResult, CallTag, ExecutorCall, RelayKey, RelayOptions, Relays};
 use masticfield_jobs::state::{Command, ExecutorKey, State};
@@ -141,6 +141,8 @@
     LetExecutorLeave,
     /// An executor that was leaving ends.
     EndLeaving(usize),
+    /// The report of an executor that it ends reaches the leader.
+    Depart(Departure),
     /// A run crashes the executor that has started it.
     CrashByRun(usize, RunId),
     /// The capacity of a random executor shrinks.
@@ -464,6 +466,7 @@
                 self.schedule_fault(mean, ScheduledEvent::LetExecutorLeave);
             }
             ScheduledEvent::EndLeaving(executor) => self.end_leaving(executor),
+            ScheduledEvent::Depart(departure) => self.depart(departure),
             ScheduledEvent::ShrinkCapacity => {
                 self.shrink_capacity();
                 let mean = self.scenario.faults.capacity_change_interval_ms;
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -323,6 +323,38 @@
     }
 }
 
+/// Executors that leave report their end, some of them seconds after they are back under their
+/// identifier.
+fn held_up_departures(faults: Faults) -> Faults {
+    Faults {
+        leave_interval_ms: 700,
+        held_up_departures: 0.5,
+        ..reborn_executors(faults)
+    }
+}
+
+/// Guards against a task that runs twice, as the report that an executor ends arrived when its next
+/// incarnation had the task.
+#[rstest]
+#[case::alone(no_faults(), 0)]
+#[case::lost_answers(delayed_orders(), 0)]
+#[case::leader_changes(leader_changes(), 0)]
+#[case::crashes_and_partitions(crashes_and_partitions(), 0)]
+#[case::mixed_faults(mixed_faults(), 0)]
+#[case::through_relays(mixed_faults(), 4)]
+fn no_task_starts_again_on_account_of_a_departure_that_arrives_late(
+    #[case] faults: Faults,
+    #[case] relays: usize,
+) {
+    for seed in seeds() {
+        let scenario = Scenario::new(Fleet::small()).load_ms(15_000).relays(relays);
+        let scenario = scenario.faults(held_up_departures(faults));
+        let report = Simulation::new(scenario, seed).run();
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+    }
+}
+
 /// About 350 executors whose polls go through relays, all kinds of faults, and queues that surge.
 #[test]
 fn no_task_starts_again_on_hundreds_of_executors() {
@@ -554,6 +586,11 @@
     reborn_executors(delayed_orders()),
     Fleet::small()
 )]
+#[case::late_departures(
+    Defect::DepartureOfLatest,
+    held_up_departures(no_faults()),
+    Fleet::small()
+)]
 #[case::stored_ends(Defect::AcknowledgeBeforeCommit, leader_changes(), Fleet::small())]
 fn each_left_out_guard_is_detected(
     #[case] defect: Defect,
--- a/crates/masticfield-entry/src/jobs/link_handle.rs
+++ b/crates/masticfield-entry/src/jobs/link_handle.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use masticfield_core::clock::boot_now;
-use masticfield_jobs::leader::{Announcement, BriefAnnouncement, JobRequest, Refusal, Reply};
+use masticfield_jobs::leader::{
+    Announcement, BriefAnnouncement, Departure, JobRequest, Refusal, Reply,
+};
 use masticfield_jobs::protocol::EntryRequest;
 use masticfield_jobs::queue::RequestLimits;
 use masticfield_jobs::relay::{CallResult, ConfirmedAnnouncements};
@@ -100,9 +102,9 @@
         reply
     }
 
-    /// Passes on that the executor with identifier `id` is about to end.
-    pub async fn leave(&self, id: impl Into<Arc<str>>) -> Reply {
-        self.send(EntryRequest::Leave(id.into())).await
+    /// Passes on that an executor is about to end.
+    pub async fn leave(&self, departure: Departure) -> Reply {
+        self.send(EntryRequest::Leave(departure)).await
     }
 
     async fn send(&self, request: EntryRequest) -> Reply {
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -1,20 +1,21 @@
 //! Announcements of executors, and checks of their health.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase, RunLocation, RunOrigin};
+use super::executor::{
+    AnnouncementOrder, ExecutorView, HoldPhase, ReportedEnd, RunLocation, RunOrigin,
+};
 use super::retirement::Retirement;
 use super::{
-    Announcement, BriefAnnouncement, Defect, Effect, Leader, Moment, Refusal, Reply, ReplyId,
+    Announcement, BriefAnnouncement, Defect, Departure, Effect, Leader, Moment, Refusal, Reply,
+    ReplyId,
 };
 use crate::job::{Resources, RunId};
 use crate::schedule::poll_interval;
 use crate::state::{Command, EndKind, ExecutorKey};
 
-/// Time from an executor's report that it is about to end until it is retired.
-const LEAVE_GRACE: Duration = Duration::from_secs(1);
-
 /// Number of announcement intervals without contact after which no task starts on an executor.
 const MISSED_ANNOUNCEMENTS: f64 = 2.5;
 
@@ -27,6 +28,17 @@
 /// Maximum time for which a new executor gets no long-running tasks while its host is not listed.
 const HOST_UNKNOWN_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Which incarnation of an executor a report of an end is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Departing {
+    /// One before the known one.
+    Former,
+    /// The known one.
+    Known,
+    /// One that has not announced itself yet.
+    Later,
+}
+
 impl Leader {
     pub(super) fn on_announcement(
         &mut self,
@@ -257,12 +269,23 @@
         }
     }
 
-    pub(super) fn on_left(&mut self, now: Moment, reply_to: ReplyId, id: &Arc<str>) {
-        if let Some(key) = self.key_by_id.get(id).copied()
-            && let Some(view) = self.executors.get_mut(&key)
-        {
-            view.left_at.get_or_insert(now.monotonic);
-            self.propose(Command::Leaving { executor: key });
+    /// Handles the report of an incarnation that it is about to end.
+    ///
+    /// Only that incarnation is retired: a report that was held up may arrive when the next one
+    /// runs tasks, which would start again beside their runs.
+    pub(super) fn on_left(&mut self, now: Moment, reply_to: ReplyId, departure: &Departure) {
+        if let Some(key) = self.key_by_id.get(&departure.id).copied() {
+            let concerned = self.departing(key, departure);
+            log::info!(
+                executor = departure.id.as_ref(), born_ms = departure.started_ms, concerned:?;
+                "executor reports its end"
+            );
+            match concerned {
+                Departing::Former => {}
+                Departing::Known => self.record_departure(now, key, departure),
+                // The known one has ended, as a later one has started.
+                Departing::Later => self.supersede(now, key),
+            }
         }
         self.after_commit(Effect::Reply {
             reply_to,
@@ -270,6 +293,41 @@
         });
     }
 
+    /// Returns which incarnation a report of an end is about, by that which is known.
+    fn departing(&self, key: ExecutorKey, departure: &Departure) -> Departing {
+        let Some(record) = self.state.executor(key) else {
+            return Departing::Former;
+        };
+        if self.options.defect == Some(Defect::DepartureOfLatest) {
+            return Departing::Known;
+        }
+        let Some(started_ms) = departure.started_ms else {
+            // Every incarnation announces that it leaves before it reports that it ends.
+            return if record.leaving {
+                Departing::Known
+            } else {
+                Departing::Former
+            };
+        };
+        match started_ms.cmp(&record.incarnation.started_ms) {
+            Ordering::Less => Departing::Former,
+            Ordering::Equal => Departing::Known,
+            Ordering::Greater => Departing::Later,
+        }
+    }
+
+    fn record_departure(&mut self, now: Moment, key: ExecutorKey, departure: &Departure) {
+        let quick = self.options.defect == Some(Defect::DepartureOfLatest);
+        if let Some(view) = self.executors.get_mut(&key) {
+            view.departure.get_or_insert(ReportedEnd {
+                at: now.monotonic,
+                names_incarnation: departure.started_ms.is_some() || quick,
+            });
+        }
+        self.propose(Command::Leaving { executor: key });
+        self.poll_beside(now, key);
+    }
+
     /// Removes an incarnation that has ended, with all its runs.
     pub(super) fn retire(&mut self, now: Moment, key: ExecutorKey, reason: Retirement) {
         let Some(record) = self.state.executor(key) else {
@@ -345,9 +403,7 @@
             return;
         };
         let last_contact = view.clock.map_or(Duration::ZERO, |clock| clock.received);
-        let left = view
-            .left_at
-            .is_some_and(|left| now.monotonic > left + LEAVE_GRACE);
+        let left = view.has_left(now.monotonic);
         let at_once = self.options.defect == Some(Defect::LapseAtOnce) && view.failed_holds > 0;
         let expired = at_once || view.leases_expired(now.monotonic);
         let superseded = view.superseded_at;
@@ -368,7 +424,7 @@
         }
         // One that has reported its end takes its tasks with it, whatever is ordered.
         let about_to_end = self.executors.get(&key);
-        let about_to_end = about_to_end.is_none_or(|view| view.left_at.is_some());
+        let about_to_end = about_to_end.is_none_or(|view| view.departure.is_some());
         let record = self.state.executor(key);
         if !about_to_end && record.is_some_and(|record| record.leaving) {
             self.drain(now, key, true);
@@ -422,7 +478,7 @@
             && runs_known
             && !record.leaving
             && !view.cordoned
-            && view.left_at.is_none()
+            && view.departure.is_none()
             && view.superseded_at.is_none()
             && view.unknown_runs.is_empty()
             && now.monotonic >= view.backoff_until
--- a/crates/masticfield-jobs/src/leader/event.rs
+++ b/crates/masticfield-jobs/src/leader/event.rs
@@ -53,8 +53,8 @@
     Left {
         /// Identifier of the pending reply.
         reply_to: ReplyId,
-        /// Identifier of the executor.
-        id: Arc<str>,
+        /// Incarnation that ends.
+        departure: Departure,
     },
     /// An operator starts a wave of upkeep.
     Wave {
@@ -172,6 +172,17 @@
     pub leaving: bool,
 }
 
+/// Report of an executor that it is about to end.
+///
+/// It may arrive after the next incarnation of the executor has announced itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Identifier of the executor.
+    pub id: Arc<str>,
+    /// Start time of the incarnation, if reported; see [`ExecutorIncarnation::started_ms`].
+    pub started_ms: Option<u64>,
+}
+
 /// What differs between an announcement of an executor and an unchanged earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BriefAnnouncement {
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -20,6 +20,9 @@
 /// Progress of a long-running task that serves, in percent.
 pub(super) const SERVING_PERCENT: u32 = 100;
 
+/// Time without a report of its runs after which an executor that has reported its end is retired.
+const LEAVE_GRACE: Duration = Duration::from_secs(1);
+
 /// Minimum time for which a poll waits for an end, so that rough estimates do not cause many polls.
 const MIN_POLL_WAIT: Duration = Duration::from_millis(300);
 
@@ -75,8 +78,9 @@
     /// Time since which another incarnation of the executor is known to answer, which has not
     /// announced itself yet and may have runs of this one. Nothing is sent meanwhile.
     pub(super) superseded_at: Option<Duration>,
-    /// Time at which the executor reported that it is about to end.
-    pub(super) left_at: Option<Duration>,
+    /// Time at which this incarnation last reported its runs.
+    pub(super) reported_at: Duration,
+    pub(super) departure: Option<ReportedEnd>,
     pub(super) reliability: Reliability,
     /// Number of these runs that may crash the executor; see [`RunView::suspected`].
     pub(super) suspects: u32,
@@ -84,6 +88,15 @@
     pub(super) quarantine: Option<Quarantine>,
 }
 
+/// Report of an executor that it is about to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ReportedEnd {
+    /// Time at which the report arrived.
+    pub(super) at: Duration,
+    /// Whether the report names this incarnation, so that it cannot be one of a former one.
+    pub(super) names_incarnation: bool,
+}
+
 /// State of the executor's poll; see [`Call::Hold`](super::Call::Hold).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum HoldPhase {
@@ -192,7 +205,8 @@
             cordoned: false,
             host_unknown_until: Duration::ZERO,
             superseded_at: None,
-            left_at: None,
+            reported_at: Duration::ZERO,
+            departure: None,
             reliability: Reliability::default(),
             suspects: 0,
             quarantine: None,
@@ -336,6 +350,17 @@
         lease_end(self.lease_extended_at + CALL_VALIDITY, lease)
     }
 
+    /// Returns whether the executor has ended by its own report, and its runs with it.
+    ///
+    /// A report that names no incarnation may be one of a former one, so that runs end with their
+    /// leases.
+    pub(super) fn has_left(&self, now: Duration) -> bool {
+        self.departure.is_some_and(|departure| {
+            let is_silent = now > departure.at.max(self.reported_at) + LEAVE_GRACE;
+            is_silent && (departure.names_incarnation || self.runs.is_empty())
+        })
+    }
+
     /// Returns whether every lease on the executor has certainly expired.
     pub(super) fn leases_expired(&self, now: Duration) -> bool {
         let clock = self.clock;
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -137,6 +137,7 @@
             return;
         };
         view.record_reported_clock(now.monotonic, report.clock_ms);
+        view.reported_at = now.monotonic;
         if view.failed_holds > 0 {
             log::info!(executor = key.0, failures = view.failed_holds; "executor answers again");
         }
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -133,7 +133,10 @@
             Event::AnnouncedAgain(announcement) => {
                 self.on_repeated_announcement(now, &announcement);
             }
-            Event::Left { reply_to, id } => self.on_left(now, reply_to, &id),
+            Event::Left {
+                reply_to,
+                departure,
+            } => self.on_left(now, reply_to, &departure),
             Event::Wave { reply_to, order } => self.on_wave(now, reply_to, order),
             Event::HostList { hosts } => self.on_host_list(now, hosts),
             Event::PartialHostList { hosts } => self.on_partial_host_list(now, hosts),
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -40,7 +40,7 @@
 pub use claim_watch::ClaimWatch;
 pub use decision::{Call, Decision, Effect, Refusal, Reply};
 pub use event::{
-    Announcement, BriefAnnouncement, CallError, Event, HoldReport, HostError, ListedEnd,
+    Announcement, BriefAnnouncement, CallError, Departure, Event, HoldReport, HostError, ListedEnd,
     ListedHost, ListedRun, Moment, Rejection,
 };
 pub use intake::{JobRequest, JobRequestKind, ReplyId};
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -67,6 +67,8 @@
     AcknowledgeOtherIncarnation,
     /// A poll acknowledges ends before they are committed; left out by the emulator.
     AcknowledgeBeforeCommit,
+    /// A report that an executor ends is taken for one of its latest incarnation.
+    DepartureOfLatest,
     /// Long-running tasks are stopped without regard to the other tasks of their step.
     StopWithoutCount,
 }
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -250,7 +250,7 @@
     /// Returns when a run was last known to serve; `None` if it is not known to serve now.
     fn last_served(&self, executor: ExecutorKey, run: RunId) -> Option<Duration> {
         let view = self.executors.get(&executor);
-        let view = view.filter(|view| view.failed_holds == 0 && view.left_at.is_none())?;
+        let view = view.filter(|view| view.failed_holds == 0 && view.departure.is_none())?;
         let run = view.runs.get(&run)?;
         run.served_at
             .filter(|_| matches!(run.phase, RunPhase::Confirmed(_)))
--- a/crates/masticfield-jobs/src/protocol.rs
+++ b/crates/masticfield-jobs/src/protocol.rs
@@ -5,12 +5,11 @@
 //! one leadership is carried out under a later one.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::leader::{Announcement, BriefAnnouncement, JobRequest, Reply};
+use crate::leader::{Announcement, BriefAnnouncement, Departure, JobRequest, Reply};
 use crate::queue::RequestLimits;
 use crate::relay::{CallResult, RelayOffer, RelayedCall};
 
@@ -57,8 +56,8 @@
     Job(JobRequest),
     /// An executor announces itself.
     Announce(Announcement),
-    /// The executor with this identifier reports that it is about to end.
-    Leave(Arc<str>),
+    /// An executor reports that it is about to end.
+    Leave(Departure),
 }
 
 /// A message from a replica to an entry.
--- a/crates/masticfield-jobs/tests/rebirth.rs
+++ b/crates/masticfield-jobs/tests/rebirth.rs
@@ -5,8 +5,9 @@
 
 use masticfield_jobs::job::{JobId, JobSpec, Resources, RunId, StepSpec};
 use masticfield_jobs::leader::{
-    Announcement, Call, CallError, ClaimWatch, Decision, Effect, Event, HoldReport, JobRequest,
-    JobRequestKind, Leader, LeaderOptions, ListedEnd, ListedRun, Moment, ReplyId,
+    Announcement, Call, CallError, ClaimWatch, Decision, Departure, Effect, Event, HoldReport,
+    JobRequest, JobRequestKind, Leader, LeaderOptions, ListedEnd, ListedRun, Moment, Reply,
+    ReplyId,
 };
 use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
 use masticfield_jobs::state::{
@@ -371,3 +372,182 @@
         assert_eq!(acknowledged(&decision), [(FORMER, 0)], "after a failure");
     }
 }
+
+fn departs(started_ms: impl Into<Option<u64>>) -> Event {
+    Event::Left {
+        reply_to: ReplyId(2_000),
+        departure: Departure {
+            id: "e1".into(),
+            started_ms: started_ms.into(),
+        },
+    }
+}
+
+/// Incarnations that a decision removes.
+fn retired(decision: &Decision) -> Vec<ExecutorKey> {
+    let retired = decision
+        .commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Retire { executor, .. } => Some(*executor),
+            _ => None,
+        });
+    retired.collect()
+}
+
+/// A leader that knows the later incarnation, which has started and listed the run of a job.
+fn leader_of_later_incarnation() -> (Leader, RunId) {
+    let (mut leader, run) = leader_with_order();
+    leader.handle(moment(10), started(run));
+    leader.handle(moment(20), report(FORMER, FORMER_START, 1, &[run], &[]));
+    leader.decide(moment(20));
+    leader.handle(moment(30), announce(LATER_START, 2));
+    leader.handle(moment(31), report(LATER, LATER_START, 30, &[], &[]));
+    let runs = starts(&leader.decide(moment(31)));
+    assert_eq!(runs, [run.task.run(2)]);
+    leader.handle(moment(40), report(LATER, LATER_START, 32, &runs, &[]));
+    leader.decide(moment(40));
+    (leader, run.task.run(2))
+}
+
+/// Which leader receives the report of an end.
+#[derive(Debug, Clone, Copy)]
+enum Receiver {
+    Same,
+    Next,
+}
+
+/// Users saw: a task ran twice at the same time. The former incarnation of its executor had reported
+/// that it ends, and that report arrived seconds after the later one had got the task.
+#[rstest]
+fn a_late_departure_of_a_former_incarnation_ends_nothing(
+    #[values(Receiver::Same, Receiver::Next)] receiver: Receiver,
+    #[values(Some(FORMER_START), None)] started_ms: Option<u64>,
+) {
+    let (mut leader, run) = leader_of_later_incarnation();
+    if matches!(receiver, Receiver::Next) {
+        let options = LeaderOptions::new(Duration::from_secs(5));
+        let watch = ClaimWatch::new(Duration::ZERO);
+        leader = Leader::new(leader.state().clone(), options, watch, moment(50));
+    }
+    leader.handle(moment(60), departs(started_ms));
+    let decision = leader.decide(moment(60));
+    let confirmed = Effect::Reply {
+        reply_to: ReplyId(2_000),
+        reply: Reply::Done,
+    };
+    assert!(decision.after_commit.contains(&confirmed), "{decision:?}");
+    for elapsed_ms in (100..4_000).step_by(300) {
+        leader.handle(moment(elapsed_ms), announce(LATER_START, 2 + elapsed_ms));
+        leader.handle(
+            moment(elapsed_ms),
+            report(LATER, LATER_START, elapsed_ms - 1, &[run], &[]),
+        );
+        let decision = leader.decide(moment(elapsed_ms));
+        assert_eq!(retired(&decision), [], "{elapsed_ms} ms");
+        assert_eq!(starts(&decision), [], "{elapsed_ms} ms");
+    }
+    leader.handle(moment(4_000), submit(8));
+    let decision = leader.decide(moment(4_000));
+    assert_eq!(starts(&decision).len(), 1, "the executor is in use");
+}
+
+#[test]
+fn an_incarnation_that_departs_is_removed_and_its_task_starts_elsewhere() {
+    let (mut leader, run) = leader_of_later_incarnation();
+    leader.handle(moment(60), departs(LATER_START));
+    assert_eq!(retired(&leader.decide(moment(60))), []);
+    leader.handle(moment(61), submit(8));
+    assert_eq!(starts(&leader.decide(moment(61))), [], "it takes no tasks");
+    assert_eq!(retired(&leader.decide(moment(1_500))), [LATER]);
+    let mut next = announce(1, 1);
+    if let Event::Announced { announcement, .. } = &mut next {
+        announcement.incarnation.id = "e2".into();
+    }
+    leader.handle(moment(1_600), next);
+    let again = starts(&leader.decide(moment(1_600)));
+    assert!(again.contains(&run.task.run(3)), "{again:?}");
+}
+
+/// A report that names no incarnation may be one of a former incarnation, so that the runs end with
+/// their leases.
+#[test]
+fn a_departure_that_names_no_incarnation_removes_one_that_leaves_once_its_leases_are_over() {
+    let (mut leader, run) = leader_of_later_incarnation();
+    let mut leaves = announce(LATER_START, 3);
+    if let Event::Announced { announcement, .. } = &mut leaves {
+        (announcement.leaving, announcement.clock_ms) = (true, 50);
+    }
+    leader.handle(moment(50), leaves);
+    leader.handle(moment(60), departs(None));
+    let mut lapsed_ms = None;
+    for elapsed_ms in (60..9_000).step_by(100) {
+        let decision = leader.decide(moment(elapsed_ms));
+        let ended = decision
+            .commands
+            .iter()
+            .any(|command| matches!(command, Command::End { run: ended, .. } if *ended == run));
+        if ended {
+            lapsed_ms = Some(elapsed_ms);
+        }
+        assert!(retired(&decision).is_empty() || lapsed_ms.is_some());
+        let polls = decision
+            .after_commit
+            .iter()
+            .filter_map(|effect| match effect {
+                Effect::Call {
+                    call: Call::Hold { sent, .. },
+                    ..
+                } => Some(*sent),
+                _ => None,
+            });
+        for sent in polls {
+            let unanswered = Event::HoldResult {
+                executor: LATER,
+                sent,
+                result: Err(CallError::Unknown),
+            };
+            leader.handle(moment(elapsed_ms + 50), unanswered);
+        }
+    }
+    // The last poll before the report extended the lease to 5 s.
+    assert!(lapsed_ms.is_some_and(|at| at > 4_500), "{lapsed_ms:?}");
+    assert!(leader.state().executor(LATER).is_none(), "it is removed");
+}
+
+/// An executor whose report got no acknowledgement goes on for some seconds.
+#[rstest]
+fn an_incarnation_that_answers_after_its_departure_is_not_removed_yet(
+    #[values(Some(LATER_START), None)] started_ms: Option<u64>,
+) {
+    let (mut leader, run) = leader_of_later_incarnation();
+    leader.handle(moment(60), departs(started_ms));
+    for elapsed_ms in (100..3_000).step_by(300) {
+        let answer = report(LATER, LATER_START, elapsed_ms - 1, &[run], &[]);
+        leader.handle(moment(elapsed_ms), answer);
+        let decision = leader.decide(moment(elapsed_ms));
+        assert_eq!(retired(&decision), [], "{elapsed_ms} ms");
+        assert_eq!(starts(&decision), [], "{elapsed_ms} ms");
+    }
+}
+
+/// The report of a later incarnation shows that the known one has ended, whose order it may have
+/// carried out.
+#[test]
+fn the_departure_of_an_incarnation_that_is_not_known_yet_ends_the_former_one() {
+    let (mut leader, run) = leader_with_order();
+    leader.handle(moment(10), departs(LATER_START));
+    leader.handle(moment(10), submit(8));
+    let decision = leader.decide(moment(10));
+    assert_eq!(
+        starts(&decision),
+        [],
+        "the later incarnation may have {run}"
+    );
+    let (mut leader, run) = leader_with_order();
+    leader.handle(moment(10), started(run));
+    leader.handle(moment(20), report(FORMER, FORMER_START, 1, &[run], &[]));
+    leader.decide(moment(20));
+    leader.handle(moment(30), departs(LATER_START));
+    assert_eq!(retired(&leader.decide(moment(30))), [FORMER]);
+}
--- a/crates/masticfield-soak/src/stand_ins/executors.rs
+++ b/crates/masticfield-soak/src/stand_ins/executors.rs
@@ -13,7 +13,7 @@
 use masticfield_node::http::{HttpLimits, Reply, Server, json_reply, read_body};
 use masticfield_platform_stand_ins::{
     ExecutorOrder, decode_next_address, encode_announcement, encode_clock, encode_hold,
-    encode_rejection, leave_path, names_executor,
+    encode_leave, encode_rejection, names_executor,
 };
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
@@ -190,13 +190,15 @@
         if acknowledged.await.is_ok() {
             tokio::time::sleep(DRAIN_TIME).await;
         }
-        let id = self.with_life(index, |life| {
-            (life.number == number).then(|| Arc::clone(&life.incarnation.id))
+        let leave = self.with_life(index, |life| {
+            let incarnation = &life.incarnation;
+            (life.number == number).then(|| encode_leave(&incarnation.id, incarnation.started_ms))
         });
-        let Some(Some(id)) = id else { return };
-        let path = leave_path(&id);
+        let Some(Some((path, body))) = leave else {
+            return;
+        };
         for control in &self.options.controls {
-            let sent = self.client.send(Method::POST, *control, &path, "{}").await;
+            let sent = self.client.send(Method::POST, *control, &path, &body).await;
             if sent.is_some_and(|(status, _)| status.is_success()) {
                 break;
             }
