fix(platform): apply changed seeds while a program runs

An entry whose seeds were all gone by its first contact, and a replica that joins with such seeds, never found the group, although the settings file named other seeds since. SIGHUP read the file and applied nothing; a file that changes without a signal was not read.

The tests of the entry and of the replica need the new interface.

The initial members of a new group stay those of the start.

--- a/crates/masticfield-control/tests/control/replaced_members.rs
+++ b/crates/masticfield-control/tests/control/replaced_members.rs
@@ -7,14 +7,14 @@
 use masticfield_core::ids::ReplicaId;
 use masticfield_entry::jobs::{JobRequestMetrics, LeaderLink, LeaderLinkHandle, LeaderLinkOptions};
 use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec};
-use masticfield_jobs::leader::{JobRequest, JobRequestKind, LeaderOptions, Reply};
+use masticfield_jobs::leader::{JobRequest, JobRequestKind, LeaderOptions, Refusal, Reply};
 use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
 use masticfield_jobs::state::JobStatus;
 use masticfield_replica::{ReplicaHandle, ReplicaOptions};
 use prometheus::Registry;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
 // The ports are the same on all hosts, as each test process has its own loopback addresses.
@@ -30,6 +30,7 @@
 /// A control replica that accepts entries; it ends when it is dropped.
 struct Member {
     ip: IpAddr,
+    replica: ReplicaHandle,
     control: JobControlHandle,
     _tasks: JoinSet<()>,
     _dir: TempDir,
@@ -42,28 +43,35 @@
     Ipv4Addr::new(127, high | 0x80, low, host).into()
 }
 
+fn peers(hosts: &[u8]) -> Vec<(ReplicaId, SocketAddr)> {
+    let peer = |host: &u8| {
+        let address = SocketAddr::new(ip(*host), REPLICA_PORT);
+        (ReplicaId::new(u64::from(*host)), address)
+    };
+    hosts.iter().map(peer).collect()
+}
+
 /// Starts a replica on a host with an empty disk.
 async fn start(host: u8, seeds: &[u8], first_start: bool) -> Member {
-    let id = |host: u8| ReplicaId::new(u64::from(host));
-    let peers = seeds.iter().filter(|seed| **seed != host);
-    let peers = peers.map(|seed| (id(*seed), SocketAddr::new(ip(*seed), REPLICA_PORT)));
+    let others: Vec<_> = seeds.iter().copied().filter(|seed| *seed != host).collect();
     let dir = tempfile::tempdir().unwrap();
-    let options = ReplicaOptions::new(id(host), dir.path())
+    let options = ReplicaOptions::new(ReplicaId::new(host.into()), dir.path())
         .listen(SocketAddr::new(ip(host), REPLICA_PORT))
-        .peers(peers)
+        .peers(peers(&others))
         .target_voters(3)
         .may_bootstrap(first_start);
     let (replica, applied) = ReplicaHandle::open(options).await.unwrap();
     let (orders, orders_rx) = mpsc::unbounded_channel();
     let metrics = JobMetrics::register(&Registry::new()).unwrap();
     let leader = LeaderOptions::new(Duration::from_secs(5));
-    let (job_control, control) = JobControl::new(replica, applied, leader, orders, metrics);
+    let (job_control, control) = JobControl::new(replica.clone(), applied, leader, orders, metrics);
     let listener = TcpListener::bind((ip(host), ENTRY_PORT)).await.unwrap();
     let mut tasks = JoinSet::new();
     tasks.spawn(job_control.run());
     tasks.spawn(serve_entries(listener, control.clone()));
     Member {
         ip: ip(host),
+        replica,
         control,
         _tasks: tasks,
         _dir: dir,
@@ -72,12 +80,14 @@
 }
 
 fn connect_entry(seeds: &[u8]) -> LeaderLinkHandle {
+    let seeds = seeds.iter().map(|seed| SocketAddr::new(ip(*seed), 0));
+    connect_entry_with(watch::channel(seeds.collect()).1)
+}
+
+fn connect_entry_with(seeds: watch::Receiver<Vec<SocketAddr>>) -> LeaderLinkHandle {
     let options = LeaderLinkOptions {
         process: 1,
-        seeds: seeds
-            .iter()
-            .map(|seed| SocketAddr::new(ip(*seed), ENTRY_PORT))
-            .collect(),
+        seeds,
         port: ENTRY_PORT,
     };
     let metrics = JobRequestMetrics::register(&Registry::new()).unwrap();
@@ -204,19 +214,25 @@
     );
 }
 
-/// Guards against an entry that answers every caller with "come back later" for good, once all
-/// replicas that it knew when it connected to the leader are gone.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_entry_finds_the_leader_after_all_members_were_replaced() {
-    let seeds = [1, 2, 3];
+/// Starts a group of three and applies a configuration.
+async fn start_group(seeds: &[u8; 3]) -> Vec<Member> {
     let mut members = Vec::new();
     for host in seeds {
-        members.push(start(host, &seeds, true).await);
+        members.push(start(*host, seeds, true).await);
     }
     await_members(&members).await;
     let leader = leader_of(&members).unwrap().control.clone();
     let reply = leader.configure(config(), b"config".as_slice()).await;
     assert_eq!(reply, Reply::Done);
+    members
+}
+
+/// Guards against an entry that answers every caller with "come back later" for good, once all
+/// replicas that it knew when it connected to the leader are gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_finds_the_leader_after_all_members_were_replaced() {
+    let seeds = [1, 2, 3];
+    let mut members = start_group(&seeds).await;
     let entry = connect_entry(&seeds);
     await_reply(&entry, &JobRequestKind::Submit(job()), &Reply::Done).await;
 
@@ -233,3 +249,28 @@
     let queued = Reply::Status(JobStatus::Queued);
     await_reply(&entry, &JobRequestKind::Read, &queued).await;
 }
+
+/// Guards against an entry that is started with seeds that are all gone, and does not read later ones.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_whose_seeds_are_gone_finds_the_leader_through_later_seeds() {
+    let _members = start_group(&[11, 12, 13]).await;
+    let gone = SocketAddr::new(ip(19), 0);
+    let (seeds, rx) = watch::channel(vec![gone]);
+    let entry = connect_entry_with(rx);
+    let submit = JobRequestKind::Submit(job());
+    let refused = entry.request(request(submit.clone())).await;
+    assert_eq!(refused, Reply::Refused(Refusal::NotReady));
+    seeds.send_replace(vec![SocketAddr::new(ip(12), 0)]);
+    await_reply(&entry, &submit, &Reply::Done).await;
+}
+
+/// Guards against a replica that never joins the group as it was started with seeds that are all gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_whose_seeds_are_gone_joins_through_later_seeds() {
+    let mut members = start_group(&[21, 22, 23]).await;
+    let joining = start(24, &[28, 29], false).await;
+    drop(members.pop());
+    joining.replica.set_peers(peers(&[21, 22])).await.unwrap();
+    members.push(joining);
+    await_members(&members).await;
+}
--- a/crates/masticfield-entry/src/jobs/link.rs
+++ b/crates/masticfield-entry/src/jobs/link.rs
@@ -56,9 +56,9 @@
 pub struct LeaderLinkOptions {
     /// Random number that identifies this process; drawn anew at each start.
     pub process: u64,
-    /// Replicas to try first, by the addresses on which they accept entries.
-    pub seeds: Vec<SocketAddr>,
-    /// Port on which every replica accepts entries; used with the IP addresses of group members.
+    /// Addresses of replicas to try besides the members, which may change. Their ports are not used.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// Port on which every replica accepts entries; used with the IP addresses of replicas.
     pub port: u16,
 }
 
@@ -93,8 +93,8 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let (status_tx, status) = watch::channel(LeaderLinkStatus::default());
         let announcements = SharedAnnouncements::default();
-        let link = Self {
-            replicas: KnownReplicas::new(options.seeds.iter().copied()),
+        let mut link = Self {
+            replicas: KnownReplicas::new([]),
             options,
             rx,
             tx: tx.downgrade(),
@@ -104,6 +104,7 @@
             announcements: announcements.clone(),
             relay: None,
         };
+        link.update_seeds();
         let handle = LeaderLinkHandle {
             tx,
             status,
@@ -174,8 +175,16 @@
         self.pending.expire(now);
     }
 
+    fn update_seeds(&mut self) {
+        let seeds = self.options.seeds.borrow_and_update().clone();
+        self.replicas.set_seeds(self.entry_addresses(seeds));
+    }
+
     /// Tries the next known replica.
     async fn connect_to_leader(&mut self) -> ConnectOutcome {
+        if self.options.seeds.has_changed().unwrap_or_default() {
+            self.update_seeds();
+        }
         let Some(address) = self.replicas.next_to_try() else {
             return ConnectOutcome::NoLeader;
         };
--- a/crates/masticfield-replica/src/handle.rs
+++ b/crates/masticfield-replica/src/handle.rs
@@ -1,5 +1,6 @@
 //! Handle of a running replica.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -127,6 +128,23 @@
         self.members.borrow().clone()
     }
 
+    /// Replaces the peers of the options, to which the replica connects.
+    ///
+    /// A replica that joins a group finds it through any peer that is in it. The initial members of
+    /// a new group stay those of the options.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the replica has stopped.
+    pub async fn set_peers(
+        &self,
+        peers: impl IntoIterator<Item = (ReplicaId, SocketAddr)>,
+    ) -> Result<(), ProposeError> {
+        let peers = peers.into_iter().collect();
+        let sent = self.requests.send(Request::SetPeers(peers)).await;
+        sent.map_err(|_closed| ProposeError::Stopped)
+    }
+
     /// Messages and bytes that this replica has sent to its peers since its start.
     pub fn traffic(&self) -> Traffic {
         self.traffic.totals()
--- a/crates/masticfield-replica/src/runtime/request.rs
+++ b/crates/masticfield-replica/src/runtime/request.rs
@@ -26,6 +26,8 @@
         change: MembershipChange,
         reply: ChangeReply,
     },
+    /// Replaces the configured peers.
+    SetPeers(Vec<(ReplicaId, SocketAddr)>),
     /// Looks up the identity and address of a peer that has made contact, or of this replica.
     FindPeer {
         id: ReplicaId,
@@ -59,6 +61,7 @@
                     self.step(Event::Compact { index, data });
                 }
                 Request::Change { change, reply } => self.change_members(change, reply),
+                Request::SetPeers(peers) => self.set_peers(peers),
                 Request::FindPeer { id, reply } => drop(reply.send(self.find_peer(id))),
             }
         }
--- a/crates/masticfield-replica/src/runtime/running.rs
+++ b/crates/masticfield-replica/src/runtime/running.rs
@@ -237,6 +237,13 @@
         }
     }
 
+    /// Replaces the configured peers and connects to them. Links to former ones stay, as they may be
+    /// members.
+    pub(super) fn set_peers(&mut self, peers: Vec<(ReplicaId, SocketAddr)>) {
+        self.peers = peers;
+        self.connect_and_bootstrap();
+    }
+
     /// Connects to the configured peers, and forms a group if all initial members agree.
     fn connect_and_bootstrap(&mut self) {
         for (id, address) in self.peers.clone() {
