fix(jobs): let a report that names its incarnation replace one that does not

Cause: the first report that an executor ends was kept. One that names no incarnation, which may be of a former one, made a later one that names it wait for the leases of its runs. Found by reading the diff; the case after_unnamed of the test covers it.

--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -317,12 +317,16 @@
     }
 
     fn record_departure(&mut self, now: Moment, key: ExecutorKey, departure: &Departure) {
-        let quick = self.options.defect == Some(Defect::DepartureOfLatest);
+        let trusts_any = self.options.defect == Some(Defect::DepartureOfLatest);
+        let reported = ReportedEnd {
+            at: now.monotonic,
+            names_incarnation: departure.started_ms.is_some() || trusts_any,
+        };
         if let Some(view) = self.executors.get_mut(&key) {
-            view.departure.get_or_insert(ReportedEnd {
-                at: now.monotonic,
-                names_incarnation: departure.started_ms.is_some() || quick,
-            });
+            let earlier = view
+                .departure
+                .filter(|earlier| earlier.names_incarnation || !reported.names_incarnation);
+            view.departure = earlier.or(Some(reported));
         }
         self.propose(Command::Leaving { executor: key });
         self.poll_beside(now, key);
--- a/crates/masticfield-jobs/tests/rebirth.rs
+++ b/crates/masticfield-jobs/tests/rebirth.rs
@@ -452,9 +452,20 @@
     assert_eq!(starts(&decision).len(), 1, "the executor is in use");
 }
 
-#[test]
-fn an_incarnation_that_departs_is_removed_and_its_task_starts_elsewhere() {
+/// An earlier report that names no incarnation, and may be of the former one, changes nothing.
+#[rstest]
+fn an_incarnation_that_departs_is_removed_and_its_task_starts_elsewhere(
+    #[values(false, true)] after_unnamed: bool,
+) {
     let (mut leader, run) = leader_of_later_incarnation();
+    if after_unnamed {
+        let mut leaves = announce(LATER_START, 3);
+        if let Event::Announced { announcement, .. } = &mut leaves {
+            (announcement.leaving, announcement.clock_ms) = (true, 50);
+        }
+        leader.handle(moment(50), leaves);
+        leader.handle(moment(55), departs(None));
+    }
     leader.handle(moment(60), departs(LATER_START));
     assert_eq!(retired(&leader.decide(moment(60))), []);
     leader.handle(moment(61), submit(8));
