--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -292,6 +292,54 @@
     Ok(broken)
 }
 
+/// An order is carried out late, by the next life of an executor that crashed after the run was done. A
+/// finding without a case.
+fn late_after_done(record: &Record) -> Result<bool, String> {
+    let stage = Stage::set_up(record, 8, 2)?;
+    let id = "5c0e7a21d94b36f8";
+    let work = Duration::from_secs(2);
+    let step = StepKind {
+        count: 1,
+        work,
+        gang: false,
+        checkpointing: false,
+        lasts: false,
+    };
+    if stage.trouble {
+        stage
+            .shared
+            .with(|world| world.carry_out_late(Duration::from_secs(10)));
+    }
+    stage.submit(id, &step, "")?;
+    let started = stage.wait(Duration::from_secs(20), |world| {
+        let mut starts = world.events.iter().filter(|event| event.what == "start");
+        starts.next().map(|event| event.executor.clone())
+    });
+    let first = started.ok_or("the job did not start")?;
+    stage.shared.with(|world| world.carry_out_at_once());
+    thread::sleep(Duration::from_secs(4));
+    let state = stage.system.state(record, id);
+    if stage.trouble {
+        stage.shared.with(|world| world.crash(record, &first));
+        thread::sleep(Duration::from_secs(2));
+        stage.shared.with(|world| world.restart(record, &first));
+    }
+    thread::sleep(Duration::from_secs(12));
+    let events = stage.shared.with(|world| world.events.clone());
+    let done = events
+        .iter()
+        .find(|event| event.what == "done")
+        .map(|event| event.at);
+    let again = events
+        .iter()
+        .filter(|event| event.what == "start" && done.is_some_and(|at| event.at > at))
+        .count();
+    record.line(format!(
+        "the job was shown as {state:?}; {again} starts after its task was done"
+    ));
+    Ok(again > 0)
+}
+
 /// Jobs are placed on an executor that has just crashed, and clients ask how many wait.
 fn pending_count(record: &Record) -> Result<bool, String> {
     let stage = Stage::set_up(record, 8, 2)?;
@@ -435,6 +483,7 @@
         "gang-attempts" => gang_attempts(&record),
         "pending-count" => pending_count(&record),
         "nightly-jobs" => nightly_jobs(&record),
+        "late-after-done" => late_after_done(&record),
         "late-order" => late_order(&record),
         _ => Err(format!("unknown case {case}")),
     };
