test(review): cases 6 and 7 within the doses of the site

Case 6 sends 12 jobs a second instead of 18, so that it needs no burst; case 7 leaves one order of 26 unanswered instead of one of two.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -248,6 +248,15 @@
         checkpointing: false,
         lasts: false,
     };
+    // Other orders, which are answered: one of 26 is not, which is less than a share of 0.055.
+    let short = StepKind {
+        work: Duration::from_millis(100),
+        ..step.clone()
+    };
+    for number in 0..24 {
+        stage.submit(&format!("00000000000000{number:02x}"), &short, "")?;
+    }
+    thread::sleep(Duration::from_secs(1));
     if stage.trouble {
         stage
             .shared
@@ -255,8 +264,9 @@
     }
     stage.submit(id, &step, "")?;
     let started = stage.wait(Duration::from_secs(20), |world| {
-        let mut starts = world.events.iter().filter(|event| event.what == "start");
-        starts.next().map(|event| event.executor.clone())
+        let starts = world.events.iter().filter(|event| event.what == "start");
+        let mut of_job = starts.filter(|event| event.task.starts_with(id));
+        of_job.next().map(|event| event.executor.clone())
     });
     let first = started.ok_or("the job did not start")?;
     stage.shared.with(|world| world.carry_out_at_once());
@@ -417,7 +427,7 @@
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let now = now.map_err(|error| error.to_string())?.as_millis() as u64;
     let first = now + 86_400_000;
-    let until = Instant::now() + Duration::from_secs(40);
+    let until = Instant::now() + Duration::from_secs(50);
     let mut accepted = 0;
     for number in 0..JOBS {
         let id = format!("5c0e7a21{number:08x}");
@@ -432,7 +442,7 @@
                 stage.system.client(record, "POST", &id, &body),
                 Some((200, _))
             );
-            thread::sleep(Duration::from_millis(if stored { 50 } else { 300 }));
+            thread::sleep(Duration::from_millis(if stored { 80 } else { 300 }));
         }
         accepted += u32::from(stored);
     }
