fix(jobs): count a job as pending until an executor has begun a task

Cause: the status and the count go by `JobRecord::started`, which is set when an order is recorded, before it is sent. A rejected or lost order does not take it back.

Ruled out: a stale read (the answers stay wrong for 6 s), and jobs missing from the queue (each is shown as running by the same flag).

Change: `Command::Begun` records, once a job, that an executor has answered an order, listed a run or listed its end. Status, count and the metric of the wait go by it. Why this works: it is proposed from what executors say, and it is in the state, so that the next leader has it as well.

--- a/crates/masticfield-control/src/jobs/observer.rs
+++ b/crates/masticfield-control/src/jobs/observer.rs
@@ -47,7 +47,9 @@
         match command {
             Command::Start { run, .. } => {
                 self.placed_at.insert(*run, boot_now());
-                if let Some(job) = state.job(run.task.job).filter(|job| !job.started) {
+            }
+            Command::Begun { job } => {
+                if let Some(job) = state.job(*job).filter(|job| !job.begun) {
                     let waited = wall_ms.saturating_sub(job.accepted_ms);
                     self.metrics.observe_job_wait(Duration::from_millis(waited));
                 }
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -144,8 +144,12 @@
         let first_answer = !view.responsive;
         (view.responsive, view.failed_holds) = (true, 0);
         self.lapsed.take(key);
+        let mut begun = Vec::new();
         for listed in &report.running {
             if let Some(run) = view.runs.get_mut(&listed.run) {
+                if run.baseline.is_none() {
+                    begun.push(listed.run.task.job);
+                }
                 run.location = RunLocation::This;
                 run.percent = listed.percent;
                 let serves = listed.percent >= SERVING_PERCENT;
@@ -161,8 +165,12 @@
                 }
             }
         }
+        for job in begun {
+            self.record_begun(job);
+        }
         for ended in &report.finished {
             self.log_unknown_end(key, ended);
+            self.record_begun(ended.run.task.job);
             let saved = ended.saved.clone();
             self.end_run(now, key, ended.run, ended.kind, saved);
         }
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -7,7 +7,7 @@
 use super::retirement::Retirement;
 use super::{Call, CallError, Defect, Effect, Leader, Moment, Rejection};
 use crate::job::{JobId, RunId};
-use crate::state::{Command, EndKind, ExecutorKey, JobPhase};
+use crate::state::{Command, EndKind, ExecutorKey, JobPhase, JobRecord};
 
 /// Number of unanswered orders to start after which the run is stopped instead.
 const MAX_START_ATTEMPTS: u32 = 3;
@@ -141,6 +141,7 @@
                     view.phase = RunPhase::Confirmed(now.monotonic);
                 }
                 let (long_running, suspected) = (view.long_running, view.suspected);
+                self.record_begun(run.task.job);
                 if suspected || (long_running && !self.hosts.upkeep_due.is_empty()) {
                     self.poll_beside(now, executor);
                 }
@@ -223,6 +224,16 @@
         }
     }
 
+    /// Records that an executor has begun a task of a job, unless that is known.
+    ///
+    /// An order alone shows nothing: the executor may reject it, or be lost before it arrives.
+    pub(super) fn record_begun(&mut self, job: JobId) {
+        let waits = |record: &JobRecord| !record.begun && record.phase == JobPhase::Open;
+        if self.state.job(job).is_some_and(waits) {
+            self.propose(Command::Begun { job });
+        }
+    }
+
     /// Orders an executor to stop a run.
     pub(super) fn stop(&mut self, now: Moment, executor: ExecutorKey, run: RunId) {
         if let Some(view) = self.run_mut(executor, run) {
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -177,6 +177,11 @@
         /// Incarnation that may have the run.
         to: ExecutorKey,
     },
+    /// Records that an executor has begun a task of a job, the first one to do so.
+    Begun {
+        /// Job of the task.
+        job: JobId,
+    },
 }
 
 impl Command {
@@ -241,6 +246,7 @@
             Self::ConfigureAccess { .. } => "configure-access",
             Self::SubmitFor { .. } => "submit-for",
             Self::Reassign { .. } => "reassign",
+            Self::Begun { .. } => "begun",
         }
     }
 }
--- a/crates/masticfield-jobs/src/state/job.rs
+++ b/crates/masticfield-jobs/src/state/job.rs
@@ -19,7 +19,7 @@
     pub accepted_ms: u64,
     /// Whether the job is open, and how it ended otherwise.
     pub phase: JobPhase,
-    /// Whether any task was ever started.
+    /// Whether any run was ever recorded.
     pub started: bool,
     /// Number of runs that have not ended.
     pub active_runs: u32,
@@ -29,6 +29,10 @@
     /// the rest of the state.
     #[serde(skip)]
     pub workspace: Option<WorkspaceId>,
+    /// Whether an executor has begun any task, as far as is known. Encoded after the rest of the
+    /// state.
+    #[serde(skip)]
+    pub begun: bool,
 }
 
 /// Whether a job is open, and how it ended otherwise.
@@ -47,9 +51,9 @@
 /// Status of a job as reported to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStatus {
-    /// No task has been started yet.
+    /// No executor has begun a task yet.
     Queued,
-    /// At least one task has been started.
+    /// An executor has begun at least one task.
     Running,
     /// All tasks are done.
     Completed,
@@ -86,13 +90,14 @@
             active_runs: 0,
             ended_ms: None,
             workspace: None,
+            begun: false,
         }
     }
 
     /// Returns the status as reported to callers.
     pub const fn status(&self) -> JobStatus {
         match self.phase {
-            JobPhase::Open if self.started => JobStatus::Running,
+            JobPhase::Open if self.begun => JobStatus::Running,
             JobPhase::Open => JobStatus::Queued,
             JobPhase::Completed => JobStatus::Completed,
             JobPhase::Failed => JobStatus::Failed,
@@ -149,6 +154,7 @@
             let step = &spec.steps[usize::from(run.task.step)];
             (step.gang, step.long_running)
         };
+        self.begun |= kind == EndKind::Done;
         match kind {
             EndKind::Done if long_running => {}
             EndKind::Done => self.mark_done(run.task, gang, at_ms),
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -252,6 +252,10 @@
                 true
             }
             Command::Reassign { run, from, to } => self.reassign(run, from, to),
+            Command::Begun { job } => {
+                let job = self.jobs.get_mut(&job);
+                job.is_some_and(|job| !std::mem::replace(&mut job.begun, true))
+            }
         }
     }
 
