fix(jobs): wait for the leases of former incarnations, also as the next leader

Cause: a call for a former incarnation that reaches the later one extends its lease to the longest that it grants (10 s), as its clock starts anew. The leader waited for that only in its own memory, so that the next leader took the runs for over after a usual lease (5 s); and only where runs were assigned to the later incarnation, so that a run placed there since was taken for over too early, also without a change of the leader. A run that was listed, with an order without an answer, was not taken to be possibly on a later one.

Change: the state has which executors may hold such a lease (Command::FormerLeases) and which runs are located for good (Command::Located). A new leader waits for the usual lease where both are known to be safe, and for the longest otherwise. Why this works: both are recorded with the incarnation or from its reports, and are part of the state, so that every leader bounds the lease by what any leader's calls may have granted.

--- a/crates/masticfield-emulator/src/fleet.rs
+++ b/crates/masticfield-emulator/src/fleet.rs
@@ -10,6 +10,9 @@
 
 use crate::scenario::Scenario;
 
+/// Longest estimate of a task unless the mean of its queue is longer, in milliseconds.
+const LONGEST_TASK_MS: u64 = 5_000;
+
 /// Hosts and queues, with a pool of hosts for each queue and a standby pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fleet {
@@ -257,6 +260,7 @@
 impl QueueLoad {
     /// Returns a random job of this queue, with steps that run one after the other.
     pub(crate) fn job(&self, rng: &mut ChaCha8Rng) -> JobSpec {
+        let longest = round_to_u64(self.task_ms).max(LONGEST_TASK_MS);
         let steps = round_to_u64(spread(rng, self.steps_per_job, 0.4)).clamp(1, 5);
         let steps = (0..steps).map(|number| StepSpec {
             count: u32::try_from(round_to_u64(spread(rng, self.tasks_per_step, 0.6)))
@@ -267,7 +271,7 @@
                 memory_mb: round_to_u64(spread(rng, self.task_memory_mb, 0.6)).clamp(64, 42_000),
                 gpus: 0,
             },
-            estimate_ms: round_to_u64(spread(rng, self.task_ms, 0.5)).clamp(20, 5_000),
+            estimate_ms: round_to_u64(spread(rng, self.task_ms, 0.5)).clamp(20, longest),
             depends_on: u16::try_from(number)
                 .ok()
                 .filter(|n| *n > 0)
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -95,6 +95,10 @@
     /// Share of executors that crash, or report their end, and are back under their identifier after
     /// 20 to 1,500 ms.
     pub reborn_executors: f64,
+    /// Share of executors that are back under their identifier and are separated from the leader for 5
+    /// to 12 s soon after, from 0.2 to 3 s after their start. With any, executors that end do not close
+    /// their connections, so that polls of them time out.
+    pub cut_off_reborn: f64,
     /// Mean time between changes of the leader, in milliseconds; 0 for none.
     pub leader_change_interval_ms: u64,
     /// Mean time between network partitions of executors, in milliseconds; 0 for none.
@@ -181,6 +185,7 @@
                 lost_answers: 0.0,
                 crash_interval_ms: 0,
                 reborn_executors: 0.0,
+                cut_off_reborn: 0.0,
                 leader_change_interval_ms: 0,
                 partition_interval_ms: 0,
                 relay_fault_interval_ms: 0,
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -23,6 +23,12 @@
 /// Time until a crashed executor is back that keeps its identifier, in milliseconds.
 const REBORN_MS: std::ops::Range<u64> = 20..1_500;
 
+/// Time from the start of an executor that is back until it is cut off, in milliseconds.
+const CUT_OFF_AFTER_MS: std::ops::Range<u64> = 200..3_000;
+
+/// Time for which such an executor is cut off, in milliseconds.
+const CUT_OFF_MS: std::ops::Range<u64> = 5_000..12_000;
+
 /// Time for which the report of an executor that it ends may be held up, in milliseconds.
 const HELD_UP_MS: std::ops::Range<u64> = 300..12_000;
 
@@ -35,8 +41,9 @@
         let index = self.executors.len();
         let clock_rate = 1.0 - self.scenario.faults.max_clock_drift * self.rng.random::<f64>();
         let kept = self.hosts[host].kept_id.take();
+        let is_reborn = kept.is_some();
         // The first announcement of an executor that is back at once may be lost with its calls.
-        let longest_silence = if kept.is_some() {
+        let longest_silence = if is_reborn {
             ANNOUNCE_INTERVAL_MS
         } else {
             ANNOUNCE_INTERVAL_MS / 10
@@ -58,6 +65,21 @@
             let after = self.rng.random_range(1..longest_silence);
             self.schedule(after, ScheduledEvent::Announce(index));
         }
+        let cut_off = self.scenario.faults.cut_off_reborn;
+        if is_reborn && cut_off > 0.0 && self.rng.random_bool(cut_off) {
+            let after = self.rng.random_range(CUT_OFF_AFTER_MS);
+            let duration = self.rng.random_range(CUT_OFF_MS);
+            self.schedule(after, ScheduledEvent::CutOff(index, duration));
+        }
+    }
+
+    /// Separates an executor from the leader for a time in milliseconds.
+    pub(super) fn cut_off(&mut self, index: usize, duration: u64) {
+        let executor = &mut self.executors[index];
+        if executor.partitioned_until <= self.now {
+            executor.partitioned_since = self.now;
+        }
+        executor.partitioned_until = self.now + duration;
     }
 
     /// Sends a call to an executor over a network that may delay the call or lose its answer.
@@ -570,8 +592,17 @@
         self.executors[index].running.clear();
         self.executors[index].up = false;
         self.hosts[host].executor = None;
-        if self.pending_holds.contains_key(&index) {
+        if self.scenario.faults.cut_off_reborn > 0.0 {
+            self.lose_hold(index);
+        } else if self.pending_holds.contains_key(&index) {
             self.answer_hold(index);
         }
     }
+
+    /// Lets the pending hold on an executor, if any, time out.
+    fn lose_hold(&mut self, index: usize) {
+        if let Some(hold) = self.pending_holds.remove(&index) {
+            self.schedule_timeout(hold.epoch, hold.tag, hold.relayed.as_deref());
+        }
+    }
 }
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -151,6 +151,8 @@
     RestoreCapacity(usize),
     /// A random executor is separated from the leader.
     PartitionExecutor,
+    /// An executor is separated from the leader for a time in milliseconds.
+    CutOff(usize, u64),
     /// Another replica becomes the leader.
     ChangeLeader,
     /// A host is back, with a new executor.
@@ -477,15 +479,13 @@
             ScheduledEvent::PartitionExecutor => {
                 let executor = self.rng.random_range(0..self.executors.len());
                 let duration = self.rng.random_range(500..9_000);
-                if self.executors[executor].partitioned_until <= self.now {
-                    self.executors[executor].partitioned_since = self.now;
-                }
-                self.executors[executor].partitioned_until = self.now + duration;
+                self.cut_off(executor, duration);
                 self.schedule_fault(
                     self.scenario.faults.partition_interval_ms,
                     ScheduledEvent::PartitionExecutor,
                 );
             }
+            ScheduledEvent::CutOff(executor, duration) => self.cut_off(executor, duration),
             ScheduledEvent::ChangeLeader => {
                 self.change_leader();
                 let mean = self.scenario.faults.leader_change_interval_ms;
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -1,7 +1,7 @@
 //! Invariants that hold in every simulation, whatever faults it injects.
 
 use masticfield_emulator::{
-    CrashingLimits, Faults, Fleet, RelayDefect, Report, Scenario, Simulation,
+    CrashingLimits, Faults, Fleet, LoadShape, RelayDefect, Report, Scenario, Simulation,
 };
 use masticfield_jobs::leader::Defect;
 use rstest::rstest;
@@ -323,6 +323,66 @@
     }
 }
 
+/// Executors that are back under their identifier are cut off soon after.
+fn cut_off_reborn(faults: Faults) -> Faults {
+    Faults {
+        cut_off_reborn: 0.7,
+        crash_interval_ms: 250,
+        reborn_executors: 1.0,
+        ..faults
+    }
+}
+
+/// Few jobs, whose tasks take longer than a usual lease.
+fn long_tasks() -> Fleet {
+    let mut fleet = Fleet::small();
+    for queue in &mut fleet.queues {
+        (queue.task_ms, queue.jobs_per_s, queue.steps_per_job) = (7_000.0, 0.5, 1.0);
+    }
+    fleet
+}
+
+fn simulate_cut_off(faults: Faults, seed: u64, relays: usize, defect: Option<Defect>) -> Report {
+    let scenario = Scenario::new(long_tasks()).load_ms(60_000).relays(relays);
+    let mut scenario = scenario.shape(LoadShape::Steady);
+    scenario.defect = defect;
+    Simulation::new(scenario.faults(cut_off_reborn(faults)), seed).run()
+}
+
+/// Guards against a task that starts again beside its run: its executor had started again, held a lease
+/// that calls for its former incarnation had extended, and was cut off.
+#[rstest]
+#[case::alone(no_faults(), 0)]
+#[case::leader_changes(some_leader_changes(), 0)]
+#[case::lost_answers(leader_changes(), 0)]
+#[case::crashes_and_partitions(crashes_and_partitions(), 0)]
+#[case::through_relays(leader_changes(), 4)]
+fn no_task_runs_beside_a_reborn_executor_that_is_cut_off(
+    #[case] faults: Faults,
+    #[case] relays: usize,
+) {
+    for seed in seeds() {
+        let report = simulate_cut_off(faults, seed, relays, None);
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+        assert!(report.starts > 0, "seed {seed}: no task was started");
+    }
+}
+
+/// The checks detect each guard of the leases of reborn executors that is left out.
+#[rstest]
+#[case::former_leases(Defect::IgnoreFormerLeases, some_leader_changes())]
+#[case::former_leases_without_leader_changes(Defect::IgnoreFormerLeases, no_faults())]
+#[case::later_leases(Defect::IgnoreLaterLeases, crashes_and_partitions())]
+#[case::later_leases_with_late_orders(Defect::IgnoreLaterLeases, delayed_orders())]
+fn each_left_out_guard_of_leases_is_detected(#[case] defect: Defect, #[case] faults: Faults) {
+    let detected = (0..GUARD_SEEDS).find(|seed| {
+        let report = simulate_cut_off(faults, *seed, 0, Some(defect));
+        report.duplicate_runs > 0
+    });
+    assert!(detected.is_some(), "no violation on {GUARD_SEEDS} seeds");
+}
+
 /// Executors that leave report their end, some of them seconds after they are back under their
 /// identifier.
 fn held_up_departures(faults: Faults) -> Faults {
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{
-    AnnouncementOrder, ExecutorView, HoldPhase, ReportedEnd, RunLocation, RunOrigin,
-};
+use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase, ReportedEnd};
 use super::retirement::Retirement;
 use super::{
     Announcement, BriefAnnouncement, Defect, Departure, Effect, Leader, Moment, Refusal, Reply,
@@ -102,7 +100,12 @@
             .entry(Arc::clone(&incarnation.pool))
             .or_default()
             .insert(key);
-        let mut view = ExecutorView::new(Duration::ZERO);
+        let former_leases_end = self.former_leases_end(now, &incarnation.id, former);
+        if former_leases_end > now.monotonic {
+            let (executor, possible) = (key, true);
+            self.propose(Command::FormerLeases { executor, possible });
+        }
+        let mut view = ExecutorView::new(former_leases_end);
         view.cordoned = self.has_operation(&incarnation.id);
         if self.may_be_claimed(incarnation) {
             view.host_unknown_until = now.monotonic + HOST_UNKNOWN_TIMEOUT;
@@ -116,6 +119,7 @@
         if let Some(former) = former {
             self.retire(now, former, Retirement::Reborn);
         }
+        self.removed_leases_end.remove(&incarnation.id);
         Some(key)
     }
 
@@ -344,6 +348,7 @@
         let (runs, why) = (record.runs.len(), reason.name());
         log::info!(executor = id.as_ref(), runs, why; "executor gone");
         let given_up = self.record_crash(now, key, reason);
+        self.record_removed_leases(now, key, &id, reason);
         self.reassign_unlocated_runs(now, key, &id);
         let record = self.state.executor(key);
         let runs = record.into_iter().flat_map(|record| &record.runs);
@@ -434,6 +439,7 @@
             self.drain(now, key, true);
         }
         self.check_quarantine(now, key);
+        self.check_former_leases(now, key);
         self.check_overdue(now, key);
         self.retry_orders(now, key);
         self.hold_if_due(now, key);
@@ -444,12 +450,13 @@
         let Some(view) = self.executors.get(&key) else {
             return;
         };
-        let later_expired = now.monotonic > view.later_leases_end(self.options.max_lease);
-        let over = view.runs.iter().filter(|(_, run)| {
-            let elsewhere =
-                run.location == RunLocation::ThisOrLater && run.origin == RunOrigin::Placed;
-            later_expired || !elsewhere
-        });
+        let later_end = view.later_leases_end(view.lease_extended_at, self.options.max_lease);
+        let ignored = self.options.defect == Some(Defect::IgnoreLaterLeases);
+        let later_expired = ignored || now.monotonic > later_end;
+        let over = view
+            .runs
+            .iter()
+            .filter(|(_, run)| later_expired || !run.may_be_on_later());
         let runs: Vec<_> = over.map(|(run, _)| *run).collect();
         if runs.is_empty() {
             return;
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -44,7 +44,8 @@
     pub(super) deadline_ms: u64,
     /// Time of the latest call that extends the lease.
     pub(super) lease_extended_at: Duration,
-    /// Time until which a lease that a former leader granted may last.
+    /// Time until which a lease may last that a former leader granted, or calls for a former
+    /// incarnation.
     pub(super) former_leases_end: Duration,
     /// Whether the executor has answered a hold of this leader since the last failed one.
     pub(super) responsive: bool,
@@ -150,6 +151,24 @@
     /// Only this one: a report has listed the run, or the clock in the answer to the order shows it;
     /// see [`ExecutorView::is_same_incarnation`].
     This,
+    /// Only this one, and the state says so for the next leader; see
+    /// [`Command::Located`](crate::state::Command::Located).
+    Recorded,
+}
+
+impl RunView {
+    /// Records that the run is on this incarnation.
+    pub(super) fn locate(&mut self) {
+        if self.location == RunLocation::ThisOrLater {
+            self.location = RunLocation::This;
+        }
+    }
+
+    /// Returns whether the run may be on a later incarnation of its executor: no report has located
+    /// it, or an order to start it may still be carried out.
+    pub(super) fn may_be_on_later(&self) -> bool {
+        self.location == RunLocation::ThisOrLater || self.pending_starts > 0
+    }
 }
 
 /// Who placed a run.
@@ -337,17 +356,17 @@
     }
 
     /// Returns the time by which every lease has certainly expired that a later incarnation of the
-    /// executor may have got from this leader's calls.
+    /// executor may have got from calls that were decided on by `called`.
     ///
     /// Its clock starts anew, so that it shortens a lease only to the longest that it grants, or to the
     /// latest end that was sent, which is known if no former leader sent one.
-    pub(super) fn later_leases_end(&self, max_lease: Duration) -> Duration {
+    pub(super) fn later_leases_end(&self, called: Duration, max_lease: Duration) -> Duration {
         let lease = if self.former_leases_end.is_zero() {
             max_lease.min(Duration::from_millis(self.deadline_ms))
         } else {
             max_lease
         };
-        lease_end(self.lease_extended_at + CALL_VALIDITY, lease)
+        lease_end(called + CALL_VALIDITY, lease)
     }
 
     /// Returns whether the executor has ended by its own report, and its runs with it.
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -9,7 +9,7 @@
 use super::retirement::Retirement;
 use super::{Call, CallError, HoldReport, Leader, ListedEnd, Moment, Rejection};
 use crate::job::RunId;
-use crate::state::{EndKind, ExecutorKey};
+use crate::state::{Command, EndKind, ExecutorKey};
 
 /// Time before the next poll of an executor that did not answer.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -24,6 +24,9 @@
 /// starting. Until it is known to serve, no other task of its step may be stopped.
 const STARTING_WAIT: Duration = Duration::from_millis(350);
 
+/// Time after which the location of a run is recorded in the state. Most runs have ended by then.
+const LOCATION_DELAY: Duration = Duration::from_secs(1);
+
 /// Time before an order to stop an unknown run is repeated.
 const UNKNOWN_RUN_STOP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -144,13 +147,18 @@
         let first_answer = !view.responsive;
         (view.responsive, view.failed_holds) = (true, 0);
         self.lapsed.take(key);
-        let mut begun = Vec::new();
+        let (mut begun, mut located) = (Vec::new(), Vec::new());
         for listed in &report.running {
             if let Some(run) = view.runs.get_mut(&listed.run) {
                 if run.baseline.is_none() {
                     begun.push(listed.run.task.job);
                 }
-                run.location = RunLocation::This;
+                run.locate();
+                let lasts = now.monotonic > run.placed_at + LOCATION_DELAY;
+                if lasts && run.location == RunLocation::This && run.pending_starts == 0 {
+                    run.location = RunLocation::Recorded;
+                    located.push(listed.run);
+                }
                 run.percent = listed.percent;
                 let serves = listed.percent >= SERVING_PERCENT;
                 run.served_at = serves.then_some(now.monotonic);
@@ -168,6 +176,10 @@
         for job in begun {
             self.record_begun(job);
         }
+        if !located.is_empty() {
+            let (executor, runs) = (key, located);
+            self.propose(Command::Located { executor, runs });
+        }
         for ended in &report.finished {
             self.log_unknown_end(key, ended);
             self.record_begun(ended.run.task.job);
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -13,6 +13,7 @@
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::{KeyDigest, RouteTable, WorkspaceId};
+use crate::relay::CALL_VALIDITY;
 use crate::schedule::{OfferedLoad, Rank, SurgePattern, lease_end};
 use crate::state::{Command, ExecutorKey, JobPhase, State};
 
@@ -67,6 +68,11 @@
     pub(super) surges: SurgePattern,
     /// Moves to standby that may be made now; `None` until the first check.
     pub(super) release_budget: Option<f64>,
+    /// Time by which every lease has certainly expired that a later incarnation may have got from calls
+    /// for one that is removed, by identifier.
+    pub(super) removed_leases_end: BTreeMap<Arc<str>, Duration>,
+    /// The same for one that a former leader has removed.
+    pub(super) takeover_leases_end: Duration,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
     last_check: Duration,
@@ -102,6 +108,8 @@
             shares: Shares::default(),
             surges: SurgePattern::default(),
             release_budget: None,
+            removed_leases_end: BTreeMap::new(),
+            takeover_leases_end: Duration::ZERO,
             leading_since: now.monotonic,
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
@@ -226,6 +234,10 @@
         self.configure_load_shedding();
         self.rebuild_shares(now);
         let former_leases_end = lease_end(now.monotonic, self.options.lease);
+        let longest_leases_end = lease_end(now.monotonic + CALL_VALIDITY, self.options.max_lease);
+        if self.state.next_executor_key() > ExecutorKey(1) {
+            self.takeover_leases_end = longest_leases_end;
+        }
         let executors: Vec<_> = self.state.executors().map(|(key, _)| key).collect();
         for key in executors {
             let Some(record) = self.state.executor(key) else {
@@ -238,7 +250,13 @@
                 .entry(Arc::clone(&record.incarnation.pool))
                 .or_default()
                 .insert(key);
-            let mut view = ExecutorView::new(former_leases_end);
+            let mut view = if self.state.may_have_former_leases(key) {
+                ExecutorView::new(longest_leases_end)
+            } else {
+                ExecutorView::new(former_leases_end)
+            };
+            // The former leader may have called the executor until now.
+            view.lease_extended_at = now.monotonic;
             // The former leader's request may still take its host away.
             let mut claims = self.state.claims().values();
             view.cordoned = claims.any(|(_, executor)| *executor == Some(key));
@@ -274,7 +292,11 @@
             } else {
                 RunOrigin::Placed
             },
-            location: RunLocation::ThisOrLater,
+            location: if self.state.is_located(run) {
+                RunLocation::Recorded
+            } else {
+                RunLocation::ThisOrLater
+            },
             suspected: self.is_suspected(run.task),
             percent: 0,
             served_at: None,
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -69,6 +69,10 @@
     AcknowledgeBeforeCommit,
     /// A report that an executor ends is taken for one of its latest incarnation.
     DepartureOfLatest,
+    /// Executors hold no leases by calls for their former incarnations.
+    IgnoreFormerLeases,
+    /// Runs that may be on a later incarnation end with the leases of the known one.
+    IgnoreLaterLeases,
     /// Long-running tasks are stopped without regard to the other tasks of their step.
     StopWithoutCount,
 }
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -127,7 +127,7 @@
             return;
         };
         if located {
-            view.location = RunLocation::This;
+            view.locate();
         }
         let stopping = matches!(
             view.phase,
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -6,12 +6,12 @@
 //! known to have been on an incarnation may therefore be on the next one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::executor::{RunLocation, RunOrigin, RunPhase};
+use super::executor::{RunOrigin, RunPhase};
 use super::retirement::Retirement;
 use super::{Defect, Leader, Moment};
 use crate::job::RunId;
-use crate::schedule::lease_end;
 use crate::state::{Command, ExecutorKey};
 
 impl Leader {
@@ -63,10 +63,61 @@
                 executor.add_run(run, view);
             }
         }
-        // Former incarnations and leaders may have extended the lease as well.
-        let leases_end = lease_end(now.monotonic, self.options.max_lease);
-        if let Some(view) = self.executors.get_mut(&to) {
-            view.former_leases_end = leases_end;
+    }
+
+    /// Returns the time by which every lease has certainly expired that a new incarnation may have got
+    /// from calls for earlier ones, of which `former` is known.
+    pub(super) fn former_leases_end(
+        &self,
+        now: Moment,
+        id: &Arc<str>,
+        former: Option<ExecutorKey>,
+    ) -> Duration {
+        if self.options.defect == Some(Defect::IgnoreFormerLeases) {
+            return Duration::ZERO;
+        }
+        if let Some(view) = former.and_then(|former| self.executors.get(&former)) {
+            let later = view.later_leases_end(now.monotonic, self.options.max_lease);
+            return later.max(view.former_leases_end);
+        }
+        let removed = self.removed_leases_end.get(id).copied();
+        removed.unwrap_or_default().max(self.takeover_leases_end)
+    }
+
+    /// Keeps until when calls for an incarnation that is removed may have extended the lease of one
+    /// that has not announced itself.
+    pub(super) fn record_removed_leases(
+        &mut self,
+        now: Moment,
+        key: ExecutorKey,
+        id: &Arc<str>,
+        reason: Retirement,
+    ) {
+        let Some(view) = self.executors.get(&key) else {
+            return;
+        };
+        let called = if reason == Retirement::Reborn {
+            now.monotonic
+        } else {
+            view.lease_extended_at
+        };
+        let later = view.later_leases_end(called, self.options.max_lease);
+        let leases_end = later.max(view.former_leases_end);
+        self.removed_leases_end
+            .retain(|_, end| *end > now.monotonic);
+        if leases_end > now.monotonic {
+            self.removed_leases_end.insert(Arc::clone(id), leases_end);
+        }
+    }
+
+    /// Records in the state when an executor can no longer hold a lease by calls for former
+    /// incarnations, so that the next leader need not wait for it.
+    pub(super) fn check_former_leases(&mut self, now: Moment, key: ExecutorKey) {
+        let view = self.executors.get(&key);
+        let over = view.is_some_and(|view| now.monotonic > view.former_leases_end);
+        if over && self.state.may_have_former_leases(key) {
+            let (executor, possible) = (key, false);
+            self.propose(Command::FormerLeases { executor, possible });
         }
     }
 
@@ -78,9 +129,7 @@
         }
         let runs = self.executors.get(&key).into_iter();
         let runs = runs.flat_map(|view| &view.runs);
-        let unlocated = runs.filter(|(_, view)| {
-            view.location == RunLocation::ThisOrLater || view.pending_starts > 0
-        });
+        let unlocated = runs.filter(|(_, view)| view.may_be_on_later());
         unlocated.map(|(run, _)| *run).collect()
     }
 }
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -177,6 +177,22 @@
         /// Incarnation that may have the run.
         to: ExecutorKey,
     },
+    /// Records that runs are on the incarnation that they were placed on, and that no order to start
+    /// them may still be carried out.
+    Located {
+        /// The incarnation, which has listed the runs.
+        executor: ExecutorKey,
+        /// Runs concerned.
+        runs: Vec<RunId>,
+    },
+    /// Records whether an executor may hold a lease that was not granted by calls for this incarnation,
+    /// and so lasts up to the longest that executors grant.
+    FormerLeases {
+        /// Executor concerned.
+        executor: ExecutorKey,
+        /// Whether there may be such a lease.
+        possible: bool,
+    },
     /// Records that an executor has begun a task of a job, the first one to do so.
     Begun {
         /// Job of the task.
@@ -247,6 +263,8 @@
             Self::SubmitFor { .. } => "submit-for",
             Self::Reassign { .. } => "reassign",
             Self::Begun { .. } => "begun",
+            Self::Located { .. } => "located",
+            Self::FormerLeases { .. } => "former-leases",
         }
     }
 }
--- a/crates/masticfield-jobs/src/state/snapshot.rs
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -17,7 +17,8 @@
         let encoded = postcard::to_extend(&supplement, encoded).expect("the state is plain data");
         let begun = self.jobs.iter().filter(|(_, job)| job.begun);
         let begun: Vec<_> = begun.map(|(id, _)| *id).collect();
-        postcard::to_extend(&begun, encoded).expect("the state is plain data")
+        let supplement = (begun, &self.located, &self.former_leases);
+        postcard::to_extend(&supplement, encoded).expect("the state is plain data")
     }
 
     /// Decodes a snapshot.
@@ -43,7 +44,8 @@
             state.restore_access(access);
         }
         if !rest.is_empty() {
-            let begun: Vec<JobId> = postcard::from_bytes(rest)?;
+            let begun: Vec<JobId>;
+            (begun, state.located, state.former_leases) = postcard::from_bytes(rest)?;
             for id in begun {
                 if let Some(job) = state.jobs.get_mut(&id) {
                     job.begun = true;
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -41,6 +41,14 @@
     /// Times at which hosts were last claimed. Encoded after the rest.
     #[serde(skip)]
     pub(super) claim_times: ClaimTimes,
+    /// Runs that are on the incarnation that they were placed on; see [`Command::Located`]. Encoded
+    /// after the rest.
+    #[serde(skip)]
+    pub(super) located: BTreeSet<RunId>,
+    /// Executors that may hold a lease by calls for former incarnations; see
+    /// [`Command::FormerLeases`]. Encoded after the rest.
+    #[serde(skip)]
+    pub(super) former_leases: BTreeSet<ExecutorKey>,
     /// Encoded after the rest.
     #[serde(skip)]
     pub(super) workspaces: Workspaces,
@@ -165,6 +173,17 @@
         self.overdue.contains(&executor)
     }
 
+    /// Returns whether a run is known to be on the incarnation that it was placed on, with no order to
+    /// start it that may still be carried out.
+    pub fn is_located(&self, run: RunId) -> bool {
+        self.located.contains(&run)
+    }
+
+    /// Returns whether an executor may hold a lease that calls for a former incarnation have granted.
+    pub fn may_have_former_leases(&self, executor: ExecutorKey) -> bool {
+        self.former_leases.contains(&executor)
+    }
+
     /// Returns the runs whose leases expired on an executor that has not been given a run since.
     pub fn lapsed_runs(&self, executor: ExecutorKey) -> impl Iterator<Item = RunId> {
         self.crashes.lapsed(executor)
@@ -252,6 +271,15 @@
                 true
             }
             Command::Reassign { run, from, to } => self.reassign(run, from, to),
+            Command::Located { executor, runs } => self.locate(executor, &runs),
+            Command::FormerLeases { executor, possible } => {
+                if possible {
+                    let known = self.executors.contains_key(&executor);
+                    known && self.former_leases.insert(executor)
+                } else {
+                    self.former_leases.remove(&executor)
+                }
+            }
             Command::Begun { job } => {
                 let job = self.jobs.get_mut(&job);
                 job.is_some_and(|job| !std::mem::replace(&mut job.begun, true))
@@ -323,6 +351,7 @@
         };
         self.crashes.forget_executor(key);
         self.overdue.remove(&key);
+        self.former_leases.remove(&key);
         for run in record.runs {
             self.end_run(run, EndKind::Gone, None, at_ms);
         }
@@ -364,6 +393,7 @@
         if let Some(record) = self.executors.get_mut(&to) {
             record.runs.insert(run);
         }
+        self.located.remove(&run);
         let job = self.jobs.get_mut(&run.task.job);
         let task = job.and_then(|job| job.task_mut(run.task));
         let runs = task.into_iter().flat_map(|task| &mut task.runs);
@@ -373,6 +403,17 @@
         true
     }
 
+    fn locate(&mut self, executor: ExecutorKey, runs: &[RunId]) -> bool {
+        let Some(record) = self.executors.get(&executor) else {
+            return false;
+        };
+        let mut changed = false;
+        for run in runs.iter().filter(|run| record.runs.contains(run)) {
+            changed |= self.located.insert(*run);
+        }
+        changed
+    }
+
     fn end(
         &mut self,
         run: RunId,
@@ -393,6 +434,7 @@
     }
 
     fn end_run(&mut self, run: RunId, kind: EndKind, saved: Option<Arc<str>>, at_ms: u64) {
+        self.located.remove(&run);
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
         };
--- a/crates/masticfield-jobs/tests/rebirth.rs
+++ b/crates/masticfield-jobs/tests/rebirth.rs
@@ -405,6 +405,12 @@
     leader.handle(moment(31), report(LATER, LATER_START, 30, &[], &[]));
     let runs = starts(&leader.decide(moment(31)));
     assert_eq!(runs, [run.task.run(2)]);
+    let answer = Event::StartResult {
+        executor: LATER,
+        run: run.task.run(2),
+        result: Ok(33),
+    };
+    leader.handle(moment(33), answer);
     leader.handle(moment(40), report(LATER, LATER_START, 32, &runs, &[]));
     leader.decide(moment(40));
     (leader, run.task.run(2))
--- a/crates/masticfield-jobs/tests/state.rs
+++ b/crates/masticfield-jobs/tests/state.rs
@@ -319,3 +319,47 @@
     assert_eq!(restored, state);
     assert_eq!(status(&restored), Some(JobStatus::Running));
 }
+
+/// Guards against a next leader that relies on where a run was before it was reassigned, or that waits
+/// for leases of an executor that is gone.
+#[test]
+fn locations_and_former_leases_are_kept_as_long_as_they_hold() {
+    let mut state = state(vec![step(1)]);
+    let run = task(0, 0).run(1);
+    let later = state.next_executor_key();
+    let incarnation = state
+        .executor(EXECUTOR)
+        .expect("enlisted")
+        .incarnation
+        .clone();
+    assert!(state.apply(Command::Enlist {
+        executor: later,
+        incarnation,
+    }));
+    let former_leases = |executor, possible| Command::FormerLeases { executor, possible };
+    let located = |executor| Command::Located {
+        executor,
+        runs: vec![run],
+    };
+    start(&mut state, run.task, 1);
+    assert!(!state.apply(located(later)), "it is on the other one");
+    assert!(state.apply(located(EXECUTOR)));
+    assert!(!state.apply(located(EXECUTOR)));
+    assert!(state.apply(former_leases(later, true)));
+    let restored = State::from_snapshot(&state.to_snapshot()).expect("a snapshot");
+    assert_eq!(restored, state);
+    assert!(restored.is_located(run) && restored.may_have_former_leases(later));
+    assert!(state.apply(Command::Reassign {
+        run,
+        from: EXECUTOR,
+        to: later,
+    }));
+    assert!(!state.is_located(run));
+    assert!(state.apply(located(later)));
+    assert!(state.apply(Command::Retire {
+        executor: later,
+        at_ms: 9,
+    }));
+    assert!(!state.is_located(run) && !state.may_have_former_leases(later));
+    assert!(!state.apply(former_leases(later, true)), "it is gone");
+}
