fix(jobs): date the lease of a call when it is sent, and drop calls for removed executors

Cause: a call is sent once its decision is committed. The leader dated the lease that the call may grant to a later incarnation from the decision, and sent the call also when its incarnation had been removed since, so that the later one carried out an order for a run that had been settled there.

Change: Leader::record_sent is asked right before a call is sent. Why this works: the bound then starts when the call may first be carried out, and no call for a removed incarnation is sent after the decision that removed it, which is the one that settles its runs.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -595,6 +595,7 @@
                     address,
                     call,
                 } => {
+                    let may_send = may_act && leadership.leader.record_sent(now, executor, &call);
                     let call = ExecutorCall {
                         executor,
                         id,
@@ -603,7 +604,7 @@
                         decided: now.monotonic,
                         call,
                     };
-                    if may_act {
+                    if may_send {
                         send_call(leadership, &self.orders, call);
                     } else {
                         leadership.leader.handle(now, call.tag().unanswered());
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -99,6 +99,8 @@
     /// to 12 s soon after, from 0.2 to 3 s after their start. With any, executors that end do not close
     /// their connections, so that polls of them time out.
     pub cut_off_reborn: f64,
+    /// Share of decisions whose commit takes 0.1 to 2 s.
+    pub slow_commits: f64,
     /// Mean time between changes of the leader, in milliseconds; 0 for none.
     pub leader_change_interval_ms: u64,
     /// Mean time between network partitions of executors, in milliseconds; 0 for none.
@@ -186,6 +188,7 @@
                 crash_interval_ms: 0,
                 reborn_executors: 0.0,
                 cut_off_reborn: 0.0,
+                slow_commits: 0.0,
                 leader_change_interval_ms: 0,
                 partition_interval_ms: 0,
                 relay_fault_interval_ms: 0,
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -38,6 +38,9 @@
 /// Time to commit a decision, in milliseconds: a sync of the log and a round trip.
 const COMMIT_MS: u64 = 10;
 
+/// Time to commit a decision on a slow disk, in milliseconds.
+const SLOW_COMMIT_MS: std::ops::Range<u64> = 100..2_000;
+
 /// One-way network delay between the leader and an executor, in milliseconds.
 const NETWORK_DELAY_MS: u64 = 1;
 
@@ -211,6 +214,8 @@
     claims: ClaimWatch,
     /// Number of decisions that are not committed yet.
     uncommitted: u32,
+    /// Time at which the latest decision is committed.
+    last_commit: u64,
     /// All incarnations of executors, also those that have ended.
     executors: Vec<Executor>,
     /// Pending holds by index of the executor.
@@ -269,6 +274,7 @@
             state,
             claims,
             uncommitted: 0,
+            last_commit: 0,
             executors: Vec::new(),
             pending_holds: HashMap::new(),
             hosts: Vec::new(),
@@ -525,12 +531,25 @@
         let after = if decision.commands.is_empty() && self.uncommitted == 0 {
             0
         } else {
-            COMMIT_MS
+            self.commit_time()
         };
         self.uncommitted += 1;
+        self.last_commit = self.now + after;
         self.schedule(after, ScheduledEvent::Commit(self.epoch, decision));
     }
 
+    /// Returns the time until the next decision is committed, in milliseconds; decisions are committed in
+    /// their order.
+    fn commit_time(&mut self) -> u64 {
+        let share = self.scenario.faults.slow_commits;
+        let time = if share > 0.0 && self.rng.random_bool(share) {
+            self.rng.random_range(SLOW_COMMIT_MS)
+        } else {
+            COMMIT_MS
+        };
+        time.max(self.last_commit.saturating_sub(self.now))
+    }
+
     /// Applies the commands of a committed decision, and carries out its effects.
     fn on_commit(&mut self, epoch: u64, decision: Decision) {
         if epoch != self.epoch {
@@ -570,6 +589,11 @@
                 address,
                 call,
             } => {
+                let now = moment(self.now);
+                if !self.leader.record_sent(now, key, &call) {
+                    let unanswered = CallTag::new(key, &call).unanswered();
+                    return self.notify_leader(self.epoch, unanswered);
+                }
                 let call = ExecutorCall {
                     executor: key,
                     id,
@@ -620,6 +644,7 @@
             }
         }
         self.uncommitted = 0;
+        self.last_commit = self.now;
         self.check_counts();
         self.epoch += 1;
         if self.epoch.is_multiple_of(2) {
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -333,6 +333,14 @@
     }
 }
 
+/// A tenth of the decisions are committed late, as on a disk that stalls.
+fn slow_commits(faults: Faults) -> Faults {
+    Faults {
+        slow_commits: 0.1,
+        ..faults
+    }
+}
+
 /// Few jobs, whose tasks take longer than a usual lease.
 fn long_tasks() -> Fleet {
     let mut fleet = Fleet::small();
@@ -356,6 +364,8 @@
 #[case::leader_changes(some_leader_changes(), 0)]
 #[case::lost_answers(leader_changes(), 0)]
 #[case::crashes_and_partitions(crashes_and_partitions(), 0)]
+#[case::slow_commits(slow_commits(no_faults()), 0)]
+#[case::slow_commits_and_leader_changes(slow_commits(some_leader_changes()), 0)]
 #[case::through_relays(leader_changes(), 4)]
 fn no_task_runs_beside_a_reborn_executor_that_is_cut_off(
     #[case] faults: Faults,
@@ -375,6 +385,8 @@
 #[case::former_leases_without_leader_changes(Defect::IgnoreFormerLeases, no_faults())]
 #[case::later_leases(Defect::IgnoreLaterLeases, crashes_and_partitions())]
 #[case::later_leases_with_late_orders(Defect::IgnoreLaterLeases, delayed_orders())]
+#[case::late_calls(Defect::SendAfterRemoval, slow_commits(no_faults()))]
+#[case::late_calls_and_answers(Defect::SendAfterRemoval, slow_commits(delayed_orders()))]
 fn each_left_out_guard_of_leases_is_detected(#[case] defect: Defect, #[case] faults: Faults) {
     let detected = (0..GUARD_SEEDS).find(|seed| {
         let report = simulate_cut_off(faults, *seed, 0, Some(defect));
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -356,7 +356,7 @@
     }
 
     /// Returns the time by which every lease has certainly expired that a later incarnation of the
-    /// executor may have got from calls that were decided on by `called`.
+    /// executor may have got from calls that were made by `called`.
     ///
     /// Its clock starts anew, so that it shortens a lease only to the longest that it grants, or to the
     /// latest end that was sent, which is known if no former leader sent one.
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -73,6 +73,8 @@
     IgnoreFormerLeases,
     /// Runs that may be on a later incarnation end with the leases of the known one.
     IgnoreLaterLeases,
+    /// Calls are sent, and their leases dated, as if no time had passed since they were decided on.
+    SendAfterRemoval,
     /// Long-running tasks are stopped without regard to the other tasks of their step.
     StopWithoutCount,
 }
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -10,7 +10,7 @@
 
 use super::executor::{RunOrigin, RunPhase};
 use super::retirement::Retirement;
-use super::{Defect, Leader, Moment};
+use super::{Call, Defect, Leader, Moment};
 use crate::job::RunId;
 use crate::state::{Command, ExecutorKey};
 
@@ -65,6 +65,29 @@
         }
     }
 
+    /// Records that a call is sent now, some time after the decision to make it; returns whether it may
+    /// be sent.
+    ///
+    /// A call for an incarnation that was removed in the meantime would reach a later one, which may
+    /// have been given the runs concerned.
+    pub fn record_sent(&mut self, now: Moment, executor: ExecutorKey, call: &Call) -> bool {
+        if self.options.defect == Some(Defect::SendAfterRemoval) {
+            return true;
+        }
+        let Some(view) = self.executors.get_mut(&executor) else {
+            return false;
+        };
+        let extends_lease = match call {
+            Call::Start { .. } => true,
+            Call::Hold { deadline_ms, .. } => deadline_ms.is_some(),
+            Call::Stop { .. } => false,
+        };
+        if extends_lease {
+            view.lease_extended_at = view.lease_extended_at.max(now.monotonic);
+        }
+        true
+    }
+
     /// Returns the time by which every lease has certainly expired that a new incarnation may have got
     /// from calls for earlier ones, of which `former` is known.
     pub(super) fn former_leases_end(
--- a/crates/masticfield-jobs/tests/leader/former_leases.rs
+++ b/crates/masticfield-jobs/tests/leader/former_leases.rs
@@ -302,3 +302,34 @@
     assert!(restarted > 17_000, "{restarted} ms");
     assert!(restarted < 17_000 + MARGIN_MS, "{restarted} ms");
 }
+
+/// The order to start the first run.
+fn order() -> Call {
+    Call::Start {
+        run: first_run(),
+        payload: "".into(),
+        saved: None,
+        deadline_ms: FORMER_CLOCK_MS + 5_000,
+    }
+}
+
+/// Guards against a task that starts again beside its run: the commit of the order had taken long, and a
+/// later incarnation, which the leader does not know of, has got its longest lease by it.
+#[test]
+fn a_lease_counts_from_when_the_order_is_sent() {
+    let mut leader = leader_with_order();
+    let may_be_sent = leader.record_sent(moment(2_000), FORMER, &order());
+    assert!(may_be_sent);
+    let restarted = restart(&mut leader, 2_020);
+    assert!(restarted > 2_000 + LONGEST_LEASE_MS, "{restarted} ms");
+    let longest = 2_000 + LONGEST_LEASE_MS + MARGIN_MS;
+    assert!(restarted < longest, "{restarted} ms");
+}
+
+/// Guards against an order that is sent after its executor was removed, to the later incarnation.
+#[test]
+fn no_call_is_sent_for_an_incarnation_that_was_removed_since() {
+    let mut leader = leader_with_order();
+    leader.handle(moment(10), announce("e1", LATER_START, 10, 5));
+    assert!(!leader.record_sent(moment(10), FORMER, &order()));
+}
