fix(jobs): let a poll whose commit took long acknowledge no ends

What callers could see: a task that starts again after it was done, as its end was acknowledged unseen.

Cause: a poll is sent once earlier decisions are committed. If the executor has started again by then, the poll acknowledges the former incarnation's ends to the later one, whose ends have the same numbers.

An order and a poll are decided on while the executor is down and reach its later incarnation at 60.3 s; the poll acknowledges up to number 31 as it waits for an end; run 1 ends as done there, is never listed, and run 2 starts at 80.2 s.

Change: a poll that is sent more than 0.1 s after its decision acknowledges none. Why this works: the numbers are then of the incarnation that answered the poll before, unless it has started again in that time.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -593,9 +593,10 @@
                     executor,
                     id,
                     address,
-                    call,
+                    mut call,
                 } => {
-                    let may_send = may_act && leadership.leader.record_sent(now, executor, &call);
+                    let may_send =
+                        may_act && leadership.leader.record_sent(now, executor, &mut call);
                     let call = ExecutorCall {
                         executor,
                         id,
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -587,10 +587,10 @@
                 executor: key,
                 id,
                 address,
-                call,
+                mut call,
             } => {
                 let now = moment(self.now);
-                if !self.leader.record_sent(now, key, &call) {
+                if !self.leader.record_sent(now, key, &mut call) {
                     let unanswered = CallTag::new(key, &call).unanswered();
                     return self.notify_leader(self.epoch, unanswered);
                 }
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -14,6 +14,9 @@
 use crate::job::RunId;
 use crate::state::{Command, ExecutorKey};
 
+/// Time within which no executor ends and starts again; the users' are away for half a second.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(100);
+
 impl Leader {
     /// Handles a report of a later incarnation than the one that was polled.
     ///
@@ -69,8 +72,9 @@
     /// be sent.
     ///
     /// A call for an incarnation that was removed in the meantime would reach a later one, which may
-    /// have been given the runs concerned.
-    pub fn record_sent(&mut self, now: Moment, executor: ExecutorKey, call: &Call) -> bool {
+    /// have been given the runs concerned. For the same reason a poll that has waited acknowledges no
+    /// ends.
+    pub fn record_sent(&mut self, now: Moment, executor: ExecutorKey, call: &mut Call) -> bool {
         if self.options.defect == Some(Defect::SendAfterRemoval) {
             return true;
         }
@@ -79,7 +83,17 @@
         };
         let extends_lease = match call {
             Call::Start { .. } => true,
-            Call::Hold { deadline_ms, .. } => deadline_ms.is_some(),
+            Call::Hold {
+                deadline_ms,
+                acknowledged,
+                sent,
+                ..
+            } => {
+                if now.monotonic > *sent + MIN_RESTART_TIME {
+                    *acknowledged = 0;
+                }
+                deadline_ms.is_some()
+            }
             Call::Stop { .. } => false,
         };
         if extends_lease {
--- a/crates/masticfield-jobs/tests/leader/former_leases.rs
+++ b/crates/masticfield-jobs/tests/leader/former_leases.rs
@@ -318,7 +318,7 @@
 #[test]
 fn a_lease_counts_from_when_the_order_is_sent() {
     let mut leader = leader_with_order();
-    let may_be_sent = leader.record_sent(moment(2_000), FORMER, &order());
+    let may_be_sent = leader.record_sent(moment(2_000), FORMER, &mut order());
     assert!(may_be_sent);
     let restarted = restart(&mut leader, 2_020);
     assert!(restarted > 2_000 + LONGEST_LEASE_MS, "{restarted} ms");
@@ -331,5 +331,25 @@
 fn no_call_is_sent_for_an_incarnation_that_was_removed_since() {
     let mut leader = leader_with_order();
     leader.handle(moment(10), announce("e1", LATER_START, 10, 5));
-    assert!(!leader.record_sent(moment(10), FORMER, &order()));
+    assert!(!leader.record_sent(moment(10), FORMER, &mut order()));
+}
+
+/// Guards against an end as done that is acknowledged unseen: the commit before the poll had taken long,
+/// and the poll reaches a later incarnation, whose ends have the same numbers.
+#[rstest]
+#[case::at_once(20, 57)]
+#[case::after_a_slow_commit(600, 0)]
+fn a_poll_that_has_waited_acknowledges_no_ends(#[case] waited_ms: u64, #[case] expected: u64) {
+    let mut leader = leader_with_order();
+    let mut poll = Call::Hold {
+        deadline_ms: None,
+        acknowledged: 57,
+        wait: Duration::ZERO,
+        sent: moment(10).monotonic,
+    };
+    assert!(leader.record_sent(moment(10 + waited_ms), FORMER, &mut poll));
+    let Call::Hold { acknowledged, .. } = poll else {
+        panic!("a poll expected: {poll:?}");
+    };
+    assert_eq!(acknowledged, expected);
 }
