refactor(jobs): name what is checked before a call is sent, and log former leases

Leader::record_sent is now prepare_call, as it also changes the call and decides whether it is sent; `executor known` has the time for which a lease of former incarnations may last. The tests share one check of the restart.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -596,7 +596,7 @@
                     mut call,
                 } => {
                     let may_send =
-                        may_act && leadership.leader.record_sent(now, executor, &mut call);
+                        may_act && leadership.leader.prepare_call(now, executor, &mut call);
                     let call = ExecutorCall {
                         executor,
                         id,
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -590,7 +590,7 @@
                 mut call,
             } => {
                 let now = moment(self.now);
-                if !self.leader.record_sent(now, key, &mut call) {
+                if !self.leader.prepare_call(now, key, &mut call) {
                     let unanswered = CallTag::new(key, &call).unanswered();
                     return self.notify_leader(self.epoch, unanswered);
                 }
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -111,8 +111,10 @@
             view.host_unknown_until = now.monotonic + HOST_UNKNOWN_TIMEOUT;
         }
         self.executors.insert(key, view);
+        let former_leases_ms = former_leases_end.saturating_sub(now.monotonic).as_millis();
+        let former_leases_ms = u64::try_from(former_leases_ms).unwrap_or(u64::MAX);
         log::info!(
-            executor = incarnation.id.as_ref(), born_ms = incarnation.started_ms,
+            executor = incarnation.id.as_ref(), born_ms = incarnation.started_ms, former_leases_ms,
             pool = incarnation.pool.as_ref(), address = incarnation.address.as_ref();
             "executor known"
         );
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -68,13 +68,13 @@
         }
     }
 
-    /// Records that a call is sent now, some time after the decision to make it; returns whether it may
+    /// Prepares a call that is sent now, some time after the decision to make it; returns whether it may
     /// be sent.
     ///
-    /// A call for an incarnation that was removed in the meantime would reach a later one, which may
-    /// have been given the runs concerned. For the same reason a poll that has waited acknowledges no
-    /// ends.
-    pub fn record_sent(&mut self, now: Moment, executor: ExecutorKey, call: &mut Call) -> bool {
+    /// The executor may have started again in the meantime. A call for an incarnation that was removed
+    /// would start runs that have been settled, and a poll would acknowledge ends of the later one that
+    /// no report has listed.
+    pub fn prepare_call(&mut self, now: Moment, executor: ExecutorKey, call: &mut Call) -> bool {
         if self.options.defect == Some(Defect::SendAfterRemoval) {
             return true;
         }
--- a/crates/masticfield-jobs/tests/leader/former_leases.rs
+++ b/crates/masticfield-jobs/tests/leader/former_leases.rs
@@ -1,6 +1,7 @@
 //! Leases that calls meant for a former incarnation of an executor, or of a former leader, may have
 //! granted. A later incarnation's clock starts anew, so that it shortens them only to the longest.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use masticfield_jobs::job::{JobId, RunId, TaskId};
@@ -151,6 +152,14 @@
     panic!("the task did not start again");
 }
 
+/// Checks that the task starts again only after the first time of `lease_end_ms`, the earliest end of the
+/// lease, and soon after the second one, the latest; see [`restart`].
+fn check_restart(leader: &mut Leader, since_ms: u64, lease_end_ms: Range<u64>) {
+    let restarted = restart(leader, since_ms);
+    assert!(restarted > lease_end_ms.start, "{restarted} ms");
+    assert!(restarted < lease_end_ms.end + MARGIN_MS, "{restarted} ms");
+}
+
 /// What the leader knows of the run on the later incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Known {
@@ -181,10 +190,11 @@
     if change {
         leader = next_leader(&leader, 2_010);
     }
-    let restarted = restart(&mut leader, 2_020);
-    assert!(restarted > LONGEST_LEASE_MS, "{restarted} ms");
-    let longest = 2_010 + LONGEST_LEASE_MS + MARGIN_MS;
-    assert!(restarted < longest, "{restarted} ms");
+    check_restart(
+        &mut leader,
+        2_020,
+        LONGEST_LEASE_MS..2_010 + LONGEST_LEASE_MS,
+    );
 }
 
 /// When the leader changes.
@@ -224,10 +234,11 @@
     if change == Change::BeforeTheCut {
         leader = next_leader(&leader, 2_010);
     }
-    let restarted = restart(&mut leader, 2_020);
-    assert!(restarted > 510 + LONGEST_LEASE_MS, "{restarted} ms");
-    let longest = 2_010 + LONGEST_LEASE_MS + MARGIN_MS;
-    assert!(restarted < longest, "{restarted} ms");
+    check_restart(
+        &mut leader,
+        2_020,
+        510 + LONGEST_LEASE_MS..2_010 + LONGEST_LEASE_MS,
+    );
 }
 
 /// Guards against a task that starts again beside its run, which an unanswered order has started on a
@@ -266,10 +277,11 @@
     if change {
         leader = next_leader(&leader, 2_010);
     }
-    let restarted = restart(&mut leader, 2_020);
-    assert!(restarted > LONGEST_LEASE_MS, "{restarted} ms");
-    let longest = 2_010 + LONGEST_LEASE_MS + MARGIN_MS;
-    assert!(restarted < longest, "{restarted} ms");
+    check_restart(
+        &mut leader,
+        2_020,
+        LONGEST_LEASE_MS..2_010 + LONGEST_LEASE_MS,
+    );
 }
 
 /// Guards against tasks that are away for longer than necessary: a run that a report has listed is on
@@ -280,9 +292,7 @@
     if change {
         leader = next_leader(&leader, 2_010);
     }
-    let restarted = restart(&mut leader, 2_020);
-    assert!(restarted > 5_000, "{restarted} ms");
-    assert!(restarted < 7_000 + MARGIN_MS, "{restarted} ms");
+    check_restart(&mut leader, 2_020, 5_000..7_000);
 }
 
 /// Guards against a record of a possible lease that outlasts it.
@@ -298,9 +308,7 @@
         leader.decide(moment(ms));
     }
     leader = next_leader(&leader, 12_010);
-    let restarted = restart(&mut leader, 12_020);
-    assert!(restarted > 17_000, "{restarted} ms");
-    assert!(restarted < 17_000 + MARGIN_MS, "{restarted} ms");
+    check_restart(&mut leader, 12_020, 17_000..17_000);
 }
 
 /// The order to start the first run.
@@ -318,12 +326,13 @@
 #[test]
 fn a_lease_counts_from_when_the_order_is_sent() {
     let mut leader = leader_with_order();
-    let may_be_sent = leader.record_sent(moment(2_000), FORMER, &mut order());
+    let may_be_sent = leader.prepare_call(moment(2_000), FORMER, &mut order());
     assert!(may_be_sent);
-    let restarted = restart(&mut leader, 2_020);
-    assert!(restarted > 2_000 + LONGEST_LEASE_MS, "{restarted} ms");
-    let longest = 2_000 + LONGEST_LEASE_MS + MARGIN_MS;
-    assert!(restarted < longest, "{restarted} ms");
+    check_restart(
+        &mut leader,
+        2_020,
+        2_000 + LONGEST_LEASE_MS..2_000 + LONGEST_LEASE_MS,
+    );
 }
 
 /// Guards against an order that is sent after its executor was removed, to the later incarnation.
@@ -331,7 +340,7 @@
 fn no_call_is_sent_for_an_incarnation_that_was_removed_since() {
     let mut leader = leader_with_order();
     leader.handle(moment(10), announce("e1", LATER_START, 10, 5));
-    assert!(!leader.record_sent(moment(10), FORMER, &mut order()));
+    assert!(!leader.prepare_call(moment(10), FORMER, &mut order()));
 }
 
 /// Guards against an end as done that is acknowledged unseen: the commit before the poll had taken long,
@@ -347,7 +356,7 @@
         wait: Duration::ZERO,
         sent: moment(10).monotonic,
     };
-    assert!(leader.record_sent(moment(10 + waited_ms), FORMER, &mut poll));
+    assert!(leader.prepare_call(moment(10 + waited_ms), FORMER, &mut poll));
     let Call::Hold { acknowledged, .. } = poll else {
         panic!("a poll expected: {poll:?}");
     };
