test(control): wait for voters before the next member is replaced

Cause: the test waited until the leader lists the running replicas, which it does while the new one is still a learner. With one replica removed and the next one not promoted, the group has two voters; the test then stopped one of them, and no majority was left. State of a failing run, printed by a trial version of the test: replicas 4 and 5 know the voters 1 (stopped) and 4 and the learner 5, no leader, for 60 s; replica 6 never joins. The same in 3 of 3 failures of that trial.

Ruled out: a fault of the product. The state without the removed voter and the one before the removal tolerate the same loss, which is none beside the stopped replica: two of three voters that respond are a majority only together.

Change: the test waits until each running replica knows exactly the running ones as voters, as well as for what it waited for before.

--- a/crates/masticfield-control/tests/control/replaced_members.rs
+++ b/crates/masticfield-control/tests/control/replaced_members.rs
@@ -10,7 +10,7 @@
 use masticfield_jobs::leader::{JobRequest, JobRequestKind, LeaderOptions, Refusal, Reply};
 use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
 use masticfield_jobs::state::JobStatus;
-use masticfield_replica::{ReplicaHandle, ReplicaOptions};
+use masticfield_replica::{Membership, ReplicaHandle, ReplicaOptions};
 use prometheus::Registry;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
@@ -112,21 +112,36 @@
         .find(|member| member.control.view().is_leader)
 }
 
-/// Waits until a leader lists exactly the running replicas.
+/// Waits until a leader lists exactly the running replicas, and each of them knows all as voters.
+///
+/// Until then the group may have two voters, and does not outlive the loss of one.
 async fn await_members(members: &[Member]) {
     let mut running: Vec<_> = members.iter().map(|member| member.ip).collect();
     running.sort_unstable();
-    eventually("the group has the running members", || {
-        leader_of(members).is_some_and(|leader| {
-            let listed = leader.control.view().members;
-            let mut listed: Vec<_> = listed.iter().map(SocketAddr::ip).collect();
-            listed.sort_unstable();
-            listed == running
-        })
+    eventually("the group has the running members as voters", || {
+        let known_to_all = members.iter().all(|member| {
+            let group = member.replica.members();
+            voters(&group) == running
+        });
+        known_to_all
+            && leader_of(members).is_some_and(|leader| {
+                let listed = leader.control.view().members;
+                let mut listed: Vec<_> = listed.iter().map(SocketAddr::ip).collect();
+                listed.sort_unstable();
+                listed == running
+            })
     })
     .await;
 }
 
+/// The addresses of the voters of a group, in ascending order.
+fn voters(group: &Membership) -> Vec<IpAddr> {
+    let voters = group.voters().filter_map(|voter| group.address(voter));
+    let mut ips: Vec<_> = voters.map(|address| address.ip()).collect();
+    ips.sort_unstable();
+    ips
+}
+
 /// Stops a member and waits until a new replica on `host` has taken its place.
 async fn replace(members: &mut Vec<Member>, index: usize, host: u8) {
     let seeds: Vec<_> = members
