fix(jobs): place no task on a removed incarnation that announces itself late

Cause: an announcement that an executor sends right before it ends may arrive after its incarnation was removed. Nothing was kept about removed incarnations, so it was added as a new one, and tasks were placed there that nobody carries out.

Ruled out: the order of events within the leader (the announcements arrived 4 to 240 ms after the removal); a later incarnation (identifier and start are the same).

Change: Command::Removed records each removed incarnation in the state, for a minute. One that announces itself again gets no tasks until it has reported its runs (Liveness::Unconfirmed). To ignore it instead was tried first: it may run if it was removed as silent, and the emulator found the cases that are left out for that reason.

--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -137,6 +137,8 @@
     /// others report it in time. Half of the reports name the incarnation. With 0.0, none reports
     /// its end.
     pub held_up_departures: f64,
+    /// Share of announcements of executors that take 0.05 to 12 s.
+    pub held_up_announcements: f64,
     /// Share by which estimates may be off in either direction; 0 for the usual 0.15.
     pub estimate_error: f64,
     /// Share of the runs of finite tasks that take seven times as long.
@@ -203,6 +205,7 @@
                 crashing_jobs: 0.0,
                 leave_interval_ms: 0,
                 held_up_departures: 0.0,
+                held_up_announcements: 0.0,
                 estimate_error: 0.0,
                 long_runs: 0.0,
                 crashes_before_upkeep: 0.0,
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -29,6 +29,9 @@
 /// Time for which such an executor is cut off, in milliseconds.
 const CUT_OFF_MS: std::ops::Range<u64> = 5_000..12_000;
 
+/// Time for which an announcement may be held up, in milliseconds.
+const HELD_UP_ANNOUNCEMENT_MS: std::ops::Range<u64> = 50..12_000;
+
 /// Time for which the report of an executor that it ends may be held up, in milliseconds.
 const HELD_UP_MS: std::ops::Range<u64> = 300..12_000;
 
@@ -391,13 +394,44 @@
         let reachable = executor.partitioned_until <= self.now;
         self.advance(index);
         self.schedule(ANNOUNCE_INTERVAL_MS, ScheduledEvent::Announce(index));
-        if reachable {
-            let reply_id = self.next_reply_id();
-            let event = Event::Announced {
-                reply_to: reply_id,
-                announcement,
-            };
-            self.notify_leader(self.epoch, event);
+        let share = self.scenario.faults.held_up_announcements;
+        if reachable && share > 0.0 && self.rng.random_bool(share) {
+            let after = self.rng.random_range(HELD_UP_ANNOUNCEMENT_MS);
+            let event = ScheduledEvent::DeliverAnnouncement(announcement);
+            self.schedule(after, event);
+        } else if reachable {
+            self.deliver_announcement(announcement);
+        }
+    }
+
+    /// Passes on the announcement of an executor, which may have ended meanwhile.
+    pub(super) fn deliver_announcement(&mut self, announcement: Announcement) {
+        let reply_to = self.next_reply_id();
+        let event = Event::Announced {
+            reply_to,
+            announcement,
+        };
+        self.notify_leader(self.epoch, event);
+    }
+
+    /// Checks that a task is not placed on an executor that was added again after it had ended.
+    pub(super) fn check_placement(&mut self, run: RunId, key: ExecutorKey) {
+        let Some(record) = self.state.executor(key) else {
+            return;
+        };
+        let known = &record.incarnation;
+        let incarnation = (Arc::clone(&known.id), known.started_ms);
+        let is_up = self.executors.iter().any(|executor| {
+            let same = &executor.incarnation;
+            executor.up && same.id == known.id && same.started_ms == known.started_ms
+        });
+        if !is_up && self.enlisted.get(&incarnation) > Some(&1) {
+            let id = &known.id;
+            let text = format!(
+                "{run} is placed on {id}, which has ended, at {} ms",
+                self.now
+            );
+            self.checker.violations.push(text);
         }
     }
 
--- a/crates/masticfield-emulator/src/simulation/mod.rs
+++ b/crates/masticfield-emulator/src/simulation/mod.rs
@@ -13,8 +13,8 @@
 
 use masticfield_jobs::job::{JobId, RunId};
 use masticfield_jobs::leader::{
-    Call, ClaimWatch, Decision, Defect, Departure, Effect, Event, HostOptions, Leader,
-    LeaderOptions, Moment, ReplyId,
+    Announcement, Call, ClaimWatch, Decision, Defect, Departure, Effect, Event, HostOptions,
+    Leader, LeaderOptions, Moment, ReplyId,
 };
 use masticfield_jobs::relay::{CallResult, CallTag, ExecutorCall, RelayKey, RelayOptions, Relays};
 use masticfield_jobs::state::{Command, ExecutorKey, State};
@@ -97,6 +97,8 @@
 enum ScheduledEvent {
     /// An executor announces itself.
     Announce(usize),
+    /// An announcement that was held up reaches the leader.
+    DeliverAnnouncement(Announcement),
     /// A caller submits a job to a queue.
     Submit(usize),
     /// The next submission to a queue is scheduled anew, by its rate at that time.
@@ -212,6 +214,8 @@
     state: State,
     /// Observed claims of hosts, which every new leader starts with.
     claims: ClaimWatch,
+    /// How often incarnations have been added to the state, by identifier and start.
+    enlisted: HashMap<(Arc<str>, u64), u32>,
     /// Number of decisions that are not committed yet.
     uncommitted: u32,
     /// Time at which the latest decision is committed.
@@ -273,6 +277,7 @@
             leader,
             state,
             claims,
+            enlisted: HashMap::new(),
             uncommitted: 0,
             last_commit: 0,
             executors: Vec::new(),
@@ -421,6 +426,9 @@
             ScheduledEvent::RestoreExecutors => self.restore_executors(),
             ScheduledEvent::Reconfigure => self.reconfigure(),
             ScheduledEvent::Announce(executor) => self.announce(executor),
+            ScheduledEvent::DeliverAnnouncement(announcement) => {
+                self.deliver_announcement(announcement);
+            }
             ScheduledEvent::Submit(queue) => {
                 self.submit(queue, false);
                 self.schedule_submission(queue, 0);
@@ -567,12 +575,17 @@
     fn apply(&mut self, command: Command) {
         self.claims
             .record(Duration::from_millis(self.now), &command);
+        if let Command::Enlist { incarnation, .. } = &command {
+            let incarnation = (Arc::clone(&incarnation.id), incarnation.started_ms);
+            *self.enlisted.entry(incarnation).or_default() += 1;
+        }
         let started = match &command {
-            Command::Start { run, .. } => Some(*run),
+            Command::Start { run, executor } => Some((*run, *executor)),
             _ => None,
         };
         self.state.apply(command);
-        if let Some(run) = started {
+        if let Some((run, executor)) = started {
+            self.check_placement(run, executor);
             self.check_committed_start(run);
         }
     }
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -427,6 +427,60 @@
     }
 }
 
+/// Announcements of executors are held up, and so arrive after the executor has reported its end, or
+/// has ended as its host was taken.
+fn held_up_announcements(faults: Faults) -> Faults {
+    Faults {
+        held_up_announcements: 0.2,
+        ..held_up_departures(faults)
+    }
+}
+
+fn simulate_late_announcements(
+    faults: Faults,
+    seed: u64,
+    relays: usize,
+    defect: Option<Defect>,
+) -> Report {
+    let scenario = Scenario::new(Fleet::small()).load_ms(15_000).relays(relays);
+    let mut scenario = scenario.faults(held_up_announcements(faults));
+    scenario.defect = defect;
+    Simulation::new(scenario, seed).run()
+}
+
+/// Guards against tasks on an executor that has ended: an announcement of it arrived after its removal
+/// and added it again.
+#[rstest]
+#[case::alone(no_faults(), 0)]
+#[case::lost_answers(delayed_orders(), 0)]
+#[case::leader_changes(leader_changes(), 0)]
+#[case::crashes_and_partitions(crashes_and_partitions(), 0)]
+#[case::mixed_faults(mixed_faults(), 0)]
+#[case::through_relays(mixed_faults(), 4)]
+fn no_task_is_placed_on_an_executor_that_is_added_again_after_it_has_ended(
+    #[case] faults: Faults,
+    #[case] relays: usize,
+) {
+    for seed in seeds() {
+        let report = simulate_late_announcements(faults, seed, relays, None);
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+    }
+}
+
+/// The checks detect tasks on an executor that has ended.
+#[rstest]
+#[case::alone(no_faults())]
+#[case::leader_changes(leader_changes())]
+fn tasks_on_an_executor_that_has_ended_are_detected(#[case] faults: Faults) {
+    let detected = (0..GUARD_SEEDS).find(|seed| {
+        let report = simulate_late_announcements(faults, *seed, 0, Some(Defect::TrustRemoved));
+        let mut violations = report.violations.iter();
+        violations.any(|violation| violation.contains("is placed on"))
+    });
+    assert!(detected.is_some(), "no violation on {GUARD_SEEDS} seeds");
+}
+
 /// About 350 executors whose polls go through relays, all kinds of faults, and queues that surge.
 #[test]
 fn no_task_starts_again_on_hundreds_of_executors() {
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase, ReportedEnd};
+use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase, Liveness, ReportedEnd};
 use super::retirement::Retirement;
 use super::{
     Announcement, BriefAnnouncement, Defect, Departure, Effect, Leader, Moment, Refusal, Reply,
@@ -107,6 +107,8 @@
         }
         let mut view = ExecutorView::new(former_leases_end);
         view.cordoned = self.has_operation(&incarnation.id);
+        let liveness = self.initial_liveness(incarnation);
+        view.liveness = liveness;
         if self.may_be_claimed(incarnation) {
             view.host_unknown_until = now.monotonic + HOST_UNKNOWN_TIMEOUT;
         }
@@ -115,7 +117,7 @@
         let former_leases_ms = u64::try_from(former_leases_ms).unwrap_or(u64::MAX);
         log::info!(
             executor = incarnation.id.as_ref(), born_ms = incarnation.started_ms, former_leases_ms,
-            pool = incarnation.pool.as_ref(), address = incarnation.address.as_ref();
+            liveness:?, pool = incarnation.pool.as_ref(), address = incarnation.address.as_ref();
             "executor known"
         );
         if let Some(former) = former {
@@ -289,9 +291,14 @@
             match concerned {
                 Departing::Former => {}
                 Departing::Known => self.record_departure(now, key, departure),
-                // The known one has ended, as a later one has started.
-                Departing::Later => self.supersede(now, key),
+                Departing::Later => {
+                    // The known one has ended, as a later one has started.
+                    self.supersede(now, key);
+                    self.record_unknown_departure(now, departure);
+                }
             }
+        } else {
+            self.record_unknown_departure(now, departure);
         }
         self.after_commit(Effect::Reply {
             reply_to,
@@ -338,6 +345,13 @@
         self.poll_beside(now, key);
     }
 
+    /// Records the end of an incarnation that is not known, whose announcements may still arrive.
+    fn record_unknown_departure(&mut self, now: Moment, departure: &Departure) {
+        if let Some(started_ms) = departure.started_ms {
+            self.record_removed(now, &departure.id, started_ms);
+        }
+    }
+
     /// Removes an incarnation that has ended, with all its runs.
     pub(super) fn retire(&mut self, now: Moment, key: ExecutorKey, reason: Retirement) {
         let Some(record) = self.state.executor(key) else {
@@ -347,6 +361,7 @@
             Arc::clone(&record.incarnation.id),
             Arc::clone(&record.incarnation.pool),
         );
+        let started_ms = record.incarnation.started_ms;
         let (runs, why) = (record.runs.len(), reason.name());
         log::info!(executor = id.as_ref(), runs, why; "executor gone");
         let given_up = self.record_crash(now, key, reason);
@@ -368,6 +383,7 @@
         if self.key_by_id.get(&id) == Some(&key) {
             self.key_by_id.remove(&id);
         }
+        self.record_removed(now, &id, started_ms);
         for run in runs {
             self.update_pending(now, run.task.job);
         }
@@ -493,6 +509,7 @@
             && !view.cordoned
             && view.departure.is_none()
             && view.superseded_at.is_none()
+            && view.liveness != Liveness::Unconfirmed
             && view.unknown_runs.is_empty()
             && now.monotonic >= view.backoff_until
     }
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -79,6 +79,7 @@
     /// Time since which another incarnation of the executor is known to answer, which has not
     /// announced itself yet and may have runs of this one. Nothing is sent meanwhile.
     pub(super) superseded_at: Option<Duration>,
+    pub(super) liveness: Liveness,
     /// Time at which this incarnation last reported its runs.
     pub(super) reported_at: Duration,
     pub(super) departure: Option<ReportedEnd>,
@@ -199,6 +200,15 @@
     StopAcknowledged(Duration),
 }
 
+/// What shows that an incarnation runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Liveness {
+    /// Its announcements and reports show that it runs.
+    Announced,
+    /// Only a report would, as it was removed before, and announcements of it may be late ones.
+    Unconfirmed,
+}
+
 impl ExecutorView {
     pub(super) fn new(former_leases_end: Duration) -> Self {
         Self {
@@ -224,6 +234,7 @@
             cordoned: false,
             host_unknown_until: Duration::ZERO,
             superseded_at: None,
+            liveness: Liveness::Announced,
             reported_at: Duration::ZERO,
             departure: None,
             reliability: Reliability::default(),
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -73,6 +73,8 @@
     pub(super) removed_leases_end: BTreeMap<Arc<str>, Duration>,
     /// The same for one that a former leader has removed.
     pub(super) takeover_leases_end: Duration,
+    /// Time until which the latest removed incarnation is recorded, by identifier.
+    pub(super) removed_until: BTreeMap<Arc<str>, Duration>,
     /// Time at which this leadership began.
     pub(super) leading_since: Duration,
     last_check: Duration,
@@ -110,6 +112,7 @@
             release_budget: None,
             removed_leases_end: BTreeMap::new(),
             takeover_leases_end: Duration::ZERO,
+            removed_until: BTreeMap::new(),
             leading_since: now.monotonic,
             last_check: Duration::ZERO,
             last_forget: now.monotonic,
@@ -179,6 +182,7 @@
             self.check_executors(now);
             self.check_hosts(now);
             self.forget_ended_jobs(now);
+            self.forget_removed(now);
             self.note_quota_waits();
             // Executors become usable again by the passing of time, without an event.
             let pending = self.pending.iter().filter(|(_, jobs)| !jobs.is_empty());
@@ -258,6 +262,7 @@
             // The former leader may have called the executor until now.
             view.lease_extended_at = now.monotonic;
             // The former leader's request may still take its host away.
+            view.liveness = self.initial_liveness(&record.incarnation);
             let mut claims = self.state.claims().values();
             view.cordoned = claims.any(|(_, executor)| *executor == Some(key));
             for run in runs {
@@ -266,6 +271,7 @@
             self.executors.insert(key, view);
             self.take_over_lapsed(key);
         }
+        self.take_over_removed(now);
         let jobs: Vec<_> = self.state.jobs().map(|(job, _)| job).collect();
         for job in jobs {
             self.update_pending(now, job);
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -32,6 +32,7 @@
 mod quotas;
 mod reads;
 mod rebirth;
+mod removed;
 mod retirement;
 mod shares;
 mod track;
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -75,6 +75,9 @@
     IgnoreLaterLeases,
     /// Calls are sent, and their leases dated, as if no time had passed since they were decided on.
     SendAfterRemoval,
+    /// Tasks start on an incarnation that was removed and has announced itself again, though it has not
+    /// reported its runs.
+    TrustRemoved,
     /// Long-running tasks are stopped without regard to the other tasks of their step.
     StopWithoutCount,
 }
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -198,6 +198,19 @@
         /// Job of the task.
         job: JobId,
     },
+    /// Records that an incarnation of an executor is removed, so that a late announcement of it is not
+    /// taken to show that it runs.
+    Removed {
+        /// Identifier of the executor.
+        id: Arc<str>,
+        /// Start time of the incarnation; see [`ExecutorIncarnation::started_ms`].
+        started_ms: u64,
+    },
+    /// Removes the records of incarnations that were removed long ago.
+    ForgetRemoved {
+        /// Identifiers of their executors.
+        ids: Vec<Arc<str>>,
+    },
 }
 
 impl Command {
@@ -265,6 +278,8 @@
             Self::Begun { .. } => "begun",
             Self::Located { .. } => "located",
             Self::FormerLeases { .. } => "former-leases",
+            Self::Removed { .. } => "removed",
+            Self::ForgetRemoved { .. } => "forget-removed",
         }
     }
 }
--- a/crates/masticfield-jobs/src/state/snapshot.rs
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -18,7 +18,8 @@
         let begun = self.jobs.iter().filter(|(_, job)| job.begun);
         let begun: Vec<_> = begun.map(|(id, _)| *id).collect();
         let supplement = (begun, &self.located, &self.former_leases);
-        postcard::to_extend(&supplement, encoded).expect("the state is plain data")
+        let encoded = postcard::to_extend(&supplement, encoded).expect("the state is plain data");
+        postcard::to_extend(&self.removed, encoded).expect("the state is plain data")
     }
 
     /// Decodes a snapshot.
@@ -44,14 +45,19 @@
             state.restore_access(access);
         }
         if !rest.is_empty() {
+            let supplement;
+            (supplement, rest) = postcard::take_from_bytes(rest)?;
             let begun: Vec<JobId>;
-            (begun, state.located, state.former_leases) = postcard::from_bytes(rest)?;
+            (begun, state.located, state.former_leases) = supplement;
             for id in begun {
                 if let Some(job) = state.jobs.get_mut(&id) {
                     job.begun = true;
                 }
             }
         }
+        if !rest.is_empty() {
+            state.removed = postcard::from_bytes(rest)?;
+        }
         Ok(state)
     }
 }
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -49,6 +49,10 @@
     /// [`Command::FormerLeases`]. Encoded after the rest.
     #[serde(skip)]
     pub(super) former_leases: BTreeSet<ExecutorKey>,
+    /// Latest start of an incarnation that was removed, by the executor's identifier; see
+    /// [`Command::Removed`]. Encoded after the rest.
+    #[serde(skip)]
+    pub(super) removed: BTreeMap<Arc<str>, u64>,
     /// Encoded after the rest.
     #[serde(skip)]
     pub(super) workspaces: Workspaces,
@@ -124,6 +128,17 @@
         self.executors.get(&executor)
     }
 
+    /// Returns the latest start of an incarnation of an executor that was removed.
+    pub fn removed(&self, id: &str) -> Option<u64> {
+        self.removed.get(id).copied()
+    }
+
+    /// Returns the identifiers of executors of which an incarnation was removed, with its start.
+    pub fn removed_incarnations(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let removed = self.removed.iter();
+        removed.map(|(id, started_ms)| (id, *started_ms))
+    }
+
     /// Returns the key for the next executor to enlist.
     pub const fn next_executor_key(&self) -> ExecutorKey {
         ExecutorKey(self.last_executor + 1)
@@ -280,6 +295,8 @@
                     self.former_leases.remove(&executor)
                 }
             }
+            Command::Removed { id, started_ms } => self.record_removed(id, started_ms),
+            Command::ForgetRemoved { ids } => self.forget_removed(&ids),
             Command::Begun { job } => {
                 let job = self.jobs.get_mut(&job);
                 job.is_some_and(|job| !std::mem::replace(&mut job.begun, true))
@@ -358,6 +375,22 @@
         true
     }
 
+    fn record_removed(&mut self, id: Arc<str>, started_ms: u64) -> bool {
+        let is_latest = self.removed(&id).is_none_or(|latest| latest < started_ms);
+        if is_latest {
+            self.removed.insert(id, started_ms);
+        }
+        is_latest
+    }
+
+    fn forget_removed(&mut self, ids: &[Arc<str>]) -> bool {
+        let count = self.removed.len();
+        for id in ids {
+            self.removed.remove(id);
+        }
+        self.removed.len() < count
+    }
+
     fn start(&mut self, run: RunId, executor: ExecutorKey) -> bool {
         let Some(record) = self.executors.get_mut(&executor) else {
             return false;
--- a/crates/masticfield-jobs/tests/leader/main.rs
+++ b/crates/masticfield-jobs/tests/leader/main.rs
@@ -3,6 +3,7 @@
 mod former_leases;
 mod new_leader;
 mod pending;
+mod removed_incarnations;
 mod runs;
 mod standby;
 mod support;
--- a/crates/masticfield-jobs/tests/state.rs
+++ b/crates/masticfield-jobs/tests/state.rs
@@ -1,5 +1,7 @@
 //! The replicated state: which commands change it, and which have no effect.
 
+use std::collections::BTreeMap;
+
 use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec, TaskId};
 use masticfield_jobs::queue::{InvalidConfig, PoolConfig, QueueConfig, QueueId, QueuesConfig};
 use masticfield_jobs::state::{
@@ -363,3 +365,14 @@
     assert!(!state.is_located(run) && !state.may_have_former_leases(later));
     assert!(!state.apply(former_leases(later, true)), "it is gone");
 }
+
+/// Guards against a replica that cannot read the snapshots of the version before, which end before the
+/// removed incarnations.
+#[test]
+fn a_snapshot_without_removed_incarnations_is_read() {
+    let state = State::default();
+    let with = state.to_snapshot();
+    let empty = postcard::to_stdvec(&BTreeMap::<String, u64>::new()).expect("plain data");
+    let without = with.strip_suffix(&empty[..]).expect("encoded last");
+    assert_eq!(State::from_snapshot(without).as_ref(), Ok(&state));
+}
