--- a/crates/masticfield-jobs/tests/leader/clocks.rs
+++ b/crates/masticfield-jobs/tests/leader/clocks.rs
@@ -117,3 +117,30 @@
     let decision = leader.decide(moment(ORDER_MS + 1_000));
     assert_eq!(started_runs(&decision.commands), [run.task.run(2)]);
 }
+
+/// Guards against a second answer of a later incarnation that is compared with the clock in its first.
+#[test]
+fn the_clock_of_a_later_incarnation_is_not_recorded_as_that_of_the_known_one() {
+    let mut state = State::default();
+    state.apply(Command::configure(config(), b"config"[..].into()));
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state, options(), watch, moment(0));
+    announce(&mut leader, 0, 5, FORMER_CLOCK_MS);
+    leader.decide(moment(0));
+    for job in [JOB, JOB + 1] {
+        leader.handle(moment(ORDER_MS), submit(job));
+    }
+    let runs = started_runs(&leader.decide(moment(ORDER_MS)).commands);
+    assert_eq!(runs.len(), 2);
+    for run in &runs {
+        let answered = Event::StartResult {
+            executor: FORMER,
+            run: *run,
+            result: Ok(9_000_010),
+        };
+        leader.handle(moment(ORDER_MS + 10), answered);
+    }
+    announce(&mut leader, ORDER_MS + 20, 6, 9_000_020);
+    let later = leader.state().executor(LATER).expect("announced");
+    assert!(runs.iter().all(|run| later.runs.contains(run)));
+}
