--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -27,6 +27,8 @@
     /// Number of the last announcement.
     pub(crate) sequence: u64,
     started: u64,
+    /// Value at which the executor's clock started, in milliseconds.
+    first_clock: u64,
     /// Rate of the executor's clock relative to simulated time.
     clock_rate: f64,
     /// Highest fence of a call; calls with a lower one are rejected.
@@ -99,7 +101,7 @@
         incarnation: ExecutorIncarnation,
         host: usize,
         now: u64,
-        clock_rate: f64,
+        (first_clock, clock_rate): (u64, f64),
     ) -> Self {
         Self {
             incarnation,
@@ -111,6 +113,7 @@
             health: Health::Healthy,
             sequence: 0,
             started: now,
+            first_clock,
             clock_rate,
             fence: 0,
             deadline: 0,
@@ -148,7 +151,7 @@
         reason = "milliseconds of a simulation"
     )]
     pub(crate) fn clock(&self, now: u64) -> u64 {
-        ((now - self.started) as f64 * self.clock_rate) as u64
+        self.first_clock + ((now - self.started) as f64 * self.clock_rate) as u64
     }
 
     /// Returns the resources that runs reserve.
--- a/crates/masticfield-emulator/src/scenario.rs
+++ b/crates/masticfield-emulator/src/scenario.rs
@@ -87,6 +87,11 @@
 pub struct Faults {
     /// Share of orders to start or stop a run that get no answer and arrive 2 to 12 s late.
     pub delayed_orders: f64,
+    /// Whether orders that arrive late are carried out by the incarnation that then answers to the
+    /// executor's identifier. Otherwise they are lost with the incarnation that they were sent to.
+    pub late_orders_reach_successors: bool,
+    /// Whether the clocks of executors start at any value; otherwise at zero.
+    pub arbitrary_clocks: bool,
     /// Share of calls to executors and to the platform whose answer is lost after the call was
     /// carried out.
     pub lost_answers: f64,
@@ -186,6 +191,8 @@
             workspaces: 0,
             faults: Faults {
                 delayed_orders: 0.0,
+                late_orders_reach_successors: false,
+                arbitrary_clocks: false,
                 lost_answers: 0.0,
                 crash_interval_ms: 0,
                 reborn_executors: 0.0,
--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -29,6 +29,9 @@
 /// Time for which such an executor is cut off, in milliseconds.
 const CUT_OFF_MS: std::ops::Range<u64> = 5_000..12_000;
 
+/// Value at which the clock of an executor may start, in milliseconds.
+const FIRST_CLOCK_MS: std::ops::Range<u64> = 0..4_000_000;
+
 /// Time for which an announcement may be held up, in milliseconds.
 const HELD_UP_ANNOUNCEMENT_MS: std::ops::Range<u64> = 50..12_000;
 
@@ -61,8 +64,13 @@
             rack: None,
             capacity: self.scenario.fleet.host_capacity(),
         };
-        self.executors
-            .push(Executor::new(incarnation, host, self.now, clock_rate));
+        let first_clock = if self.scenario.faults.arbitrary_clocks {
+            self.rng.random_range(FIRST_CLOCK_MS)
+        } else {
+            0
+        };
+        let executor = Executor::new(incarnation, host, self.now, (first_clock, clock_rate));
+        self.executors.push(executor);
         self.hosts[host].executor = Some(index);
         if &*self.hosts[host].pool != "standby" {
             let after = self.rng.random_range(1..longest_silence);
@@ -164,7 +172,7 @@
         relayed: Option<Box<CallAtRelay>>,
     ) {
         let (now, tag) = (self.now, CallTag::new(key, call));
-        let index = if delayed {
+        let index = if delayed && !self.scenario.faults.late_orders_reach_successors {
             index
         } else {
             self.latest_incarnation(index)
--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -379,6 +379,40 @@
     }
 }
 
+/// Orders that arrive late are carried out by the next incarnation of their executor, whose clock starts
+/// at any value.
+fn late_orders_for_former_incarnations(faults: Faults) -> Faults {
+    Faults {
+        delayed_orders: 0.05,
+        late_orders_reach_successors: true,
+        arbitrary_clocks: true,
+        ..cut_off_reborn(faults)
+    }
+}
+
+/// Guards against a task that runs beside or after another run of it: an order was carried out late, by
+/// the next incarnation of its executor.
+#[rstest]
+#[case::alone(no_faults(), 0)]
+#[case::leader_changes(some_leader_changes(), 0)]
+#[case::crashes_and_partitions(crashes_and_partitions(), 0)]
+#[case::mixed_faults(mixed_faults(), 0)]
+#[case::through_relays(leader_changes(), 4)]
+fn no_task_starts_again_by_an_order_for_a_former_incarnation(
+    #[case] faults: Faults,
+    #[case] relays: usize,
+) {
+    for seed in seeds() {
+        let scenario = Scenario::new(long_tasks()).load_ms(60_000).relays(relays);
+        let scenario = scenario.shape(LoadShape::Steady);
+        let scenario = scenario.faults(late_orders_for_former_incarnations(faults));
+        let report = Simulation::new(scenario, seed).run();
+        let first: Vec<_> = report.violations.iter().take(5).collect();
+        assert!(report.violations.is_empty(), "seed {seed}: {first:#?}");
+        assert!(report.starts > 0, "seed {seed}: no task was started");
+    }
+}
+
 /// The checks detect each guard of the leases of reborn executors that is left out.
 #[rstest]
 #[case::former_leases(Defect::IgnoreFormerLeases, some_leader_changes())]
