fix(jobs): give the calls for each incarnation of an executor a fence of their own

Cause: executors tell calls apart by their fence, which was the term of the leader, and their identifier does not tell incarnations apart. Change: the fence is the term and, below it, the key of the incarnation, which rises. An incarnation that had a former one is polled as soon as it is known, and gets tasks once it has answered, as it may have runs that it has not reported. From that answer on, calls for former ones are refused, so that the longest lease by them is counted from it.

--- a/crates/masticfield-control/src/jobs/job_control.rs
+++ b/crates/masticfield-control/src/jobs/job_control.rs
@@ -601,7 +601,7 @@
                         executor,
                         id,
                         address,
-                        fence: leadership.term,
+                        term: leadership.term,
                         decided: now.monotonic,
                         call,
                     };
--- a/crates/masticfield-emulator/src/executor.rs
+++ b/crates/masticfield-emulator/src/executor.rs
@@ -33,6 +33,8 @@
     clock_rate: f64,
     /// Highest fence of a call; calls with a lower one are rejected.
     fence: u64,
+    /// Whether a call for this incarnation was carried out.
+    pub(crate) was_called: bool,
     /// End of the lease on the executor's clock, in milliseconds.
     deadline: u64,
     pub(crate) running: BTreeMap<RunId, ActiveRun>,
@@ -116,6 +118,7 @@
             first_clock,
             clock_rate,
             fence: 0,
+            was_called: false,
             deadline: 0,
             running: BTreeMap::new(),
             ended: BTreeSet::new(),
--- a/crates/masticfield-entry/src/jobs/relay.rs
+++ b/crates/masticfield-entry/src/jobs/relay.rs
@@ -107,8 +107,8 @@
         let Some(results) = self.results.upgrade() else {
             return;
         };
-        let (fence, decided) = (call.call.fence, call.call.decided);
-        let ticket = self.gate.lock().ticket(self.connection, fence, decided);
+        let (term, decided) = (call.call.term, call.call.decided);
+        let ticket = self.gate.lock().ticket(self.connection, term, decided);
         let task = RelayTask {
             call,
             ticket,
--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase, Liveness, ReportedEnd};
+use super::executor::{AnnouncementOrder, ExecutorView, HoldPhase, ReportedEnd};
 use super::retirement::Retirement;
 use super::{
     Announcement, BriefAnnouncement, Defect, Departure, Effect, Leader, Moment, Refusal, Reply,
@@ -101,14 +101,14 @@
             .or_default()
             .insert(key);
         let former_leases_end = self.former_leases_end(now, &incarnation.id, former);
-        if former_leases_end > now.monotonic {
+        let pending_former_lease = self.pending_former_lease(&incarnation.id, former);
+        if pending_former_lease.is_some() || former_leases_end > now.monotonic {
             let (executor, possible) = (key, true);
             self.propose(Command::FormerLeases { executor, possible });
         }
         let mut view = ExecutorView::new(former_leases_end);
         view.cordoned = self.has_operation(&incarnation.id);
-        let liveness = self.initial_liveness(incarnation);
-        view.liveness = liveness;
+        view.pending_former_lease = pending_former_lease;
         if self.may_be_claimed(incarnation) {
             view.host_unknown_until = now.monotonic + HOST_UNKNOWN_TIMEOUT;
         }
@@ -117,7 +117,8 @@
         let former_leases_ms = u64::try_from(former_leases_ms).unwrap_or(u64::MAX);
         log::info!(
             executor = incarnation.id.as_ref(), born_ms = incarnation.started_ms, former_leases_ms,
-            liveness:?, pool = incarnation.pool.as_ref(), address = incarnation.address.as_ref();
+            had_former = pending_former_lease.is_some(), pool = incarnation.pool.as_ref(),
+            address = incarnation.address.as_ref();
             "executor known"
         );
         if let Some(former) = former {
@@ -164,6 +165,8 @@
             self.record_leaving(now, key, announcement);
         }
         if is_first {
+            // From the answer on, calls for former incarnations are refused.
+            self.hold_if_due(now, key);
             self.changed_pools
                 .insert(Arc::clone(&announcement.incarnation.pool));
         }
@@ -501,7 +504,8 @@
             let in_touch = view.responsive && !view.was_silent && !self.state.is_overdue(key);
             in_touch && now.monotonic < self.leading_since + announce_every
         };
-        // Until a hold is answered, it is not known what runs on the executor.
+        // Until a hold is answered, it is not known what runs on the executor. Calls for a former
+        // incarnation may have started runs on one that the leader has not called yet.
         let runs_known = view.failed_holds == 0 && (view.responsive || view.runs.is_empty());
         fresh
             && runs_known
@@ -509,7 +513,7 @@
             && !view.cordoned
             && view.departure.is_none()
             && view.superseded_at.is_none()
-            && view.liveness != Liveness::Unconfirmed
+            && view.pending_former_lease.is_none()
             && view.unknown_runs.is_empty()
             && now.monotonic >= view.backoff_until
     }
--- a/crates/masticfield-jobs/src/leader/executor.rs
+++ b/crates/masticfield-jobs/src/leader/executor.rs
@@ -83,7 +83,10 @@
     /// Time since which another incarnation of the executor is known to answer, which has not
     /// announced itself yet and may have runs of this one. Nothing is sent meanwhile.
     pub(super) superseded_at: Option<Duration>,
-    pub(super) liveness: Liveness,
+    /// Longest lease that a call for a former incarnation may still grant; `None` once such calls are
+    /// refused, as this incarnation has answered a poll, or if none can be on their way. See
+    /// [`ExecutorCall::fence`](crate::relay::ExecutorCall::fence).
+    pub(super) pending_former_lease: Option<Duration>,
     /// Time at which this incarnation last reported its runs.
     pub(super) reported_at: Duration,
     pub(super) departure: Option<ReportedEnd>,
@@ -204,15 +207,6 @@
     StopAcknowledged(Duration),
 }
 
-/// What shows that an incarnation runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Liveness {
-    /// Its announcements and reports show that it runs.
-    Announced,
-    /// Only a report would, as it was removed before, and announcements of it may be late ones.
-    Unconfirmed,
-}
-
 impl ExecutorView {
     pub(super) fn new(former_leases_end: Duration) -> Self {
         Self {
@@ -238,7 +232,7 @@
             cordoned: false,
             host_unknown_until: Duration::ZERO,
             superseded_at: None,
-            liveness: Liveness::Announced,
+            pending_former_lease: None,
             reported_at: Duration::ZERO,
             departure: None,
             reliability: Reliability::default(),
@@ -383,16 +377,20 @@
 
     /// Returns the time by which every lease has certainly expired that a later incarnation of the
     /// executor may have got from calls that were made by `called`.
+    pub(super) fn later_leases_end(&self, called: Duration, max_lease: Duration) -> Duration {
+        lease_end(called + CALL_VALIDITY, self.longest_later_lease(max_lease))
+    }
+
+    /// Returns the longest lease that a later incarnation grants by a call for this one.
     ///
     /// Its clock starts anew, so that it shortens a lease only to the longest that it grants, or to the
     /// latest end that was sent, which is known if no former leader sent one.
-    pub(super) fn later_leases_end(&self, called: Duration, max_lease: Duration) -> Duration {
-        let lease = if self.former_leases_end.is_zero() {
+    pub(super) fn longest_later_lease(&self, max_lease: Duration) -> Duration {
+        if self.former_leases_end.is_zero() {
             max_lease.min(Duration::from_millis(self.deadline_ms))
         } else {
             max_lease
-        };
-        lease_end(called + CALL_VALIDITY, lease)
+        }
     }
 
     /// Returns whether the executor has ended by its own report, and its runs with it.
--- a/crates/masticfield-jobs/src/leader/hold.rs
+++ b/crates/masticfield-jobs/src/leader/hold.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::crashes::START_WINDOW;
-use super::executor::{HoldPhase, Liveness, RunLocation, RunOrigin, RunPhase, SERVING_PERCENT};
+use super::executor::{HoldPhase, RunLocation, RunOrigin, RunPhase, SERVING_PERCENT};
 use super::retirement::Retirement;
 use super::{Call, CallError, HoldReport, Leader, ListedEnd, Moment, Rejection};
 use crate::job::RunId;
@@ -40,9 +40,9 @@
             return;
         };
         // An executor that has failed, that a former leader has left behind, whose clock is disputed, or
-        // that was removed before, is polled until it answers and becomes usable.
+        // that may carry out calls for former incarnations, is polled until it answers.
         let known = view.failed_holds == 0 && view.clock.is_some() && view.disputed_at.is_none();
-        let known = known && view.liveness != Liveness::Unconfirmed;
+        let known = known && view.pending_former_lease.is_none();
         let idle = view.runs.is_empty() && view.unknown_runs.is_empty() && known;
         if idle || now.monotonic < due || view.superseded_at.is_some() {
             return;
@@ -137,6 +137,7 @@
         {
             return self.supersede(now, key);
         }
+        let was_pending = self.end_former_calls(now, key);
         let Some(view) = self.executors.get_mut(&key) else {
             return;
         };
@@ -145,9 +146,8 @@
         if view.failed_holds > 0 {
             log::info!(executor = key.0, failures = view.failed_holds; "executor answers again");
         }
-        let first_answer = !view.responsive || view.liveness == Liveness::Unconfirmed;
+        let first_answer = !view.responsive || was_pending;
         (view.responsive, view.failed_holds) = (true, 0);
-        view.liveness = Liveness::Announced;
         self.lapsed.take(key);
         let (mut begun, mut located) = (Vec::new(), Vec::new());
         for listed in &report.running {
--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -261,8 +261,8 @@
             };
             // The former leader may have called the executor until now.
             view.lease_extended_at = now.monotonic;
+            view.pending_former_lease = self.pending_former_lease(&record.incarnation.id, None);
             // The former leader's request may still take its host away.
-            view.liveness = self.initial_liveness(&record.incarnation);
             let mut claims = self.state.claims().values();
             view.cordoned = claims.any(|(_, executor)| *executor == Some(key));
             for run in runs {
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -1,9 +1,10 @@
 //! Executors that start again under their identifier.
 //!
 //! Orders name an executor by its identifier and address, so that a later incarnation carries out
-//! those that were meant for an earlier one. Reports and announcements tell the incarnations apart,
-//! and so does the clock in an answer if the earlier one had run for some time. A run that is not
-//! known to have been on an incarnation may therefore be on the next one.
+//! those that were meant for an earlier one, until it has answered a call of its own, which has a higher
+//! fence; see [`ExecutorCall::fence`](crate::relay::ExecutorCall::fence). Reports and announcements
+//! tell the incarnations apart, and so does the clock in an answer if the earlier one had run for some
+//! time. A run that is not known to have been on an incarnation may therefore be on the next one.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use super::retirement::Retirement;
 use super::{Call, Defect, Leader, Moment};
 use crate::job::RunId;
+use crate::schedule::lease_end;
 use crate::state::{Command, ExecutorKey};
 
 /// Time within which no executor ends and starts again; the users' are away for half a second.
@@ -147,11 +149,52 @@
         }
     }
 
+    /// Returns the longest lease that calls for former incarnations of an executor, of which `former` is
+    /// known, may still grant; `None` if none can be on their way.
+    pub(super) fn pending_former_lease(
+        &self,
+        id: &Arc<str>,
+        former: Option<ExecutorKey>,
+    ) -> Option<Duration> {
+        let defect = self.options.defect;
+        if matches!(
+            defect,
+            Some(Defect::TrustRemoved | Defect::SendAfterRemoval)
+        ) {
+            return None;
+        }
+        let max_lease = self.options.max_lease;
+        if let Some(view) = former.and_then(|former| self.executors.get(&former)) {
+            return Some(view.longest_later_lease(max_lease));
+        }
+        self.state.removed(id).map(|_started_ms| max_lease)
+    }
+
+    /// Records that an incarnation has answered a poll, after which it refuses calls for former ones;
+    /// returns whether it might have carried them out until now.
+    pub(super) fn end_former_calls(&mut self, now: Moment, key: ExecutorKey) -> bool {
+        let may_have_leases = self.state.may_have_former_leases(key)
+            && self.options.defect != Some(Defect::IgnoreFormerLeases);
+        let Some(view) = self.executors.get_mut(&key) else {
+            return false;
+        };
+        let Some(lease) = view.pending_former_lease.take() else {
+            return false;
+        };
+        if may_have_leases {
+            let latest = lease_end(now.monotonic, lease);
+            view.former_leases_end = view.former_leases_end.max(latest);
+        }
+        true
+    }
+
     /// Records in the state when an executor can no longer hold a lease by calls for former
     /// incarnations, so that the next leader need not wait for it.
     pub(super) fn check_former_leases(&mut self, now: Moment, key: ExecutorKey) {
         let view = self.executors.get(&key);
-        let over = view.is_some_and(|view| now.monotonic > view.former_leases_end);
+        let over = view.is_some_and(|view| {
+            view.pending_former_lease.is_none() && now.monotonic > view.former_leases_end
+        });
         if over && self.state.may_have_former_leases(key) {
             let (executor, possible) = (key, false);
             self.propose(Command::FormerLeases { executor, possible });
--- a/crates/masticfield-jobs/src/leader/removed.rs
+++ b/crates/masticfield-jobs/src/leader/removed.rs
@@ -1,14 +1,14 @@
 //! Incarnations of executors that were removed, and announce themselves again.
 //!
 //! An announcement may be sent before the incarnation ends and arrive after its removal. It does not
-//! show that the executor runs; a report of its runs does.
+//! show that the executor runs; a report of its runs does, which also shows that calls for former
+//! incarnations are refused from then on.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::executor::Liveness;
-use super::{Defect, Leader, Moment};
-use crate::state::{Command, ExecutorIncarnation};
+use super::{Leader, Moment};
+use crate::state::Command;
 
 /// Time for which removed incarnations are recorded, longer than announcements are held up on their way.
 const RETENTION: Duration = Duration::from_mins(1);
@@ -22,17 +22,6 @@
         self.propose(Command::Removed { id, started_ms });
     }
 
-    /// Returns what the announcement of an incarnation that is not known shows.
-    pub(super) fn initial_liveness(&self, incarnation: &ExecutorIncarnation) -> Liveness {
-        let removed = self.state.removed(&incarnation.id);
-        let was_removed = removed.is_some_and(|started_ms| incarnation.started_ms <= started_ms);
-        if was_removed && self.options.defect != Some(Defect::TrustRemoved) {
-            Liveness::Unconfirmed
-        } else {
-            Liveness::Announced
-        }
-    }
-
     /// Takes over which incarnations were removed, which the former leader may have done right before.
     pub(super) fn take_over_removed(&mut self, now: Moment) {
         let ids = self.state.removed_incarnations().map(|(id, _)| id);
--- a/crates/masticfield-jobs/src/relay/executor_call.rs
+++ b/crates/masticfield-jobs/src/relay/executor_call.rs
@@ -19,8 +19,8 @@
     pub id: Arc<str>,
     /// Host and port of the executor.
     pub address: Arc<str>,
-    /// Fencing number: the term of the leader. Executors reject a lower one than they have seen.
-    pub fence: u64,
+    /// Term of the leader.
+    pub term: u64,
     /// The leader's monotonic time when it decided to make the call.
     pub decided: Duration,
     /// What the executor is asked to do.
@@ -52,6 +52,14 @@
 }
 
 impl ExecutorCall {
+    /// Returns the fence of the call: its executor rejects calls with a lower one than it has seen.
+    ///
+    /// An identifier does not tell incarnations apart, so that calls for a former one reach the next.
+    /// The key of the next one is higher, and so is the fence of each call for it.
+    pub const fn fence(&self) -> u64 {
+        self.term << u32::BITS | self.executor.0 as u64
+    }
+
     /// Returns what is needed to report the call's result.
     pub const fn tag(&self) -> CallTag {
         CallTag::new(self.executor, &self.call)
--- a/crates/masticfield-jobs/src/relay/gate.rs
+++ b/crates/masticfield-jobs/src/relay/gate.rs
@@ -15,15 +15,15 @@
     last_connection: u64,
     /// Clock of the leader of the current connection.
     clock: ClockBound,
-    /// Highest fence of any leader's call.
-    highest_fence: u64,
+    /// Highest term of any leader's call.
+    highest_term: u64,
 }
 
 /// What a relay must know of a call to check whether it may still be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallTicket {
     connection: u64,
-    fence: u64,
+    term: u64,
     decided: Duration,
 }
 
@@ -63,11 +63,11 @@
     /// Registers a call that arrived over a connection.
     ///
     /// `decided` is the leader's clock when it decided to make the call.
-    pub fn ticket(&mut self, connection: u64, fence: u64, decided: Duration) -> CallTicket {
-        self.highest_fence = self.highest_fence.max(fence);
+    pub fn ticket(&mut self, connection: u64, term: u64, decided: Duration) -> CallTicket {
+        self.highest_term = self.highest_term.max(term);
         CallTicket {
             connection,
-            fence,
+            term,
             decided,
         }
     }
@@ -77,7 +77,7 @@
         if self.connection != Some(ticket.connection) {
             return RelayVerdict::Disconnected;
         }
-        if ticket.fence < self.highest_fence {
+        if ticket.term < self.highest_term {
             return RelayVerdict::Deposed;
         }
         match self.clock.max_age(now, ticket.decided) {
