fix(jobs): repeat an order to start only while the executor's capacity is known

3127 announces 16 cores; the state has that from now on 4296 is cut off, for 8.4 s 6067 shrinks to 8.2 cores; its announcements of 6127 to 12127 do not arrive 11101 the leader changes; the next one inherits six runs placed there 12713 the first poll after the cut is answered, and lists none of them 12723 the next leader repeats all six orders, by the capacity of 9.6 s before 12724 the starts reserve 14.0 cores 13627 the first announcement after the cut shows 8.2

Cause: tasks are placed only on executors whose announcements are recent, as only these show the capacity.

Ruled out: a later incarnation and late orders (executor 3 does not end, and the six starts arrive 1 ms after they were sent); the check, which allows a start by a capacity of 4.5 s before, where the rule allows none.

Change: an order is repeated only while the capacity is known, by the same condition as for placing. Otherwise the run is stopped and placed again, as if the order no longer fitted; a long-running one that may not be stopped waits for an announcement.

--- a/crates/masticfield-jobs/src/leader/announce.rs
+++ b/crates/masticfield-jobs/src/leader/announce.rs
@@ -495,15 +495,7 @@
         else {
             return false;
         };
-        // Only announcements show the capacity. A new leader relies on the state until executors
-        // have had the time to announce themselves, unless they may have missed announcements.
-        let announce_every = self.options.announce_every;
-        let fresh = if let Some(at) = view.last_announced {
-            now.monotonic < at + announce_every.mul_f64(MISSED_ANNOUNCEMENTS)
-        } else {
-            let in_touch = view.responsive && !view.was_silent && !self.state.is_overdue(key);
-            in_touch && now.monotonic < self.leading_since + announce_every
-        };
+        let fresh = self.is_capacity_known(now, key);
         // Until a hold is answered, it is not known what runs on the executor. Calls for a former
         // incarnation may have started runs on one that the leader has not called yet.
         let runs_known = view.failed_holds == 0 && (view.responsive || view.runs.is_empty());
@@ -518,6 +510,22 @@
             && now.monotonic >= view.backoff_until
     }
 
+    /// Returns whether the capacity of an executor is known.
+    ///
+    /// Only announcements show the capacity. A new leader relies on the state until executors have had
+    /// the time to announce themselves, unless they may have missed announcements.
+    pub(super) fn is_capacity_known(&self, now: Moment, key: ExecutorKey) -> bool {
+        let Some(view) = self.executors.get(&key) else {
+            return false;
+        };
+        let announce_every = self.options.announce_every;
+        if let Some(at) = view.last_announced {
+            return now.monotonic < at + announce_every.mul_f64(MISSED_ANNOUNCEMENTS);
+        }
+        let in_touch = view.responsive && !view.was_silent && !self.state.is_overdue(key);
+        in_touch && now.monotonic < self.leading_since + announce_every
+    }
+
     /// Makes the next poll of an executor due now, also if one is in flight that waits for an end.
     pub(super) fn poll_beside(&mut self, now: Moment, key: ExecutorKey) {
         if let Some(view) = self.executors.get_mut(&key) {
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -331,10 +331,12 @@
         let record = self.state.executor(executor);
         let leaving = record.is_some_and(|record| record.leaving);
         for run in starts {
-            if !leaving && !self.exceeds_capacity(executor) {
+            let known = self.is_capacity_known(now, executor);
+            if !leaving && known && !self.exceeds_capacity(executor) {
                 self.send_start(now, executor, run);
             } else if self.may_stop(now, run) {
-                // The executor is leaving, or its capacity has shrunk, since the run was placed.
+                // The executor is leaving, or its capacity has shrunk or may have, since the run was
+                // placed.
                 self.stop(now, executor, run);
             } else if let Some(view) = self.run_mut(executor, run) {
                 view.phase = RunPhase::Retry(now.monotonic + START_RETRY_DELAY);
--- a/crates/masticfield-jobs/tests/leader/new_leader.rs
+++ b/crates/masticfield-jobs/tests/leader/new_leader.rs
@@ -4,7 +4,7 @@
 
 use masticfield_jobs::job::JobId;
 use masticfield_jobs::leader::{
-    Call, ClaimWatch, Effect, Event, HoldReport, JobRequestKind, Leader,
+    Call, CallError, ClaimWatch, Effect, Event, HoldReport, JobRequestKind, Leader,
 };
 use masticfield_jobs::state::{Command, HostClaim};
 use rstest::rstest;
@@ -161,6 +161,66 @@
     assert_eq!(started_runs(&leader.decide(moment(10)).commands).len(), 1);
 }
 
+/// An executor was cut off from the former leader, whose order to start has not arrived, and its capacity
+/// may have shrunk meanwhile. Only an announcement shows that.
+#[rstest]
+#[case::in_touch(false, false, None, true)]
+#[case::announcements_overdue(true, false, None, false)]
+#[case::without_an_answer_at_first(false, true, None, false)]
+#[case::announced_again(true, false, Some(32_000), true)]
+#[case::announced_again_after_no_answer(false, true, Some(32_000), true)]
+#[case::announced_with_less(true, false, Some(500), false)]
+fn an_inherited_order_is_repeated_once_the_capacity_is_known(
+    #[case] overdue: bool,
+    #[case] silent: bool,
+    #[case] announced_milli: Option<u64>,
+    #[case] is_repeated: bool,
+) {
+    let mut state = state();
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut former = Leader::new(state.clone(), options(), watch.clone(), moment(0));
+    former.decide(moment(0));
+    former.handle(moment(1), held(moment(0), 900, &[]));
+    former.handle(moment(2), submit(7));
+    let commands = former.decide(moment(2)).commands;
+    let run = started_runs(&commands)[0];
+    for command in commands {
+        state.apply(command);
+    }
+    state.apply(Command::Overdue {
+        executor: EXECUTOR,
+        overdue,
+    });
+    let mut leader = Leader::new(state, options(), watch, moment(10));
+    leader.decide(moment(10));
+    if silent {
+        let unanswered = Event::HoldResult {
+            executor: EXECUTOR,
+            sent: moment(10).monotonic,
+            result: Err(CallError::Unknown),
+        };
+        leader.handle(moment(20), unanswered);
+        leader.decide(moment(300));
+    }
+    if let Some(cpu_milli) = announced_milli {
+        announce_capacity(&mut leader, 305, cpu_milli);
+    }
+    leader.handle(moment(310), held(moment(300), 1_210, &[]));
+    let effects = leader.decide(moment(310)).after_commit;
+    let calls = effects.iter().filter_map(|effect| match effect {
+        Effect::Call { call, .. } => Some(call),
+        _ => None,
+    });
+    let calls: Vec<_> = calls.collect();
+    let started = calls.iter().any(|call| matches!(call, Call::Start { .. }));
+    assert_eq!(started, is_repeated, "{calls:?}");
+    assert_eq!(
+        calls.contains(&&Call::Stop { run }),
+        !is_repeated,
+        "{calls:?}"
+    );
+}
+
 /// After a change of the leader, pools were short of hosts for 4 to 5 s, as the new leader did not
 /// know the offered load. It is restored from the jobs in the state, as of the latest acceptance.
 #[rstest]
--- a/crates/masticfield-jobs/tests/leader/runs.rs
+++ b/crates/masticfield-jobs/tests/leader/runs.rs
@@ -153,6 +153,44 @@
     assert!(!repeated, "{calls:?}");
 }
 
+/// Announcements of an executor stop coming before an order without an answer is repeated. Its capacity
+/// may shrink unnoticed.
+#[rstest]
+#[case::still_announced(Some(3_780), true)]
+#[case::no_longer_announced(None, false)]
+fn an_order_is_repeated_while_the_capacity_is_known(
+    #[case] announced_ms: Option<u64>,
+    #[case] is_repeated: bool,
+) {
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state(), options(), watch, moment(0));
+    announce_capacity(&mut leader, 0, 32_000);
+    leader.handle(moment(3_700), submit(1));
+    let run = started_runs(&leader.decide(moment(3_700)).commands)[0];
+    let unanswered = Event::StartResult {
+        executor: EXECUTOR,
+        run,
+        result: Err(CallError::Unknown),
+    };
+    leader.handle(moment(3_760), unanswered);
+    if let Some(ms) = announced_ms {
+        announce_capacity(&mut leader, ms, 32_000);
+    }
+    let effects = leader.decide(moment(3_900)).after_commit;
+    let calls = effects.iter().filter_map(|effect| match effect {
+        Effect::Call { call, .. } => Some(call),
+        _ => None,
+    });
+    let calls: Vec<_> = calls.collect();
+    let repeated = calls.iter().any(|call| matches!(call, Call::Start { .. }));
+    assert_eq!(repeated, is_repeated, "{calls:?}");
+    assert_eq!(
+        calls.contains(&&Call::Stop { run }),
+        !is_repeated,
+        "{calls:?}"
+    );
+}
+
 /// An executor lists at most 500 ends at a time. That of the run follows in the next report.
 #[test]
 fn a_run_is_not_taken_for_gone_while_an_executor_has_more_ends_to_list() {
