test(jobs): leave out only the check of late calls in Defect::SendAfterRemoval

Cause: made the defect leave out the fences and the first polls as well, so that the test of the left-out guards showed less than before. Change: the defect is the former one again.

--- a/crates/masticfield-emulator/src/simulation/executors.rs
+++ b/crates/masticfield-emulator/src/simulation/executors.rs
@@ -102,14 +102,10 @@
             .executors
             .iter()
             .rposition(|executor| executor.incarnation.id == call.id);
-        let has_own_fence = !matches!(
-            self.scenario.defect,
-            Some(Defect::CommonFence | Defect::SendAfterRemoval)
-        );
-        let fence = if has_own_fence {
-            call.fence()
-        } else {
+        let fence = if self.scenario.defect == Some(Defect::CommonFence) {
             call.term
+        } else {
+            call.fence()
         };
         let (epoch, call) = (call.term, call.call.clone());
         let Some(executor) = executor else {
--- a/crates/masticfield-jobs/src/leader/options.rs
+++ b/crates/masticfield-jobs/src/leader/options.rs
@@ -73,9 +73,7 @@
     IgnoreFormerLeases,
     /// Runs that may be on a later incarnation end with the leases of the known one.
     IgnoreLaterLeases,
-    /// Calls are sent, and their leases dated, as if no time had passed since they were decided on. Left
-    /// out as well are [`CommonFence`](Self::CommonFence) and [`TrustRemoved`](Self::TrustRemoved), which
-    /// limit what such calls do.
+    /// Calls are sent, and their leases dated, as if no time had passed since they were decided on.
     SendAfterRemoval,
     /// Tasks start on an incarnation that was removed and has announced itself again, or of which a former
     /// one was removed, though it has not reported its runs.
--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -156,11 +156,7 @@
         id: &Arc<str>,
         former: Option<ExecutorKey>,
     ) -> Option<Duration> {
-        let defect = self.options.defect;
-        if matches!(
-            defect,
-            Some(Defect::TrustRemoved | Defect::SendAfterRemoval)
-        ) {
+        if self.options.defect == Some(Defect::TrustRemoved) {
             return None;
         }
         let max_lease = self.options.max_lease;
