fix(jobs): reassign runs that an order of a former leader may still start on the next incarnation

What callers see: two runs of a task at once. A former leader's order to start had no answer; the next leader saw the run listed, took it for located on that incarnation and for gone with it, and started the task again, while the order started the run on the next incarnation. The same after two restarts with one leader. Cause: the number of orders without an answer is part of a leader's view of a run, and is lost with the leader and when the run is reassigned. Such runs now count as unlocated for 12 s, the longest that orders are held up, when their incarnation has ended, and are reassigned to the next one, whose report settles them. When leases expire nothing changes.

--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -16,6 +16,9 @@
 use crate::schedule::lease_end;
 use crate::state::{Command, ExecutorKey};
 
+/// Longest time for which an order without an answer may be on its way.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+
 /// Time within which no executor ends and starts again; the users' are away for half a second.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(100);
 
@@ -25,7 +28,7 @@
     /// Unless the later one may have runs of the earlier one, the earlier one is removed at once.
     /// Otherwise this waits for the announcement of the later one.
     pub(super) fn supersede(&mut self, now: Moment, key: ExecutorKey) {
-        let unlocated = self.unlocated_runs(key).len();
+        let unlocated = self.unlocated_runs(now, key).len();
         if unlocated == 0 {
             return self.retire(now, key, Retirement::Reborn);
         }
@@ -53,7 +56,7 @@
         let Some(to) = successor.filter(|to| *to != from) else {
             return;
         };
-        let runs = self.unlocated_runs(from);
+        let runs = self.unlocated_runs(now, from);
         if runs.is_empty() {
             return;
         }
@@ -198,14 +201,18 @@
     }
 
     /// Returns the runs on an executor that may be on a later incarnation of it: those that no report
-    /// has located, and those with an order that may still be carried out.
-    fn unlocated_runs(&self, key: ExecutorKey) -> Vec<RunId> {
+    /// has located, those with an order that may still be carried out, and those that a former leader, or
+    /// for a former incarnation this one, may have ordered without an answer.
+    fn unlocated_runs(&self, now: Moment, key: ExecutorKey) -> Vec<RunId> {
         if self.options.defect == Some(Defect::GoneWithIncarnation) {
             return Vec::new();
         }
         let runs = self.executors.get(&key).into_iter();
         let runs = runs.flat_map(|view| &view.runs);
-        let unlocated = runs.filter(|(_, view)| view.may_be_on_later());
+        let unlocated = runs.filter(|(_, view)| {
+            let is_recent = now.monotonic < view.placed_at + MAX_ORDER_DELAY;
+            view.may_be_on_later() || (view.origin != RunOrigin::Placed && is_recent)
+        });
         unlocated.map(|(run, _)| *run).collect()
     }
 }
--- a/crates/masticfield-jobs/tests/leader/former_leases.rs
+++ b/crates/masticfield-jobs/tests/leader/former_leases.rs
@@ -313,6 +313,71 @@
     check_restart(&mut leader, 12_020, 17_000..17_000);
 }
 
+fn unanswered() -> Event {
+    Event::StartResult {
+        executor: FORMER,
+        run: first_run(),
+        result: Err(CallError::Unknown),
+    }
+}
+
+/// The commands of a leader that gets to know a later incarnation of the executor, and another executor.
+fn commands_after_restart(leader: &mut Leader, started_ms: u64, ms: u64) -> Vec<Command> {
+    leader.handle(moment(ms), announce("e1", started_ms, ms, 5));
+    let mut commands = leader.decide(moment(ms)).commands;
+    leader.handle(moment(ms), announce("e2", 1, ms, 5));
+    commands.extend(leader.decide(moment(ms + 1)).commands);
+    commands
+}
+
+/// Guards against a task that starts again beside its run: an order without an answer has started it on the
+/// next incarnation, and the leader took it for located, as it did not know of that order.
+#[rstest]
+#[case::same_leader(false)]
+#[case::next_leader(true)]
+fn a_listed_run_with_an_order_without_an_answer_is_not_gone_with_its_incarnation(
+    #[case] change: bool,
+) {
+    let mut leader = leader_with_order();
+    leader.handle(moment(10), unanswered());
+    leader.decide(moment(10));
+    if change {
+        leader = next_leader(&leader, 100);
+        let again = announce("e1", FORMER_START, 100, FORMER_CLOCK_MS + 100);
+        leader.handle(moment(100), again);
+        leader.decide(moment(100));
+    }
+    for ms in [200, 1_500] {
+        let clock_ms = FORMER_CLOCK_MS + ms;
+        leader.handle(
+            moment(ms),
+            report(FORMER, FORMER_START, ms - 1, clock_ms, &[first_run()]),
+        );
+        leader.decide(moment(ms));
+    }
+    let commands = commands_after_restart(&mut leader, LATER_START, 2_000);
+    assert_eq!(started_runs(&commands), [], "{commands:?}");
+}
+
+/// Guards against the same after two restarts: the order was for the first of three incarnations.
+#[test]
+fn a_run_with_an_order_for_the_first_incarnation_is_not_gone_with_the_second() {
+    let mut leader = leader_with_order();
+    leader.handle(moment(10), unanswered());
+    leader.decide(moment(10));
+    leader.handle(moment(500), announce("e1", LATER_START, 500, 5));
+    leader.decide(moment(500));
+    for ms in [520, 700] {
+        leader.handle(
+            moment(ms),
+            report(LATER, LATER_START, ms - 1, ms - 500, &[first_run()]),
+        );
+        leader.decide(moment(ms));
+    }
+    let commands = commands_after_restart(&mut leader, LATER_START + 1, 2_000);
+    assert_eq!(started_runs(&commands), [], "{commands:?}");
+}
+
 /// The order to start the first run.
 fn order() -> Call {
     Call::Start {
