fix(jobs): send no call for an incarnation while another one is known to answer

What callers see: a task that starts again after its end as done. A call that had waited for its commit was sent after a report of another incarnation, as prepare_call refused only calls for removed ones, and its poll acknowledged ends of the other one. Change: such a call counts as unanswered, like one for a removed incarnation. Evidence: found by a review; no_call_is_sent_while_another_incarnation_answers failed before.

--- a/crates/masticfield-jobs/src/leader/rebirth.rs
+++ b/crates/masticfield-jobs/src/leader/rebirth.rs
@@ -76,8 +76,8 @@
     /// Prepares a call that is sent now, some time after the decision to make it; returns whether it may
     /// be sent.
     ///
-    /// The executor may have started again in the meantime. A call for an incarnation that was removed
-    /// would start runs that have been settled, and a poll would acknowledge ends of the later one that
+    /// The executor may have started again in the meantime. A call for an incarnation that was removed, or
+    /// while another one is known to answer, would start runs that have been settled, and a poll would acknowledge ends of the later one that
     /// no report has listed.
     pub fn prepare_call(&mut self, now: Moment, executor: ExecutorKey, call: &mut Call) -> bool {
         if self.options.defect == Some(Defect::SendAfterRemoval) {
@@ -86,6 +86,9 @@
         let Some(view) = self.executors.get_mut(&executor) else {
             return false;
         };
+        if view.superseded_at.is_some() {
+            return false;
+        }
         let extends_lease = match call {
             Call::Start { .. } => true,
             Call::Hold {
--- a/crates/masticfield-jobs/tests/leader/former_leases.rs
+++ b/crates/masticfield-jobs/tests/leader/former_leases.rs
@@ -410,6 +410,22 @@
     assert!(!leader.prepare_call(moment(10), FORMER, &mut order()));
 }
 
+/// Guards against a poll that acknowledges ends of a later incarnation, which has answered since it was
+/// decided on.
+#[test]
+fn no_call_is_sent_while_another_incarnation_answers() {
+    let mut leader = leader_with_order();
+    leader.handle(moment(20), report(FORMER, LATER_START, 2, 5, &[]));
+    leader.decide(moment(20));
+    let mut poll = Call::Hold {
+        deadline_ms: Some(FORMER_CLOCK_MS + 5_000),
+        acknowledged: 57,
+        wait: Duration::ZERO,
+        sent: moment(15).monotonic,
+    };
+    assert!(!leader.prepare_call(moment(30), FORMER, &mut poll));
+}
+
 /// Guards against an end as done that is acknowledged unseen: the commit before the poll had taken long,
 /// and the poll reaches a later incarnation, whose ends have the same numbers.
 #[rstest]
