fix(jobs): repeat an unanswered stop of a run that its executor does not have

Cause: a stop is repeated only if the other tasks of the step serve. Two runs that are on no executor, each with a stop without an answer, so keep each other from being settled, and their tasks from starting elsewhere, until an order is carried out late or the executor ends.

Class: none of a later incarnation; the two runs got there by orders that were meant for a former one.

Change: a stop is repeated without regard to the other tasks if the executor answers and has never listed the run. Such a stop takes no task away; the first one was sent without regard to them already.

Ruled out: to count before the first stop as well. The two tasks would then wait for each other from the start.

--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -344,12 +344,21 @@
         }
         for run in stops {
             // Other tasks of the step may have become unavailable since the first order.
-            if self.may_stop(now, run) {
+            if self.is_absent(executor, run) || self.may_stop(now, run) {
                 self.stop(now, executor, run);
             }
         }
     }
 
+    /// Returns whether an executor answers and is not known to have had a run, so that a stop takes no
+    /// task away.
+    fn is_absent(&self, executor: ExecutorKey, run: RunId) -> bool {
+        let view = self.executors.get(&executor);
+        let view = view.filter(|view| view.responsive && view.failed_holds == 0);
+        let run = view.and_then(|view| view.runs.get(&run));
+        run.is_some_and(|run| run.baseline.is_none())
+    }
+
     /// Returns whether the runs on an executor reserve more than its capacity.
     fn exceeds_capacity(&self, key: ExecutorKey) -> bool {
         let (view, record) = (self.executors.get(&key), self.state.executor(key));
--- a/crates/masticfield-jobs/src/leader/upkeep.rs
+++ b/crates/masticfield-jobs/src/leader/upkeep.rs
@@ -219,7 +219,7 @@
     /// concerned; always true for a finite task and for a job that has ended.
     ///
     /// Holds for every order that may end a run of a task that is still needed, also if it is not
-    /// known whether the run has started.
+    /// known whether the run has started, unless its executor answers and has never listed it.
     pub(super) fn may_stop(&self, now: Moment, run: RunId) -> bool {
         let task = run.task;
         let job = self.state.job(task.job).filter(|job| job.needs(run));
--- a/crates/masticfield-jobs/tests/leader/runs.rs
+++ b/crates/masticfield-jobs/tests/leader/runs.rs
@@ -4,8 +4,8 @@
 
 use masticfield_jobs::job::{JobId, RunId, TaskId};
 use masticfield_jobs::leader::{
-    Announcement, Call, CallError, ClaimWatch, Effect, Event, HoldReport, Leader, ListedEnd,
-    ListedRun, Moment, ReplyId,
+    Announcement, Call, CallError, ClaimWatch, Effect, Event, HoldReport, JobRequestKind, Leader,
+    ListedEnd, ListedRun, Moment, ReplyId,
 };
 use masticfield_jobs::state::{Command, EndKind};
 use rstest::rstest;
@@ -273,3 +273,79 @@
     assert!(!calls.iter().any(is_start), "{calls:?}");
     assert!(calls.iter().any(is_stop), "{calls:?}");
 }
+
+/// Two tasks of a step, of which one may be away, were placed on an executor that leaves, and their orders
+/// have not arrived. Neither runs, so that neither may keep the other from being stopped and placed
+/// elsewhere.
+#[rstest]
+#[case::neither_runs(0, 2)]
+#[case::both_run(100, 1)]
+fn an_unanswered_stop_is_repeated_if_its_run_is_not_listed(
+    #[case] percent: u32,
+    #[case] repeated: usize,
+) {
+    let mut event = submit(7);
+    if let Event::JobRequest { request, .. } = &mut event
+        && let JobRequestKind::Submit(spec) = &mut request.kind
+    {
+        let step = &mut spec.steps[0];
+        (step.count, step.may_miss, step.long_running) = (2, 1, true);
+    }
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut former = Leader::new(state(), options(), watch.clone(), moment(0));
+    former.decide(moment(0));
+    former.handle(moment(1), held(moment(0), 900, &[]));
+    former.handle(moment(2), event);
+    let commands = former.decide(moment(2)).commands;
+    let runs = started_runs(&commands);
+    let mut state = state();
+    for command in commands {
+        state.apply(command);
+    }
+    state.apply(Command::Leaving { executor: EXECUTOR });
+    let mut leader = Leader::new(state, options(), watch, moment(10));
+    let mut stops = Vec::new();
+    for ms in (10..2_000).step_by(50) {
+        for effect in leader.decide(moment(ms)).after_commit {
+            match effect {
+                Effect::Call {
+                    call: Call::Stop { run },
+                    ..
+                } => {
+                    stops.push(run);
+                }
+                Effect::Call {
+                    call: Call::Hold { sent, .. },
+                    ..
+                } => {
+                    let running = runs.iter().filter(|_| percent > 0).map(|run| ListedRun {
+                        run: *run,
+                        saved: None,
+                        percent,
+                        load: None,
+                    });
+                    let result = Ok(HoldReport {
+                        clock_ms: 900 + ms,
+                        started_ms: Some(5),
+                        running: running.collect(),
+                        finished: Vec::new(),
+                    });
+                    let executor = EXECUTOR;
+                    leader.handle(
+                        moment(ms + 1),
+                        Event::HoldResult {
+                            executor,
+                            sent,
+                            result,
+                        },
+                    );
+                }
+                _ => {}
+            }
+        }
+    }
+    let again = runs
+        .iter()
+        .filter(|run| stops.iter().filter(|stop| stop == run).count() > 1);
+    assert_eq!(again.count(), repeated, "{stops:?}");
+}
