test(programs): crowds of clients that stop short of the end use up memory and descriptors

The listeners of masticfield-entry and masticfield-control share the reader of bodies and the server with the adapter, and were not tested with such clients either. The clients are those of the adapter's target, which now also pause between two connections.

--- a/crates/masticfield-programs/tests/crowds/crowd/clients.rs
+++ b/crates/masticfield-programs/tests/crowds/crowd/clients.rs
@@ -9,6 +9,9 @@
 /// Time limit for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Delay between two connections, as the queue of those that are not accepted yet may be short.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Time without progress of any connection after which the crowd has sent all that is taken.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
@@ -57,11 +60,7 @@
             Self::UnreadResponses => return body_request(req).repeat(UNREAD_REQUESTS),
             Self::UnfinishedHead => {
                 let fields = format!("X-Field: {}\r\n", "x".repeat(100)).repeat(70);
-                return format!(
-                    "{} {} HTTP/1.1\r\nHost: {}\r\n{fields}",
-                    req.method, req.path, req.host
-                )
-                .into_bytes();
+                return head(req, &fields).into_bytes();
             }
             Self::Nothing => return Vec::new(),
         };
@@ -103,6 +102,7 @@
         let bytes = pattern.bytes(req);
         let mut clients = Vec::with_capacity(count);
         for _ in 0..count {
+            std::thread::sleep(CONNECT_INTERVAL);
             match TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) {
                 Ok(stream) => {
                     stream.set_nodelay(true).unwrap();
@@ -176,13 +176,13 @@
 
 /// A request whose body has its length.
 pub(crate) fn body_request(req: &Request) -> Vec<u8> {
-    let length = format!("Content-Length: {}", req.body.len());
+    let length = format!("Content-Length: {}\r\n\r\n", req.body.len());
     [head(req, &length).as_bytes(), &req.body].concat()
 }
 
 /// A request whose body is in chunks of `chunk_bytes`.
 pub(crate) fn chunked_request(req: &Request, chunk_bytes: usize) -> Vec<u8> {
-    let mut bytes = head(req, "Transfer-Encoding: chunked").into_bytes();
+    let mut bytes = head(req, "Transfer-Encoding: chunked\r\n\r\n").into_bytes();
     for chunk in req.body.chunks(chunk_bytes) {
         bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
         bytes.extend_from_slice(chunk);
@@ -192,9 +192,13 @@
     bytes
 }
 
-fn head(req: &Request, field: &str) -> String {
+/// The start of a head, with these lines at its end.
+fn head(req: &Request, lines: &str) -> String {
     let Request {
-        method, path, host, ..
+        method,
+        path,
+        headers,
+        ..
     } = req;
-    format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n{field}\r\n\r\n")
+    format!("{method} {path} HTTP/1.1\r\n{headers}{lines}")
 }
--- a/crates/masticfield-programs/tests/crowds/crowd/ordinary.rs
+++ b/crates/masticfield-programs/tests/crowds/crowd/ordinary.rs
@@ -23,8 +23,8 @@
     pub(crate) method: &'static str,
     /// Path of the request.
     pub(crate) path: String,
-    /// Value of the header `Host`, and further headers.
-    pub(crate) host: &'static str,
+    /// Header lines, each with its end.
+    pub(crate) headers: &'static str,
     /// Body of the request.
     pub(crate) body: Vec<u8>,
 }
