fix(node): read bodies into one buffer, so that small chunks cost what they hold

Cause: each chunk of a body was kept as an item of its own until the body was complete, and each item kept the read buffer that it had arrived in. A body in chunks of one byte cost many times its size.

Change: bodies are copied into a buffer that grows by segments of 32 KiB. A single buffer that doubles was tried first; the allocator kept its outgrown blocks, which were too small for bodies that grow at the same time. A body that declares more than its limit is refused before any of it is read.

--- a/crates/masticfield-node/src/http/body.rs
+++ b/crates/masticfield-node/src/http/body.rs
@@ -1,13 +1,16 @@
 //! Reading a body with limits on size and time.
 
 use std::error::Error;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Body;
 use snafu::Snafu;
 
+use super::body_buffer::BodyBuffer;
+
 /// Reason why a body was not read to its end.
 #[derive(Debug, Snafu)]
 pub enum BodyError {
@@ -40,14 +43,58 @@
 where
     B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>>,
 {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
-    match collected {
-        Err(_elapsed) => Err(BodyError::TooSlow { timeout }),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(source)) if source.is::<LengthLimitError>() => Err(BodyError::TooLarge { limit }),
-        Ok(Err(source)) => Err(BodyError::Truncated { source }),
+    let expected = expected_len(&body, limit)?;
+    let mut buf = BodyBuffer::new();
+    read_chunks(body, limit, timeout, |chunk| {
+        buf.append(chunk, buf.next_capacity(chunk.len(), expected));
+        Ok(())
+    })
+    .await?;
+    Ok(buf.into_bytes())
+}
+
+/// Returns the largest possible size of a body, which is its declared size if it has one.
+///
+/// # Errors
+///
+/// Fails if the declared size exceeds the limit.
+fn expected_len<B: Body>(body: &B, limit: usize) -> Result<usize, BodyError> {
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
+        return TooLargeSnafu { limit }.fail();
     }
+    let upper = size.upper().and_then(|bytes| usize::try_from(bytes).ok());
+    Ok(upper.unwrap_or(limit).min(limit))
+}
+
+/// Reads a body to its end and passes each chunk on.
+async fn read_chunks<B>(
+    body: B,
+    limit: usize,
+    timeout: Duration,
+    mut append: impl FnMut(&[u8]) -> Result<(), BodyError>,
+) -> Result<(), BodyError>
+where
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>>,
+{
+    let read = async {
+        let mut body = pin!(body);
+        let mut len = 0_usize;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| BodyError::Truncated {
+                source: error.into(),
+            })?;
+            let Ok(chunk) = frame.into_data() else {
+                continue;
+            };
+            len = len.saturating_add(chunk.len());
+            if len > limit {
+                return TooLargeSnafu { limit }.fail();
+            }
+            append(&chunk)?;
+        }
+        Ok(())
+    };
+    let read = tokio::time::timeout(timeout, read).await;
+    read.unwrap_or(Err(BodyError::TooSlow { timeout }))
 }
--- a/crates/masticfield-node/src/http/mod.rs
+++ b/crates/masticfield-node/src/http/mod.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod body;
+mod body_buffer;
 mod client;
 mod error;
 mod limits;
