fix(node): bound the memory of all request bodies of a process

Cause: each body was limited, but not their sum. Clients that stop short of the end of a body and stay open held a full body each, on every listener, until the body timeout, and could come back at once. The settings limits.memoryMb and limits.maxFds were not read.

Change: all listeners of a process share a budget, a quarter of its memory. A body counts with the buffer that it has allocated until its request is handled. An eighth of the budget is for bodies of up to 16 KiB. When there is no room, bodies that have stood still for 100 ms are given up, those first that hold the most for the longest time; if that does not make enough room, the new body is refused. Operators of the product get the new problem type "overloaded" (503).

--- a/crates/masticfield-cli/src/control_client.rs
+++ b/crates/masticfield-cli/src/control_client.rs
@@ -138,7 +138,9 @@
         }
         match serde_json::from_slice(&body).context(ResponseSnafu { address })? {
             Problem::NotLeader { leader } => Ok(Attempt::Redirect(leader)),
-            problem @ (Problem::NoQuorum | Problem::Undecided) => Ok(Attempt::SendAgain(problem)),
+            problem @ (Problem::NoQuorum | Problem::Undecided | Problem::Overloaded) => {
+                Ok(Attempt::SendAgain(problem))
+            }
             problem => Ok(Attempt::Refused(problem)),
         }
     }
--- a/crates/masticfield-cli/src/error.rs
+++ b/crates/masticfield-cli/src/error.rs
@@ -93,7 +93,7 @@
     pub const fn exit_code(&self) -> u8 {
         match self {
             Self::Refused {
-                problem: Problem::NoQuorum | Problem::Undecided,
+                problem: Problem::NoQuorum | Problem::Undecided | Problem::Overloaded,
             }
             | Self::NoLeader => 4,
             Self::Refused { .. } | Self::Note { .. } => 3,
--- a/crates/masticfield-control/src/operator/plugin.rs
+++ b/crates/masticfield-control/src/operator/plugin.rs
@@ -4,7 +4,7 @@
 
 use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
 use masticfield_node::addresses::Addresses;
-use masticfield_node::http::Server;
+use masticfield_node::http::Listeners;
 use tokio_util::task::TaskTracker;
 
 use super::routes::Routes;
@@ -12,13 +12,22 @@
 use crate::planner::HealthTable;
 use crate::{ControlHandle, ControlSettings};
 
+/// Percentage of the connections of the process that the listener may have.
+const CONNECTION_PERCENT: usize = 50;
+
 inventory::submit! { Plugin::new("operator", Program::Control, 2, start) }
 
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let settings = Arc::clone(cx.need::<Arc<ControlSettings>>()?);
-        let limits = settings.node.http;
-        let bound = Server::bind("--operator-listen", settings.operator_listen, limits).await;
+        let limits = settings
+            .node
+            .http
+            .with_connection_percent(CONNECTION_PERCENT);
+        let listeners = cx.need::<Listeners>()?;
+        let bound = listeners
+            .bind("--operator-listen", settings.operator_listen, limits)
+            .await;
         let server = bound.map_err(|source| KernelError::Start {
             plugin: "operator",
             source: Box::new(source),
--- a/crates/masticfield-control/src/operator/routes.rs
+++ b/crates/masticfield-control/src/operator/routes.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use masticfield_core::ids::ReplicaId;
 use masticfield_core::note::ReleaseNote;
 use masticfield_core::operator::{
     DrainAccepted, FleetStatus, NoteAccepted, Problem, RolloutStatus,
 };
-use masticfield_node::http::{BodyError, Reply as HttpReply, json_reply, read_body};
+use masticfield_node::http::{BodyError, Reply as HttpReply, RequestBody, json_reply};
 use masticfield_node::program::error_chain;
 use masticfield_node::token::Token;
 use masticfield_replica::ProposeError;
@@ -42,7 +40,7 @@
 
 impl Routes {
     /// Serves one request; errors are returned as the body of a [`Problem`].
-    pub(super) async fn serve(&self, req: Request<Incoming>, peer: SocketAddr) -> HttpReply {
+    pub(super) async fn serve(&self, req: Request<RequestBody>, peer: SocketAddr) -> HttpReply {
         if !self.token.authorizes(req.headers()) {
             log::warn!(peer:%, path = req.uri().path(); "request refused: missing or wrong operator token");
             return problem_reply(&Problem::BadToken);
@@ -53,7 +51,7 @@
         }
     }
 
-    async fn route(&self, req: Request<Incoming>) -> Result<HttpReply, Problem> {
+    async fn route(&self, req: Request<RequestBody>) -> Result<HttpReply, Problem> {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or_default().to_owned();
@@ -100,7 +98,7 @@
         Ok(reply)
     }
 
-    async fn apply_note(&self, req: Request<Incoming>) -> Result<NoteAccepted, Problem> {
+    async fn apply_note(&self, req: Request<RequestBody>) -> Result<NoteAccepted, Problem> {
         let note = self.read_note(req).await?;
         let number = note.number;
         self.control.await_leader().await;
@@ -125,12 +123,14 @@
         }
     }
 
-    async fn read_note(&self, req: Request<Incoming>) -> Result<ReleaseNote, Problem> {
-        let body = read_body(req.into_body(), ReleaseNote::MAX_BYTES, self.body_timeout).await;
-        let body: Bytes = body.map_err(|error| match error {
+    async fn read_note(&self, req: Request<RequestBody>) -> Result<ReleaseNote, Problem> {
+        let body = req.into_body();
+        let body = body.read(ReleaseNote::MAX_BYTES, self.body_timeout).await;
+        let body = body.map_err(|error| match error {
             BodyError::TooLarge { limit } => Problem::TooLarge {
                 limit: limit as u64,
             },
+            BodyError::NoRoom | BodyError::GivenUp => Problem::Overloaded,
             other => Problem::UnreadableNote {
                 message: error_chain(&other).into(),
             },
--- a/crates/masticfield-core/src/operator.rs
+++ b/crates/masticfield-core/src/operator.rs
@@ -246,6 +246,9 @@
     /// request finds out.
     #[snafu(display("the outcome is not known yet; send the same note again to learn it"))]
     Undecided,
+    /// The process has no memory for the request, so nothing was accepted.
+    #[snafu(display("the replica is overloaded; nothing was accepted"))]
+    Overloaded,
     /// The release note cannot be parsed.
     #[snafu(display("the release note cannot be read: {message}"))]
     UnreadableNote {
@@ -299,7 +302,7 @@
         match self {
             Self::BadToken => 401,
             Self::NotLeader { .. } => 421,
-            Self::NoQuorum | Self::Undecided => 503,
+            Self::NoQuorum | Self::Undecided | Self::Overloaded => 503,
             Self::UnreadableNote { .. } => 400,
             Self::NoteRefused { .. } => 422,
             Self::OtherNoteWon { .. } | Self::CannotDrain { .. } => 409,
--- a/crates/masticfield-entry/src/callers/at_most_once.rs
+++ b/crates/masticfield-entry/src/callers/at_most_once.rs
@@ -128,7 +128,7 @@
     let key = IdempotencyKey::parse(req.idempotency_key()?, now_s).map_err(KeyError::reason)?;
     Ok(Claim {
         key: key.claim_key(&req.service),
-        fingerprint: fingerprint(&req.method, &req.path, &req.body),
+        fingerprint: fingerprint(&req.method, &req.path, &*req.body),
         request,
     })
 }
--- a/crates/masticfield-entry/src/callers/caller_handler.rs
+++ b/crates/masticfield-entry/src/callers/caller_handler.rs
@@ -6,11 +6,10 @@
 use std::time::{Duration, Instant};
 
 use http::Request;
-use hyper::body::Incoming;
 use masticfield_core::ids::{EntryId, RequestId};
 use masticfield_core::kernel::Shutdown;
 use masticfield_core::outcome::{NotRunReason, Outcome, UnknownReason};
-use masticfield_node::http::Reply;
+use masticfield_node::http::{Reply, RequestBody};
 use masticfield_node::trace::{RequestSpan, Tracing};
 use masticfield_routing::request::{Dispatch, DispatchOutcome, Request as RouterRequest};
 use tokio_util::task::TaskTracker;
@@ -61,12 +60,12 @@
     /// Handles one request, to its end even if the caller closes the connection.
     ///
     /// Otherwise an abandoned request would never release its slot, its claim and the gauges.
-    pub(super) async fn handle(self: Arc<Self>, req: Request<Incoming>, peer: IpAddr) -> Reply {
+    pub(super) async fn handle(self: Arc<Self>, req: Request<RequestBody>, peer: IpAddr) -> Reply {
         let tasks = self.tasks.clone();
         RunToCompletion::new(async move { self.handle_to_end(req, peer).await }, tasks).await
     }
 
-    async fn handle_to_end(&self, req: Request<Incoming>, peer: IpAddr) -> Reply {
+    async fn handle_to_end(&self, req: Request<RequestBody>, peer: IpAddr) -> Reply {
         let arrived_at = Instant::now();
         self.metrics.begin_request();
         let hop = self.tracing.server_span("caller request", req.headers());
@@ -86,7 +85,7 @@
 
     async fn process(
         &self,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         peer: IpAddr,
         hop: &RequestSpan,
     ) -> FinalResponse {
--- a/crates/masticfield-entry/src/callers/plugin.rs
+++ b/crates/masticfield-entry/src/callers/plugin.rs
@@ -6,7 +6,7 @@
 use masticfield_core::ids::Incarnation;
 use masticfield_core::kernel::{KernelContext, KernelError, Plugin, Program, StartFuture};
 use masticfield_node::addresses::Addresses;
-use masticfield_node::http::Server;
+use masticfield_node::http::Listeners;
 use masticfield_node::trace::Tracing;
 use tokio_util::task::TaskTracker;
 use xtra::Address;
@@ -25,13 +25,22 @@
 /// They leave room for 2^20 dispatches in each millisecond of the entry's uptime.
 const DISPATCH_BITS: u32 = 20;
 
+/// Percentage of the connections of the process that the listener may have.
+const CONNECTION_PERCENT: usize = 60;
+
 inventory::submit! { Plugin::new("callers", Program::Entry, 5, start) }
 
 fn start(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let settings = Arc::clone(cx.need::<Arc<EntrySettings>>()?);
-        let limits = settings.node.http;
-        let bound = Server::bind("--caller-listen", settings.caller_listen, limits).await;
+        let limits = settings
+            .node
+            .http
+            .with_connection_percent(CONNECTION_PERCENT);
+        let listeners = cx.need::<Listeners>()?;
+        let bound = listeners
+            .bind("--caller-listen", settings.caller_listen, limits)
+            .await;
         let server = bound.map_err(|source| KernelError::Start {
             plugin: "callers",
             source: Box::new(source),
--- a/crates/masticfield-entry/src/callers/request.rs
+++ b/crates/masticfield-entry/src/callers/request.rs
@@ -4,12 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
-use hyper::body::Incoming;
 use masticfield_core::note::ServiceSpec;
 use masticfield_core::outcome::NotRunReason;
-use masticfield_node::http::read_body;
+use masticfield_node::http::{HeldBody, RequestBody};
 
 use super::headers::{CALLER, DEADLINE_MS, IDEMPOTENCY_KEY, ZONE};
 use crate::control::LeasedConfig;
@@ -25,7 +23,7 @@
     /// Path and query for the upstream, without the service.
     pub path: String,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: HeldBody,
     /// When the caller needs the response.
     pub deadline: Instant,
     /// Name of the caller, or its IP address if it gives none.
@@ -40,7 +38,7 @@
     /// Reads a request and checks it against the limits of its service.
     pub(super) async fn read(
         leased: &LeasedConfig,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         peer: IpAddr,
         body_timeout: Duration,
     ) -> Result<Self, NotRunReason> {
@@ -55,10 +53,14 @@
         let arrived_at = Instant::now();
         let (head, body) = req.into_parts();
         let deadline = arrived_at + time_limit(&head.headers, service)?;
-        let body = read_body(body, max_bytes, body_timeout).await;
+        let body = body.read(max_bytes, body_timeout).await;
         let body = body.map_err(|error| {
             log::debug!(error:%; "a request body was refused");
-            NotRunReason::BadRequest
+            if error.is_overload() {
+                NotRunReason::Overloaded
+            } else {
+                NotRunReason::BadRequest
+            }
         })?;
         Ok(Self {
             service: Arc::clone(&service.name),
@@ -94,7 +96,7 @@
 }
 
 /// Splits a path into the service and the rest, which is `/` if the service is all of it.
-fn split_path(req: &Request<Incoming>) -> Option<(&str, &str)> {
+fn split_path(req: &Request<RequestBody>) -> Option<(&str, &str)> {
     let path = req.uri().path_and_query()?.as_str().strip_prefix('/')?;
     let end = path.find(['/', '?']).unwrap_or(path.len());
     let (service, rest) = path.split_at(end);
--- a/crates/masticfield-entry/src/callers/upstream_client.rs
+++ b/crates/masticfield-entry/src/callers/upstream_client.rs
@@ -108,7 +108,7 @@
         .path_and_query(req.path.as_str())
         .build()
         .ok()?;
-    let mut outgoing = Request::new(Full::new(req.body.clone()));
+    let mut outgoing = Request::new(Full::new(Bytes::clone(&req.body)));
     *outgoing.method_mut() = req.method.clone();
     *outgoing.uri_mut() = uri;
     let mut headers: HeaderMap = req.headers.clone();
@@ -161,7 +161,9 @@
         }
         Err(BodyError::TooLarge { .. }) => ExchangeResult::Unknown(UnknownReason::OverlongAnswer),
         Err(BodyError::TooSlow { .. }) => ExchangeResult::Unknown(UnknownReason::TimedOut),
-        Err(BodyError::Truncated { .. }) => ExchangeResult::Unknown(UnknownReason::TornAnswer),
+        Err(BodyError::Truncated { .. } | BodyError::NoRoom | BodyError::GivenUp) => {
+            ExchangeResult::Unknown(UnknownReason::TornAnswer)
+        }
     }
 }
 
--- a/crates/masticfield-entry/src/upstreams/routes.rs
+++ b/crates/masticfield-entry/src/upstreams/routes.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use masticfield_core::kernel::Shutdown;
 use masticfield_core::membership::Announcement;
-use masticfield_node::http::{BodyError, Reply, json_reply, read_body};
+use masticfield_node::http::{BodyError, Reply, RequestBody, json_reply};
 use masticfield_routing::membership::AnnouncementRefusal;
 use serde::Serialize;
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -85,7 +84,7 @@
 
 impl Routes {
     /// Handles one request.
-    pub(super) async fn handle(&self, req: Request<Incoming>) -> Reply {
+    pub(super) async fn handle(&self, req: Request<RequestBody>) -> Reply {
         match self.announce(req).await {
             Ok(again_in) => json_reply(
                 StatusCode::OK,
@@ -106,11 +105,12 @@
         }
     }
 
-    async fn announce(&self, req: Request<Incoming>) -> Result<Duration, AnnounceError> {
+    async fn announce(&self, req: Request<RequestBody>) -> Result<Duration, AnnounceError> {
         if req.method() != Method::POST || req.uri().path() != "/v1/upstreams" {
             return NoSuchOperationSnafu.fail();
         }
-        let body = read_body(req.into_body(), MAX_ANNOUNCEMENT_BYTES, self.body_timeout).await;
+        let body = req.into_body();
+        let body = body.read(MAX_ANNOUNCEMENT_BYTES, self.body_timeout).await;
         let body = body.context(BodySnafu)?;
         let announcement: Announcement =
             serde_json::from_slice(&body).context(InvalidAnnouncementSnafu)?;
@@ -143,6 +143,7 @@
             Self::Body {
                 source: BodyError::TooSlow { .. },
             } => StatusCode::REQUEST_TIMEOUT,
+            Self::Body { source } if source.is_overload() => StatusCode::SERVICE_UNAVAILABLE,
             Self::Body { .. } | Self::InvalidAnnouncement { .. } => StatusCode::BAD_REQUEST,
             Self::Refused {
                 source: AnnouncementRefusal::Stale { .. } | AnnouncementRefusal::Changed,
--- a/crates/masticfield-fake/src/platform/server.rs
+++ b/crates/masticfield-fake/src/platform/server.rs
@@ -6,12 +6,11 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use masticfield_core::kernel::ShutdownTrigger;
 use masticfield_core::note::HostSpec;
 use masticfield_core::platform::{HostCommand, TaskCommand};
 use masticfield_node::http::{
-    BindError, HttpLimits, Reply, Server, json_reply, read_body, text_reply,
+    BindError, HttpLimits, Reply, RequestBody, Server, json_reply, read_body, text_reply,
 };
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
@@ -90,7 +89,7 @@
 }
 
 impl RequestHandler {
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
+    async fn handle(&self, req: Request<RequestBody>) -> Reply {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
         let since = req
--- a/crates/masticfield-fake/src/upstream/fake_upstream.rs
+++ b/crates/masticfield-fake/src/upstream/fake_upstream.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
-use hyper::body::Incoming;
 use masticfield_core::ids::Incarnation;
 use masticfield_core::kernel::{Shutdown, ShutdownTrigger};
 use masticfield_core::membership::{Announcement, UpstreamState};
 use masticfield_node::clock::epoch_ms;
 use masticfield_node::http::{
-    BindError, Client, HttpLimits, Reply, Server, json_reply, read_body, text_reply,
+    BindError, Client, HttpLimits, Reply, RequestBody, Server, json_reply, read_body, text_reply,
 };
 use snafu::{ResultExt, Snafu};
 use tokio::sync::Semaphore;
@@ -135,7 +134,7 @@
 }
 
 impl RequestHandler {
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
+    async fn handle(&self, req: Request<RequestBody>) -> Reply {
         let request_id = req.headers().get(REQUEST_ID).cloned();
         let key = req
             .headers()
--- a/crates/masticfield-node/src/admin.rs
+++ b/crates/masticfield-node/src/admin.rs
@@ -5,11 +5,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use masticfield_core::kernel::Shutdown;
 use prometheus::{Registry, TextEncoder};
 
-use crate::http::{BindError, HttpLimits, Reply, Server, text_reply};
+use crate::http::{BindError, HttpLimits, Listeners, Reply, RequestBody, text_reply};
+
+/// Percentage of the connections of the process that the listener may have.
+const CONNECTION_PERCENT: usize = 5;
 
 /// Shared readiness state of a program.
 #[derive(Debug, Clone, Default)]
@@ -53,11 +55,18 @@
 pub async fn spawn(
     address: SocketAddr,
     limits: HttpLimits,
+    listeners: &Listeners,
     registry: Registry,
     readiness: Readiness,
     shutdown: Shutdown,
 ) -> Result<SocketAddr, BindError> {
-    let server = Server::bind("--admin-listen", address, limits).await?;
+    let server = listeners
+        .bind(
+            "--admin-listen",
+            address,
+            limits.with_connection_percent(CONNECTION_PERCENT),
+        )
+        .await?;
     let bound = server.address();
     tokio::spawn(server.serve(shutdown, move |req, _peer| {
         let reply = respond(&req, &registry, &readiness);
@@ -66,7 +75,7 @@
     Ok(bound)
 }
 
-fn respond(req: &Request<Incoming>, registry: &Registry, readiness: &Readiness) -> Reply {
+fn respond(req: &Request<RequestBody>, registry: &Registry, readiness: &Readiness) -> Reply {
     if req.method() != Method::GET {
         return text_reply(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here\n");
     }
--- a/crates/masticfield-node/src/args.rs
+++ b/crates/masticfield-node/src/args.rs
@@ -8,7 +8,7 @@
 use log::LevelFilter;
 use masticfield_core::settings::Checker;
 
-use crate::http::HttpLimits;
+use crate::http::{HttpLimits, ResourceBounds};
 use crate::log_setup::LogFormat;
 
 /// Common flags as given on the command line, before validation.
@@ -35,6 +35,13 @@
     /// Maximum number of concurrent connections of one listener
     #[arg(long, env = "MASTICFIELD_MAX_CONNECTIONS", default_value = "4096")]
     pub max_connections: String,
+    /// Memory that the process may use, in MiB, from which its limits on bodies and connections are
+    /// derived
+    #[arg(long, env = "MASTICFIELD_MEMORY_MB", default_value = "256")]
+    pub memory_mb: String,
+    /// Maximum number of file descriptors of the process
+    #[arg(long, env = "MASTICFIELD_MAX_FDS", default_value = "4096")]
+    pub max_fds: String,
     /// Time within which the head of a request must arrive; also the idle timeout of a connection
     #[arg(long, env = "MASTICFIELD_HEADER_TIMEOUT", default_value = "30s")]
     pub header_timeout: String,
@@ -65,6 +72,8 @@
     pub log_format: LogFormat,
     /// Limits of HTTP servers.
     pub http: HttpLimits,
+    /// Bounds of the HTTP servers of the process together.
+    pub bounds: ResourceBounds,
     /// URL of the collector of spans; spans are not exported if absent.
     pub trace_endpoint: Option<String>,
     /// Fraction of traces that are recorded, from 0 to 1.
@@ -77,6 +86,7 @@
         let admin_listen = checker.parse("--admin-listen", &self.admin_listen);
         let log_level = checker.parse("--log-level", &self.log_level);
         let log_format = checker.parse("--log-format", &self.log_format);
+        let bounds = self.check_bounds(checker);
         let http = self.check_http(checker);
         let trace_ratio = checker
             .parse("--trace-ratio", &self.trace_ratio)
@@ -90,11 +100,23 @@
             log_level: log_level?,
             log_format: log_format?,
             http: http?,
+            bounds: bounds?,
             trace_endpoint: self.trace_endpoint.clone(),
             trace_ratio: trace_ratio?,
         })
     }
 
+    fn check_bounds(&self, checker: &mut Checker) -> Option<ResourceBounds> {
+        let memory_mb = checker
+            .parse("--memory-mb", &self.memory_mb)
+            .and_then(|megabytes| checker.within("--memory-mb", megabytes, 32..=1_048_576));
+        let max_fds = checker
+            .parse("--max-fds", &self.max_fds)
+            .and_then(|fds| checker.within("--max-fds", fds, 256..=1_048_576));
+        let memory_mb: u64 = memory_mb?;
+        Some(ResourceBounds::new(Some(memory_mb << 20), Some(max_fds?)))
+    }
+
     fn check_http(&self, checker: &mut Checker) -> Option<HttpLimits> {
         let timeouts = Duration::from_millis(10)..=Duration::from_mins(10);
         let linger_times = Duration::ZERO..=Duration::from_mins(1);
--- a/crates/masticfield-node/src/http/body.rs
+++ b/crates/masticfield-node/src/http/body.rs
@@ -32,6 +32,20 @@
         /// The cause.
         source: Box<dyn Error + Send + Sync>,
     },
+    /// Other bodies hold the memory that the process has for bodies.
+    #[snafu(display("there is no memory for the body"))]
+    NoRoom,
+    /// The body made no progress while other bodies needed its memory.
+    #[snafu(display("the body stalled and was given up for other bodies"))]
+    GivenUp,
+}
+
+impl BodyError {
+    /// Returns whether the body was not read for lack of memory, so that the same request may
+    /// succeed later.
+    pub const fn is_overload(&self) -> bool {
+        matches!(self, Self::NoRoom | Self::GivenUp)
+    }
 }
 
 /// Reads a whole body of at most `limit` bytes within `timeout`.
@@ -58,7 +72,7 @@
 /// # Errors
 ///
 /// Fails if the declared size exceeds the limit.
-fn expected_len<B: Body>(body: &B, limit: usize) -> Result<usize, BodyError> {
+pub(super) fn expected_len<B: Body>(body: &B, limit: usize) -> Result<usize, BodyError> {
     let size = body.size_hint();
     if size.lower() > limit as u64 {
         return TooLargeSnafu { limit }.fail();
@@ -68,7 +82,7 @@
 }
 
 /// Reads a body to its end and passes each chunk on.
-async fn read_chunks<B>(
+pub(super) async fn read_chunks<B>(
     body: B,
     limit: usize,
     timeout: Duration,
--- a/crates/masticfield-node/src/http/limits.rs
+++ b/crates/masticfield-node/src/http/limits.rs
@@ -10,6 +10,7 @@
     header_timeout: Duration,
     body_timeout: Duration,
     max_connections: usize,
+    connection_percent: usize,
     max_header_bytes: usize,
     max_headers: usize,
 }
@@ -23,6 +24,7 @@
             header_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(10),
             max_connections: 4_096,
+            connection_percent: 50,
             max_header_bytes: 16 * 1024,
             max_headers: 100,
         }
@@ -64,6 +66,14 @@
         self
     }
 
+    /// Sets the percentage of the connections of the process that the server may have, which also
+    /// limits the number of concurrent connections if [`Listeners`](super::Listeners) binds it.
+    #[must_use]
+    pub const fn with_connection_percent(mut self, percent: usize) -> Self {
+        self.connection_percent = percent;
+        self
+    }
+
     /// Sets the maximum size of the head of a request in bytes, which must be at least 8,192.
     #[must_use]
     pub const fn with_max_header_bytes(mut self, bytes: usize) -> Self {
@@ -96,6 +106,11 @@
         self.max_connections
     }
 
+    /// Returns the percentage of the connections of the process that the server may have.
+    pub const fn connection_percent(&self) -> usize {
+        self.connection_percent
+    }
+
     /// Returns the maximum size of the head of a request, in bytes.
     pub const fn max_header_bytes(&self) -> usize {
         self.max_header_bytes
--- a/crates/masticfield-node/src/http/server.rs
+++ b/crates/masticfield-node/src/http/server.rs
@@ -19,7 +19,7 @@
 use tokio::sync::Semaphore;
 
 use super::error::BindSnafu;
-use super::{BindError, HttpLimits};
+use super::{BindError, Bodies, HttpLimits, RequestBody, ResourceBounds};
 
 /// Default limit of hyper on the number of headers of a request.
 const HYPER_MAX_HEADERS: usize = 100;
@@ -33,6 +33,7 @@
     name: &'static str,
     listener: TcpListener,
     limits: HttpLimits,
+    bodies: Bodies,
 }
 
 impl Server {
@@ -52,9 +53,18 @@
             name: flag,
             listener,
             limits,
+            bodies: Bodies::new(ResourceBounds::default()),
         })
     }
 
+    /// Sets the table of request bodies, which all listeners of a process share; without it, the
+    /// listener has a table of its own with the default bounds.
+    #[must_use]
+    pub fn bodies(mut self, bodies: Bodies) -> Self {
+        self.bodies = bodies;
+        self
+    }
+
     /// Returns the address that the listener is bound to.
     ///
     /// # Panics
@@ -75,7 +85,7 @@
     pub async fn serve<F>(
         self,
         mut shutdown: Shutdown,
-        handler: impl Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        handler: impl Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     ) where
         F: Future<Output = Reply> + Send + 'static,
     {
@@ -100,9 +110,10 @@
             let Some((stream, peer, permit)) = accepted else {
                 continue;
             };
-            let handler = handler.clone();
-            let respond = service_fn(move |req| {
-                let reply = handler(req, peer);
+            let (handler, bodies) = (handler.clone(), self.bodies.clone());
+            let respond = service_fn(move |req: Request<Incoming>| {
+                let body = |body| RequestBody::new(body, bodies.clone());
+                let reply = handler(req.map(body), peer);
                 async move { Ok::<_, std::convert::Infallible>(reply.await) }
             });
             let connection = self
--- a/crates/masticfield-node/src/running.rs
+++ b/crates/masticfield-node/src/running.rs
@@ -15,6 +15,7 @@
 use crate::addresses::{Addresses, WriteAddressesError};
 use crate::admin::{self, Readiness};
 use crate::args::NodeSettings;
+use crate::http::Listeners;
 use crate::signals;
 
 /// Time beyond the limits of the servers after which the shutdown stops waiting for tasks.
@@ -44,6 +45,12 @@
         /// The cause.
         source: WriteAddressesError,
     },
+    /// A metric cannot be registered.
+    #[snafu(display("a metric cannot be registered"))]
+    Metrics {
+        /// The cause.
+        source: prometheus::Error,
+    },
     /// The signal handlers cannot be installed.
     #[snafu(display("the signal handlers cannot be installed"))]
     Signals {
@@ -67,8 +74,11 @@
         let stop_timeout = node.http.linger() + node.http.drain_timeout() + STOP_MARGIN;
         let tasks = TaskTracker::new();
         let mut cx = KernelContext::new();
+        let registry = Registry::new();
+        let listeners = Listeners::register(node.bounds, &registry).context(MetricsSnafu)?;
         cx.provide(node);
-        cx.provide(Registry::new());
+        cx.provide(listeners);
+        cx.provide(registry);
         cx.provide(Readiness::new());
         cx.provide(Addresses::new());
         cx.provide(tasks.clone());
@@ -126,10 +136,18 @@
 pub fn start_admin(cx: &mut KernelContext) -> StartFuture<'_> {
     Box::pin(async {
         let node = cx.need::<NodeSettings>()?.clone();
+        let listeners = cx.need::<Listeners>()?.clone();
         let registry = cx.need::<Registry>()?.clone();
         let readiness = cx.need::<Readiness>()?.clone();
         let shutdown = cx.shutdown();
-        let bound = admin::spawn(node.admin_listen, node.http, registry, readiness, shutdown);
+        let bound = admin::spawn(
+            node.admin_listen,
+            node.http,
+            &listeners,
+            registry,
+            readiness,
+            shutdown,
+        );
         let address = bound.await.map_err(|source| KernelError::Start {
             plugin: "admin",
             source: Box::new(source),
--- a/crates/masticfield-soak/src/stand_ins/executors.rs
+++ b/crates/masticfield-soak/src/stand_ins/executors.rs
@@ -5,12 +5,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use masticfield_core::kernel::Shutdown;
 use masticfield_jobs::job::{Resources, RunId};
 use masticfield_jobs::leader::{Announcement, Rejection};
 use masticfield_jobs::state::{EndKind, ExecutorIncarnation};
-use masticfield_node::http::{HttpLimits, Reply, Server, json_reply, read_body};
+use masticfield_node::http::{HttpLimits, Reply, RequestBody, Server, json_reply, read_body};
 use masticfield_platform_stand_ins::{
     ExecutorOrder, decode_next_address, encode_announcement, encode_clock, encode_hold,
     encode_leave, encode_rejection, names_executor,
@@ -283,7 +282,7 @@
         (false, None)
     }
 
-    async fn respond(&self, index: usize, req: Request<Incoming>) -> Reply {
+    async fn respond(&self, index: usize, req: Request<RequestBody>) -> Reply {
         let (head, body) = req.into_parts();
         let Ok(body) = read_body(body, BODY_LIMITS.0, BODY_LIMITS.1).await else {
             return json_reply(StatusCode::BAD_REQUEST, &encode_clock(0));
