fix(node): close the connection without progress for the longest time instead of waiting for a permit

Cause: a listener that had its maximum of connections accepted no more until one of them ended. Clients that send nothing, or a head without its end, kept others waiting for the header timeout, and clients that do not read a response kept their connection and the response without a time limit.

Change: when the maximum is reached, the connection that has neither received nor taken bytes for the longest time is closed, except where a complete request is being handled. A connection whose peer takes nothing of a response for 10 s is closed.

--- a/crates/masticfield-node/src/http/limits.rs
+++ b/crates/masticfield-node/src/http/limits.rs
@@ -9,8 +9,10 @@
     drain_timeout: Duration,
     header_timeout: Duration,
     body_timeout: Duration,
+    write_timeout: Duration,
     max_connections: usize,
     connection_percent: usize,
+    receive_buffer: u32,
     max_header_bytes: usize,
     max_headers: usize,
 }
@@ -23,8 +25,10 @@
             drain_timeout: Duration::from_secs(20),
             header_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(10),
             max_connections: 4_096,
             connection_percent: 50,
+            receive_buffer: 64 * 1024,
             max_header_bytes: 16 * 1024,
             max_headers: 100,
         }
@@ -74,6 +78,14 @@
         self
     }
 
+    /// Sets the size of the receive buffer of a connection, in bytes. What a client sends while its
+    /// request is being handled remains there.
+    #[must_use]
+    pub const fn with_receive_buffer(mut self, bytes: u32) -> Self {
+        self.receive_buffer = bytes;
+        self
+    }
+
     /// Sets the maximum size of the head of a request in bytes, which must be at least 8,192.
     #[must_use]
     pub const fn with_max_header_bytes(mut self, bytes: usize) -> Self {
@@ -101,6 +113,11 @@
         self.body_timeout
     }
 
+    /// Returns the time for which a peer may take no bytes of a response.
+    pub const fn write_timeout(&self) -> Duration {
+        self.write_timeout
+    }
+
     /// Returns the maximum number of concurrent connections.
     pub const fn max_connections(&self) -> usize {
         self.max_connections
@@ -111,6 +128,11 @@
         self.connection_percent
     }
 
+    /// Returns the size of the receive buffer of a connection, in bytes.
+    pub const fn receive_buffer(&self) -> u32 {
+        self.receive_buffer
+    }
+
     /// Returns the maximum size of the head of a request, in bytes.
     pub const fn max_header_bytes(&self) -> usize {
         self.max_header_bytes
--- a/crates/masticfield-node/src/http/listeners.rs
+++ b/crates/masticfield-node/src/http/listeners.rs
@@ -4,7 +4,7 @@
 
 use prometheus::Registry;
 
-use super::{BindError, Bodies, HttpLimits, ResourceBounds, Server};
+use super::{BindError, Bodies, ConnectionMetrics, HttpLimits, ResourceBounds, Server};
 
 /// Smallest maximum number of connections of a listener.
 const MIN_CONNECTIONS: usize = 8;
@@ -14,6 +14,7 @@
 pub struct Listeners {
     bounds: ResourceBounds,
     bodies: Bodies,
+    metrics: ConnectionMetrics,
 }
 
 impl Listeners {
@@ -32,9 +33,14 @@
             connections = bounds.connections();
             "bounds of the HTTP listeners"
         );
-        let bodies = Bodies::new(bounds);
+        let (bodies, metrics) = (Bodies::new(bounds), ConnectionMetrics::new());
         bodies.register(registry)?;
-        Ok(Self { bounds, bodies })
+        metrics.register(registry)?;
+        Ok(Self {
+            bounds,
+            bodies,
+            metrics,
+        })
     }
 
     /// Binds a listener with its percentage of the connections of the process; `flag` names the
@@ -53,6 +59,6 @@
         let share = share.max(MIN_CONNECTIONS);
         let limits = limits.with_max_connections(limits.max_connections().min(share));
         let server = Server::bind(flag, address, limits).await?;
-        Ok(server.bodies(self.bodies.clone()))
+        Ok(server.bodies(self.bodies.clone()).metrics(&self.metrics))
     }
 }
--- a/crates/masticfield-node/src/http/request_body.rs
+++ b/crates/masticfield-node/src/http/request_body.rs
@@ -1,12 +1,14 @@
-//! The body of a request.
+//! The body of a request, tied to its connection.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use super::connections::OpenConnection;
 use super::{Bodies, BodyError, HeldBody};
 
 /// The body of a request that a [`Server`](super::Server) has received.
@@ -14,11 +16,20 @@
 pub struct RequestBody {
     incoming: Incoming,
     bodies: Bodies,
+    connection: Arc<OpenConnection>,
+    is_complete: bool,
 }
 
 impl RequestBody {
-    pub(super) fn new(incoming: Incoming, bodies: Bodies) -> Self {
-        Self { incoming, bodies }
+    pub(super) fn new(incoming: Incoming, bodies: Bodies, connection: Arc<OpenConnection>) -> Self {
+        let mut body = Self {
+            incoming,
+            bodies,
+            connection,
+            is_complete: false,
+        };
+        body.check_complete();
+        body
     }
 
     /// Reads the whole body of at most `limit` bytes within `timeout`.
@@ -30,6 +41,17 @@
         let bodies = self.bodies.clone();
         bodies.read(self, limit, timeout).await
     }
+
+    fn check_complete(&mut self) {
+        if !self.is_complete && self.incoming.is_end_stream() {
+            self.set_complete();
+        }
+    }
+
+    fn set_complete(&mut self) {
+        self.is_complete = true;
+        self.connection.begin_handling();
+    }
 }
 
 impl Body for RequestBody {
@@ -40,7 +62,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.incoming).poll_frame(cx)
+        let frame = Pin::new(&mut self.incoming).poll_frame(cx);
+        match &frame {
+            Poll::Ready(None) if !self.is_complete => self.set_complete(),
+            Poll::Ready(Some(Ok(_))) => self.check_complete(),
+            _ => {}
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/masticfield-node/src/http/server.rs
+++ b/crates/masticfield-node/src/http/server.rs
@@ -1,5 +1,6 @@
 //! HTTP server with limits and graceful shutdown.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,20 +11,24 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use masticfield_core::kernel::Shutdown;
 use serde::Serialize;
 use snafu::ResultExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use super::connection_io::ConnectionIo;
+use super::connections::Connections;
 use super::error::BindSnafu;
-use super::{BindError, Bodies, HttpLimits, RequestBody, ResourceBounds};
+use super::{BindError, Bodies, ConnectionMetrics, HttpLimits, RequestBody, ResourceBounds};
 
 /// Default limit of hyper on the number of headers of a request.
 const HYPER_MAX_HEADERS: usize = 100;
 
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// A response with its complete body.
 pub type Reply = Response<Full<Bytes>>;
 
@@ -34,6 +39,7 @@
     listener: TcpListener,
     limits: HttpLimits,
     bodies: Bodies,
+    metrics: ConnectionMetrics,
 }
 
 impl Server {
@@ -42,18 +48,23 @@
     /// # Errors
     ///
     /// Fails if the address is in use or does not belong to this host.
+    #[expect(
+        clippy::unused_async,
+        reason = "callers await it, and sockets need a runtime"
+    )]
     pub async fn bind(
         flag: &'static str,
         address: SocketAddr,
         limits: HttpLimits,
     ) -> Result<Self, BindError> {
-        let bound = TcpListener::bind(address).await;
-        let listener = bound.context(BindSnafu { flag, address })?;
+        let listener =
+            listen(address, limits.receive_buffer()).context(BindSnafu { flag, address })?;
         Ok(Self {
             name: flag,
             listener,
             limits,
             bodies: Bodies::new(ResourceBounds::default()),
+            metrics: ConnectionMetrics::new(),
         })
     }
 
@@ -65,6 +76,13 @@
         self
     }
 
+    /// Sets the metrics of connections, which all listeners of a process share.
+    #[must_use]
+    pub fn metrics(mut self, metrics: &ConnectionMetrics) -> Self {
+        self.metrics = metrics.of_listener(self.name);
+        self
+    }
+
     /// Returns the address that the listener is bound to.
     ///
     /// # Panics
@@ -89,7 +107,7 @@
     ) where
         F: Future<Output = Reply> + Send + 'static,
     {
-        let permits = Arc::new(Semaphore::new(self.limits.max_connections()));
+        let connections = Connections::new(self.limits.max_connections(), self.metrics.clone());
         let graceful = GracefulShutdown::new();
         let linger = async {
             shutdown.requested().await;
@@ -100,30 +118,42 @@
         loop {
             let accepted = tokio::select! {
                 biased;
-                accepted = self.accept(&permits) => accepted,
+                accepted = self.accept() => accepted,
                 () = std::future::ready(()), if closing => break,
                 () = &mut linger, if !closing => {
                     closing = true;
                     continue;
                 }
             };
-            let Some((stream, peer, permit)) = accepted else {
+            let Some((stream, peer)) = accepted else {
                 continue;
             };
+            let Some((connection, closed)) = connections.admit() else {
+                continue;
+            };
+            connections.wait_for_closed().await;
+            let connection = Arc::new(connection);
+            let io =
+                ConnectionIo::new(stream, Arc::clone(&connection), self.limits.write_timeout());
             let (handler, bodies) = (handler.clone(), self.bodies.clone());
             let respond = service_fn(move |req: Request<Incoming>| {
-                let body = |body| RequestBody::new(body, bodies.clone());
+                let connection = Arc::clone(&connection);
+                let body = |body| RequestBody::new(body, bodies.clone(), Arc::clone(&connection));
                 let reply = handler(req.map(body), peer);
-                async move { Ok::<_, std::convert::Infallible>(reply.await) }
+                async move {
+                    let reply = reply.await;
+                    connection.end_handling();
+                    Ok::<_, std::convert::Infallible>(reply)
+                }
             });
-            let connection = self
-                .protocol()
-                .serve_connection(TokioIo::new(stream), respond);
-            let watched = graceful.watch(connection);
+            let served = graceful.watch(self.protocol().serve_connection(io, respond));
             tokio::spawn(async move {
                 // Errors of one connection do not affect the server.
-                drop(watched.await);
-                drop(permit);
+                tokio::select! {
+                    biased;
+                    _ = closed => {}
+                    _ = served => {}
+                }
             });
         }
         drop(self.listener);
@@ -135,16 +165,12 @@
         }
     }
 
-    async fn accept(
-        &self,
-        permits: &Arc<Semaphore>,
-    ) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
-        let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    async fn accept(&self) -> Option<(TcpStream, SocketAddr)> {
         match self.listener.accept().await {
             Ok((stream, peer)) => {
                 // Without `TCP_NODELAY`, responses are only slower.
                 drop(stream.set_nodelay(true));
-                Some((stream, peer, permit))
+                Some((stream, peer))
             }
             Err(error) => {
                 log::warn!(listener = self.name, error:%; "a connection could not be accepted");
@@ -168,6 +194,19 @@
     }
 }
 
+/// Listens with a receive buffer of a fixed size, which accepted connections inherit.
+fn listen(address: SocketAddr, receive_buffer: u32) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    // The listener works with any other size as well.
+    drop(socket.set_recv_buffer_size(receive_buffer));
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Creates a response with a JSON body.
 ///
 /// # Panics
