fix(node): discard the rest of a refused request, so that its sender gets the response

Cause: a server that refuses a body answers before it has read all of it and closes the connection. A connection that is closed with unread bytes is reset, and its peer loses the response.

The test the_refusal_of_a_body_reaches_a_client_that_is_still_sending checks it with a body of 4 MiB.

--- a/crates/masticfield-node/src/http/connections.rs
+++ b/crates/masticfield-node/src/http/connections.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -45,6 +45,7 @@
 pub(super) struct OpenConnection {
     connections: Connections,
     key: ConnectionKey,
+    discards_rest: AtomicBool,
 }
 
 impl Connections {
@@ -77,6 +78,7 @@
                     let connection = OpenConnection {
                         connections: self.clone(),
                         key,
+                        discards_rest: AtomicBool::new(false),
                     };
                     return Some((connection, rx));
                 }
@@ -122,6 +124,11 @@
         table.connections.progressed(self.key, Instant::now());
     }
 
+    /// Records that the head of a request has arrived.
+    pub(super) fn begin_request(&self) {
+        self.discards_rest.store(false, Ordering::Relaxed);
+    }
+
     /// Records that a request is complete.
     pub(super) fn begin_handling(&self) {
         let mut table = self.connections.0.table.lock();
@@ -133,6 +140,17 @@
         let mut table = self.connections.0.table.lock();
         table.connections.end_handling(self.key, Instant::now());
     }
+
+    /// Records that a body was not read to its end, so that its rest is discarded before the
+    /// connection is closed.
+    pub(super) fn discard_rest(&self) {
+        self.discards_rest.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the rest of a body is discarded before the connection is closed.
+    pub(super) fn discards_rest(&self) -> bool {
+        self.discards_rest.load(Ordering::Relaxed)
+    }
 }
 
 impl Drop for OpenConnection {
--- a/crates/masticfield-node/src/http/request_body.rs
+++ b/crates/masticfield-node/src/http/request_body.rs
@@ -22,6 +22,7 @@
 
 impl RequestBody {
     pub(super) fn new(incoming: Incoming, bodies: Bodies, connection: Arc<OpenConnection>) -> Self {
+        connection.begin_request();
         let mut body = Self {
             incoming,
             bodies,
@@ -79,3 +80,11 @@
         self.incoming.size_hint()
     }
 }
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if !self.is_complete {
+            self.connection.discard_rest();
+        }
+    }
+}
--- a/crates/masticfield-node/tests/server.rs
+++ b/crates/masticfield-node/tests/server.rs
@@ -48,6 +48,19 @@
     std::str::from_utf8(&head[9..]).ok()?.parse().ok()
 }
 
+#[tokio::test]
+async fn the_refusal_of_a_body_reaches_a_client_that_is_still_sending() {
+    let (address, _trigger) = start(HttpLimits::new()).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let bytes = 4 * 1024 * 1024;
+    let head = format!("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {bytes}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..bytes / 4_096 {
+        stream.write_all(&[b'x'; 4_096]).await.unwrap();
+    }
+    assert_eq!(status(&mut stream).await, Some(413));
+}
+
 #[tokio::test]
 async fn silent_connections_do_not_keep_others_from_being_served() {
     let (address, _trigger) = start(HttpLimits::new().with_max_connections(4)).await;
