fix(control): let all readers of a configuration share its bytes

Cause: each response to a read of the configuration was a copy of it, held until its reader had taken it.

Change: responses refer to the stored configuration.

--- a/crates/masticfield-control/src/jobs/handle.rs
+++ b/crates/masticfield-control/src/jobs/handle.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use masticfield_core::clock::boot_now;
 use masticfield_jobs::leader::{
     Announcement, Departure, Event, JobRequest, Refusal, Reply, ReplyId,
@@ -153,6 +154,15 @@
     pub(super) metrics: JobMetrics,
 }
 
+/// The stored configuration, as the owner of the bytes that readers share.
+struct SharedContent(ConfigContent);
+
+impl AsRef<[u8]> for SharedContent {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
 impl JobControlHandle {
     /// Returns the current view of the control group.
     pub fn view(&self) -> ControlView {
@@ -245,14 +255,15 @@
         self.request(Request::StartWave(order)).await
     }
 
-    /// Reads the stored configuration as it was sent.
+    /// Reads the stored configuration as it was sent. All readers share the same bytes.
     ///
     /// Returns none without a configuration, or if this replica does not lead and so may hold an
     /// outdated one.
-    pub async fn read_config(&self) -> Option<ConfigContent> {
+    pub async fn read_config(&self) -> Option<Bytes> {
         let (tx, rx) = oneshot::channel();
         drop(self.tx.send(Input::ReadConfig(tx)));
-        rx.await.ok().flatten()
+        let content = rx.await.ok().flatten()?;
+        Some(Bytes::from_owner(SharedContent(content)))
     }
 
     /// Reads the progress of the wave with this number.
