fix(node): a smaller share of the memory for request bodies

Cause: of 400 bodies in pieces, an entry with 48 MiB held up to 46,968 KiB, 2 MiB below its memory, as connections hold more than the 20 KiB that are counted for each. Change: bodies hold at most three sixteenths of the memory, before a quarter. The test of read_body keeps its 400 KiB, from more memory.

--- a/crates/masticfield-node/src/http/resource_bounds.rs
+++ b/crates/masticfield-node/src/http/resource_bounds.rs
@@ -8,8 +8,8 @@
 
 /// Bounds of the HTTP listeners of one process.
 ///
-/// Request bodies may hold a quarter of the memory, and connections another quarter. The remaining
-/// half is for the state of the process.
+/// Request bodies may hold three sixteenths of the memory, and connections a quarter. The rest is for
+/// the state of the process.
 ///
 /// # Examples
 ///
@@ -17,8 +17,8 @@
 /// use masticfield_node::http::ResourceBounds;
 ///
 /// let bounds = ResourceBounds::new(None, None);
-/// assert_eq!(bounds.body_bytes(), 64 << 20);
-/// assert_eq!(bounds.small_body_bytes(), 8 << 20);
+/// assert_eq!(bounds.body_bytes(), 48 << 20);
+/// assert_eq!(bounds.small_body_bytes(), 6 << 20);
 /// assert_eq!(bounds.connections(), 2_922);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,7 +47,7 @@
         let by_fds = max_fds.saturating_sub(RESERVED_FDS) / 4 * 3;
         let by_memory = memory_bytes / 4 / CONNECTION_BYTES;
         Self {
-            body_bytes: memory_bytes / 4,
+            body_bytes: memory_bytes / 16 * 3,
             connections: by_fds.min(by_memory).max(1),
         }
     }
--- a/crates/masticfield-node/tests/bodies.rs
+++ b/crates/masticfield-node/tests/bodies.rs
@@ -20,7 +20,7 @@
 
 /// Bounds with 400 KiB for bodies, of which 350 KiB are for large ones.
 fn bounds() -> ResourceBounds {
-    ResourceBounds::new(Some(1600 * KB as u64), None)
+    ResourceBounds::new(Some(2_134 * KB as u64), None)
 }
 
 fn whole(bytes: usize) -> Full<Bytes> {
--- a/crates/masticfield-node/tests/bounds.rs
+++ b/crates/masticfield-node/tests/bounds.rs
@@ -8,10 +8,10 @@
 const MB: u64 = 1 << 20;
 
 #[rstest]
-#[case::defaults(None, None, 64 * MB, 2_922)]
-#[case::few_descriptors(Some(256 * MB), Some(400), 64 * MB, 150)]
-#[case::little_memory(Some(48 * MB), Some(4_096), 12 * MB, 614)]
-#[case::only_reserved_descriptors(Some(256 * MB), Some(200), 64 * MB, 1)]
+#[case::defaults(None, None, 48 * MB, 2_922)]
+#[case::few_descriptors(Some(256 * MB), Some(400), 48 * MB, 150)]
+#[case::little_memory(Some(48 * MB), Some(4_096), 9 * MB, 614)]
+#[case::only_reserved_descriptors(Some(256 * MB), Some(200), 48 * MB, 1)]
 fn bounds_follow_from_memory_and_descriptors(
     #[case] memory_bytes: Option<u64>,
     #[case] max_fds: Option<u64>,
