feat(jobs): log and count why a job has failed

"job ended" was logged again with each later end of a run of the same job. Change: "job failed by its attempts" has the run, its failures, the limit and whether the queue has one. The runs of a job that is given up are logged with their start and the crashes before. "job ended" is logged once. masticfield_failed_jobs_total counts by reason.

--- a/crates/masticfield-control/src/jobs/metrics.rs
+++ b/crates/masticfield-control/src/jobs/metrics.rs
@@ -52,6 +52,7 @@
     relayed_calls: IntCounterVec,
     host_calls: IntCounterVec,
     operator_requests: HistogramVec,
+    failed_jobs: IntCounterVec,
     executor_crashes: IntCounter,
     state_differences: IntCounter,
     pub(super) work: CounterVec,
@@ -123,6 +124,7 @@
                 &["call", "outcome"],
             )?,
             operator_requests: register_operator_requests(registry)?,
+            failed_jobs: failed_jobs()?,
             executor_crashes: IntCounter::new(
                 "masticfield_executor_crashes_total",
                 "Executors that ended without notice while they ran tasks of open jobs",
@@ -145,7 +147,8 @@
                 "Jain's index of the served part of the jobs of each workspace",
             )?,
         };
-        let all: [Box<dyn Collector>; 16] = [
+        let all: [Box<dyn Collector>; 17] = [
+            Box::new(metrics.failed_jobs.clone()),
             Box::new(metrics.relayed_calls.clone()),
             Box::new(metrics.executor_crashes.clone()),
             Box::new(metrics.state_differences.clone()),
@@ -200,6 +203,11 @@
         histogram.observe(duration.as_secs_f64());
     }
 
+    /// Counts a job that has failed.
+    pub(super) fn count_failed_job(&self, reason: &str) {
+        self.failed_jobs.with_label_values(&[reason]).inc();
+    }
+
     /// Records the time from a proposal to its commit by a majority of the replicas.
     pub(super) fn observe_commit(&self, duration: Duration) {
         self.commits.observe(duration.as_secs_f64());
@@ -332,6 +340,15 @@
     IntGaugeVec::new(opts, &["workspace", "what"])
 }
 
+fn failed_jobs() -> Result<IntCounterVec, prometheus::Error> {
+    let opts = Opts::new(
+        "masticfield_failed_jobs_total",
+        "Jobs that have failed, by the reason: `attempts` of a task that are used up, or `crashes` of \
+         the executors that started a task",
+    );
+    IntCounterVec::new(opts, &["reason"])
+}
+
 /// Creates the gauges of the pools.
 fn pool_gauges() -> Result<IntGaugeVec, prometheus::Error> {
     let help = "Jobs that wait, executors, and thousandths of cores, by pool";
--- a/crates/masticfield-control/src/jobs/observer.rs
+++ b/crates/masticfield-control/src/jobs/observer.rs
@@ -30,6 +30,11 @@
         let open = open_jobs(state, &command);
         self.record(state, &command, wall_ms);
         let kind = command.name();
+        let reason = if matches!(command, Command::Crash { .. }) {
+            "crashes"
+        } else {
+            "attempts"
+        };
         if !state.apply(command) {
             // The leader proposes only commands that change its own copy of the state.
             log::error!(command = kind; "a committed command did not change the state");
@@ -40,6 +45,9 @@
             let ended_ms = job.ended_ms.unwrap_or(wall_ms);
             let duration = Duration::from_millis(ended_ms.saturating_sub(job.accepted_ms));
             self.metrics.observe_job(job.phase, duration);
+            if job.phase == JobPhase::Failed {
+                self.metrics.count_failed_job(reason);
+            }
         }
     }
 
--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -8,7 +8,7 @@
 use super::retirement::Retirement;
 use super::{Defect, Leader, Moment};
 use crate::job::{JobId, RunId, TaskId};
-use crate::state::{Command, CrashedRun, ExecutorKey, JobPhase, RunStart};
+use crate::state::{Command, CrashedRun, ExecutorKey, RunStart};
 
 /// Time for which an executor must live on after the start of a run to have outlived it.
 ///
@@ -43,13 +43,24 @@
         let (recent, unanswered) = (count(RunStart::Recent), count(RunStart::Unanswered));
         log::info!(executor = key.0, runs = runs.len(), recent, unanswered; "executor crashed");
         let at_ms = now.wall_ms;
-        let is_open = |leader: &Self, job: &JobId| {
-            let record = leader.state.job(*job);
-            record.is_some_and(|record| record.phase == JobPhase::Open)
-        };
-        let mut jobs: Vec<_> = jobs.into_iter().filter(|job| is_open(self, job)).collect();
+        let mut jobs: Vec<_> = jobs.into_iter().filter(|job| self.is_open(*job)).collect();
+        let before = runs.iter().map(|crashed| {
+            let crashes = self.state.crashes(crashed.run.task);
+            (*crashed, crashes)
+        });
+        let before: Vec<_> = before.collect();
         self.propose(Command::Crash { runs, at_ms });
-        jobs.retain(|job| !is_open(self, job));
+        jobs.retain(|job| !self.is_open(*job));
+        let is_given_up = |run: RunId| jobs.contains(&run.task.job);
+        for (crashed, (crashes, at_start)) in before {
+            if is_given_up(crashed.run) {
+                let (run, start) = (crashed.run, crashed.start.name());
+                log::info!(
+                    job:% = run.task.job, run:%, start, crashes, at_start;
+                    "run of a job that is given up, with the crashes before"
+                );
+            }
+        }
         jobs
     }
 
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -7,7 +7,7 @@
 use super::retirement::Retirement;
 use super::{Call, CallError, Defect, Effect, Leader, Moment, Rejection};
 use crate::job::{JobId, RunId};
-use crate::state::{Command, EndKind, ExecutorKey, JobPhase, JobRecord};
+use crate::state::{Attempts, Command, EndKind, ExecutorKey, JobPhase, JobRecord};
 
 /// Number of unanswered orders to start after which the run is stopped instead.
 const MAX_START_ATTEMPTS: u32 = 3;
@@ -376,6 +376,8 @@
         kind: EndKind,
         saved: Option<Arc<str>>,
     ) {
+        let was_open = self.is_open(run.task.job);
+        let attempts = self.state.attempts(run.task);
         let recorded = self.propose(Command::End {
             run,
             executor,
@@ -396,19 +398,36 @@
             self.changed_pools
                 .insert(Arc::clone(&record.incarnation.pool));
         }
-        self.log_job_end(run.task.job);
+        if was_open && !self.is_open(run.task.job) {
+            self.log_job_end(run.task.job);
+            if let Some(attempts) = attempts.filter(|_| kind == EndKind::Failed) {
+                log_exhausted_attempts(run, attempts);
+            }
+        }
         self.update_pending(now, run.task.job);
         self.stop_unneeded_runs(now, run.task.job);
     }
 
-    /// Logs the end of a job if the end of a run has caused it.
-    pub(super) fn log_job_end(&self, id: JobId) {
+    /// Returns whether a job has not ended.
+    pub(super) fn is_open(&self, id: JobId) -> bool {
         let job = self.state.job(id);
-        if let Some(job) = job
-            && let Some(ended) = job.ended_ms.filter(|_| job.phase != JobPhase::Cancelled)
+        job.is_some_and(|job| job.phase == JobPhase::Open)
+    }
+
+    /// Logs that a job has ended.
+    pub(super) fn log_job_end(&self, id: JobId) {
+        if let Some(job) = self.state.job(id)
+            && let Some(ended) = job.ended_ms
         {
             let took_ms = ended.saturating_sub(job.accepted_ms);
             log::info!(job:% = id, end = job.phase.name(), took_ms; "job ended");
         }
     }
 }
+
+/// Logs why a job has failed with a run; `attempts` are those before its end.
+fn log_exhausted_attempts(run: RunId, attempts: Attempts) {
+    let failures = attempts.failures + 1;
+    let (limit, configured) = (attempts.limit, attempts.is_configured);
+    log::info!(job:% = run.task.job, run:%, failures, limit, configured; "job failed by its attempts");
+}
--- a/crates/masticfield-jobs/src/state/crashes.rs
+++ b/crates/masticfield-jobs/src/state/crashes.rs
@@ -36,6 +36,17 @@
     Past,
 }
 
+impl RunStart {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unanswered => "unanswered",
+            Self::Recent => "recent",
+            Self::Past => "past",
+        }
+    }
+}
+
 /// What is known of tasks whose executors have crashed.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Crashes {
@@ -166,6 +177,13 @@
         crashes.is_some_and(|crashes| crashes.suspected)
     }
 
+    /// Returns the number of executors that crashed while they ran a task, and of those that crashed
+    /// right after they had started it.
+    pub(super) fn of_task(&self, task: TaskId) -> (u32, u32) {
+        let crashes = self.tasks.get(&task);
+        crashes.map_or((0, 0), |crashes| (crashes.total, crashes.starting))
+    }
+
     pub(super) fn has_suspects(&self, job: JobId) -> bool {
         self.tasks_of(job).any(|(_, crashes)| crashes.suspected)
     }
--- a/crates/masticfield-jobs/src/state/job.rs
+++ b/crates/masticfield-jobs/src/state/job.rs
@@ -176,6 +176,18 @@
         }
     }
 
+    /// Returns the number of failed attempts of a task, or of its gang, or `None` if the job has no
+    /// such task any more.
+    pub(super) fn attempts(&self, task: TaskId) -> Option<u32> {
+        let step = self.spec.as_ref()?.steps.get(usize::from(task.step))?;
+        let record = self.task(task)?;
+        Some(if step.gang {
+            self.gang_failures(task)
+        } else {
+            record.failures
+        })
+    }
+
     /// Returns the number of failed runs of all members of a task's gang.
     fn gang_failures(&self, task: TaskId) -> u32 {
         let occurrence = self.occurrences.get(task.occurrence as usize);
--- a/crates/masticfield-jobs/src/state/mod.rs
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -3,6 +3,7 @@
 //! Every replica applies the same commands in the same order. A command that no longer fits the
 //! state changes nothing.
 
+mod attempts;
 mod claim_times;
 mod command;
 mod crashes;
@@ -17,6 +18,7 @@
 mod wave;
 mod workspaces;
 
+pub use attempts::Attempts;
 pub use claim_times::ClaimTimes;
 pub use command::{Command, EndKind};
 pub use crashes::{CrashedRun, RunStart};
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -8,8 +8,8 @@
 use super::crashes::{Crashes, Suspects};
 use super::workspaces::Workspaces;
 use super::{
-    ClaimTimes, Command, ConfigAccess, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey,
-    ExecutorRecord, HostClaim, JobPhase, JobRecord, Wave, WaveOrder,
+    Attempts, ClaimTimes, Command, ConfigAccess, CrashedRun, EndKind, ExecutorIncarnation,
+    ExecutorKey, ExecutorRecord, HostClaim, JobPhase, JobRecord, Wave, WaveOrder,
 };
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::{ConfigContent, QueueConfig, QueueId, QueuesConfig, RouteTable, WorkspaceId};
@@ -166,6 +166,12 @@
         self.crashes.is_suspected(task)
     }
 
+    /// Returns the number of executors that crashed while they ran a task, and of those that crashed
+    /// right after they had started it.
+    pub fn crashes(&self, task: TaskId) -> (u32, u32) {
+        self.crashes.of_task(task)
+    }
+
     /// Returns whether any task of a job is suspected; see [`is_suspected`](Self::is_suspected).
     pub fn has_suspects(&self, job: JobId) -> bool {
         self.crashes.has_suspects(job)
@@ -183,6 +189,20 @@
         self.crashes.reaches_limit(task, lapsed, long_running)
     }
 
+    /// Returns the failed attempts of a task and their limit, or `None` if its job has ended and has
+    /// no runs.
+    pub fn attempts(&self, task: TaskId) -> Option<Attempts> {
+        let job = self.jobs.get(&task.job)?;
+        let queue = self.queues.get(&job.queue);
+        Some(Attempts {
+            failures: job.attempts(task)?,
+            limit: queue
+                .map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts)
+                .max(1),
+            is_configured: queue.is_some(),
+        })
+    }
+
     /// Returns whether announcements of an executor are overdue.
     pub fn is_overdue(&self, executor: ExecutorKey) -> bool {
         self.overdue.contains(&executor)
