fix(jobs): vary the delays after crashes, and suspect tasks whose starts stay unanswered

Change: delays are longer by up to half, by job and crash. A run that is unanswered beside runs that had just started is suspected at its second crash.

--- a/crates/masticfield-jobs/src/state/crashes.rs
+++ b/crates/masticfield-jobs/src/state/crashes.rs
@@ -30,6 +30,9 @@
 /// Longest delay after crashes later than at the start of a task.
 const MAX_CRASH_DELAY_MS: u64 = 60_000;
 
+/// Multiplier of Fibonacci hashing, which spreads consecutive numbers evenly.
+const HASH_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Longest delay of a start.
 const MAX_START_CRASH_DELAY_MS: u64 = 3_600_000;
 
@@ -174,7 +177,9 @@
         }
         self.latest_ms.insert(crashed.run.task, at_ms);
         let task = self.tasks.entry(crashed.run.task).or_default();
-        let suspected = suspects.includes(crashed.start);
+        // A run that is passed over for others, again and again, is a suspect as well.
+        let again = crashed.start == RunStart::Unanswered && task.total > 0;
+        let suspected = again || suspects.includes(crashed.start);
         task.total += 1;
         task.starting += u32::from(suspected);
         task.suspected |= suspected;
@@ -207,9 +212,15 @@
 
     /// Returns the time by which the next start of a task is delayed after its latest crash, in
     /// milliseconds, with `further` crashes right after a start that are not certain.
+    ///
+    /// Delays are longer by up to half, by job and crash, so that a task does not meet crashes
+    /// that recur at a fixed interval again and again.
     pub(super) fn delay_ms(&self, task: TaskId, further: u32, long_running: bool) -> u64 {
         let crashes = self.tasks.get(&task).copied().unwrap_or_default();
-        crashes.delay_ms(further, long_running)
+        let delay = crashes.delay_ms(further, long_running);
+        let number = task.job.number().wrapping_add(u64::from(crashes.total));
+        let hash = number.wrapping_mul(HASH_FACTOR) >> 32;
+        delay + ((delay / 2 * hash) >> 32)
     }
 
     /// Returns whether the next start of any task of a job may be delayed.
