--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -41,7 +41,11 @@
         let jobs: BTreeSet<_> = runs.iter().map(|crashed| crashed.run.task.job).collect();
         let count = |start| runs.iter().filter(|crashed| crashed.start == start).count();
         let (recent, unanswered) = (count(RunStart::Recent), count(RunStart::Unanswered));
-        log::info!(executor = key.0, runs = runs.len(), recent, unanswered; "executor crashed");
+        let isolated = count(RunStart::Isolated);
+        log::info!(
+            executor = key.0, runs = runs.len(), recent, unanswered, isolated;
+            "executor crashed"
+        );
         let at_ms = now.wall_ms;
         let mut jobs: Vec<_> = jobs.into_iter().filter(|job| self.is_open(*job)).collect();
         let before = runs.iter().map(|crashed| {
@@ -55,19 +59,32 @@
             Command::ExecutorCrash { runs, at_ms }
         });
         jobs.retain(|job| !self.is_open(*job));
-        let is_given_up = |run: RunId| jobs.contains(&run.task.job);
         for (crashed, (crashes, at_start)) in before {
-            if is_given_up(crashed.run) {
-                let (run, start) = (crashed.run, crashed.start.name());
+            let (run, start) = (crashed.run, crashed.start.name());
+            if jobs.contains(&run.task.job) {
                 log::info!(
                     job:% = run.task.job, run:%, start, crashes, at_start;
                     "run of a job that is given up, with the crashes before"
                 );
+            } else {
+                self.log_delay(run);
             }
         }
         jobs
     }
 
+    /// Logs by how much the next start of a task is delayed after a crash, if it is.
+    fn log_delay(&self, run: RunId) {
+        let delay_ms = self.state.restart_delay_ms(run.task, 0);
+        if delay_ms > 0 && self.is_open(run.task.job) {
+            let (crashes, at_start) = self.state.crashes(run.task);
+            log::info!(
+                run:%, delay_ms, crashes, at_start;
+                "next start of a task delayed, as its executors crash"
+            );
+        }
+    }
+
     /// Stops what is left of jobs that were given up.
     pub(super) fn end_given_up(&mut self, now: Moment, jobs: &[JobId]) {
         for job in jobs {
