perf(jobs): skip the delay of tasks without crashes when planning

Cause: each waiting task looked up its job and step for a delay while any executor was silent. Change: only tasks with a crash, or with a run on a silent executor, do.

--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -135,8 +135,11 @@
             return false;
         }
         let (silent, last_silent) = self.lapsed.starting(task);
-        let delay_ms = self.state.restart_delay_ms(task, silent);
         let crashed = self.state.latest_crash_ms(task);
+        if crashed.is_none() && last_silent.is_none() {
+            return false;
+        }
+        let delay_ms = self.state.restart_delay_ms(task, silent);
         let since_crash = crashed.map(|crashed| now.wall_ms.saturating_sub(crashed));
         let since_silence = last_silent.map(|last| now.monotonic.saturating_sub(last));
         since_crash.is_some_and(|elapsed| elapsed < delay_ms)
