fix(jobs): count no start that an executor rejects as malformed as a failed attempt

What callers saw: a job shown as failed although none of its tasks had run, if executors answered its starts with 400. Cause: a start that was rejected as malformed ended its run as failed, which counts as an attempt, so that maxAttempts such answers ended the job: within 50 ms on two executors, within 1 s on one. Change: the run ends as not run, like after other rejections. What bounds the starts instead is a delay per task in the leader (RejectedStarts): the next start is at once, but on another executor; executors that have rejected the task get it again after 1 s, doubled with each rejection in a row up to 60 s, and others after half of that from the second rejection on. A start that is accepted, or an end as done, clears it. The executor's backoff of 600 ms remains, and the answer counts for the executor's reliability as before: one that rejects the tasks of several jobs is suspended, and a task that is rejected by a second executor takes the blame from the first. An executor is put in quarantine only for a task that may start there, and an order that may not be withdrawn (of a lasting task) is repeated after the same delay. Weighed: only the executor's backoff (a start every 600 ms on each executor for ever); the delays after crashes in the state (they suspect the task of crashing executors, and put one in quarantine); a count by job (one bad executor would delay all other tasks of the job); a count in the state (a new kind of command for something that a new leader learns again at the cost of a few starts); an end of the job after many rejections (the platform counts only ends as failed). Seen in: `start rejected` with why = malformed as before, `start delayed, as executors reject it as malformed` with the number in a row and the delay, and the outcome `malformed` in the metrics of calls. Tests, on the code before: a_job_does_not_fail_by_starts_that_executors_reject_as_malformed printed "left: Some((Failed, 0)), right: Some((Open, 0))" after 2 starts in both cases, ..._is_tried_on_the_others_first "left: [1, 2], right: [1, 2, 3]", rejections_of_a_task_that_an_executor_has_accepted_since_do_not_delay_it "left: 2, right: 7" (starts). Without the delay of repeated orders, a_start_that_may_not_be_stopped_is_not_repeated_all_the_time_... counts 202 starts in 60 s where at most 16 are expected; without the check before quarantine, an_executor_does_not_stay_in_quarantine_... "left: 0, right: 3" (jobs started beside it). Measured: all tests of masticfield-jobs pass.

--- a/crates/masticfield-jobs/src/leader/leader.rs
+++ b/crates/masticfield-jobs/src/leader/leader.rs
@@ -9,6 +9,7 @@
 use super::lapsed::LapsedRuns;
 use super::load_shedding::LoadShedding;
 use super::pending_job::PendingJob;
+use super::rejected_starts::RejectedStarts;
 use super::shares::Shares;
 use super::{ClaimWatch, Decision, Effect, Event, LeaderOptions, Moment};
 use crate::job::{JobId, RunId, TaskId};
@@ -51,6 +52,8 @@
     pub(super) poll_interval: Duration,
     /// Executor and time of the latest failure of each task of an open job.
     pub(super) last_failures: BTreeMap<TaskId, (ExecutorKey, Duration)>,
+    /// Tasks of open jobs whose starts executors reject as malformed.
+    pub(super) rejected_starts: BTreeMap<TaskId, RejectedStarts>,
     pub(super) lapsed: LapsedRuns,
     /// Rate of work from submitted jobs, by pool.
     pub(super) offered_load: BTreeMap<Arc<str>, OfferedLoad>,
@@ -100,6 +103,7 @@
             hosts: Hosts::new(claims, state.claim_times().clone(), now.monotonic),
             poll_interval: Duration::ZERO,
             last_failures: BTreeMap::new(),
+            rejected_starts: BTreeMap::new(),
             lapsed: LapsedRuns::default(),
             offered_load: BTreeMap::new(),
             pending_of: BTreeMap::new(),
@@ -328,6 +332,7 @@
                 .is_some_and(|job| job.phase == JobPhase::Open)
         };
         self.last_failures.retain(|task, _| open(task.job));
+        self.rejected_starts.retain(|task, _| open(task.job));
         self.quota_waits.retain(|job| open(*job));
         self.load_shedding.forget(now, open);
         self.shares.forget(open);
--- a/crates/masticfield-jobs/src/leader/mod.rs
+++ b/crates/masticfield-jobs/src/leader/mod.rs
@@ -32,6 +32,7 @@
 mod quotas;
 mod reads;
 mod rebirth;
+mod rejected_starts;
 mod removed;
 mod retirement;
 mod shares;
--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -141,6 +141,7 @@
                     view.phase = RunPhase::Confirmed(now.monotonic);
                 }
                 let (long_running, suspected) = (view.long_running, view.suspicion.is_suspected());
+                self.rejected_starts.remove(&run.task);
                 self.record_begun(run.task.job);
                 if suspected || (long_running && !self.hosts.upkeep_due.is_empty()) {
                     self.poll_beside(now, executor);
@@ -210,20 +211,45 @@
         if let Some(view) = self.executors.get_mut(&executor) {
             view.backoff_until = now.monotonic + REJECTION_BACKOFF;
         }
+        let mut retry_delay = REJECTION_BACKOFF;
+        if reason == Rejection::Malformed {
+            retry_delay = retry_delay.max(self.record_malformed_start(now, executor, run));
+        }
         if pending_starts > 0 {
             // An earlier order may still be carried out.
             if self.may_stop(now, run) {
                 self.stop(now, executor, run);
             } else if let Some(view) = self.run_mut(executor, run) {
-                view.phase = RunPhase::Retry(now.monotonic + REJECTION_BACKOFF);
+                view.phase = RunPhase::Retry(now.monotonic + retry_delay);
             }
-        } else if reason == Rejection::Malformed {
-            self.end_run(now, executor, run, EndKind::Failed, None);
         } else {
             self.end_run(now, executor, run, EndKind::NotRun, None);
         }
     }
 
+    /// Records that an executor has rejected a start as malformed; returns the time before the next one
+    /// there.
+    ///
+    /// Nothing has run, so that it is no failed attempt of the task. It tells of the executor's
+    /// reliability like a failed run, as an executor that rejects every task always has free capacity.
+    fn record_malformed_start(
+        &mut self,
+        now: Moment,
+        executor: ExecutorKey,
+        run: RunId,
+    ) -> Duration {
+        self.record_task_failure(now, executor, run);
+        let rejected = self.rejected_starts.entry(run.task).or_default();
+        rejected.record(now.monotonic, executor);
+        let (rejections, delay) = (rejected.count(), rejected.delay());
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        log::warn!(
+            run:%, executor = executor.0, rejections, delay_ms;
+            "start delayed, as executors reject it as malformed"
+        );
+        delay
+    }
+
     /// Records that an executor has begun a task of a job, unless that is known.
     ///
     /// An order alone shows nothing: the executor may reject it, or be lost before it arrives.
--- a/crates/masticfield-jobs/src/leader/placement.rs
+++ b/crates/masticfield-jobs/src/leader/placement.rs
@@ -36,12 +36,15 @@
         for (task, last_run) in tasks {
             let has_failed = job.task(*task).is_some_and(|task| task.failures > 0);
             let avoided_executor = self.avoided_executor(now, *task);
+            let rejected = self.rejected_starts.get(task);
             let fitting = pool.slots.iter().filter(|slot| {
                 let excluded =
                     has_failed && pool.any_reliable && slot.status != ReliabilityStatus::Good;
                 let quarantined = slot.quarantine.is_some_and(|job| job != task.job);
                 let claimed = step.long_running && slot.host_unknown;
-                avoided_executor != Some(slot.key) && !excluded && !quarantined && !claimed
+                let rejects = rejected.is_some_and(|task| task.avoids(now.monotonic, slot.key));
+                let avoided = avoided_executor == Some(slot.key) || rejects;
+                !avoided && !excluded && !quarantined && !claimed
             });
             let fitting = fitting.map(|slot| self.candidate(slot, step, &siblings));
             let request = PlacementRequest {
@@ -49,7 +52,7 @@
                 near_rack: near_rack.as_ref(),
             };
             let Some(key) = choose(request, fitting) else {
-                if has_failed {
+                if has_failed || rejected.is_some() {
                     // Tasks that have not failed may still use executors that this one avoids.
                     continue;
                 }
--- a/crates/masticfield-jobs/src/leader/plan.rs
+++ b/crates/masticfield-jobs/src/leader/plan.rs
@@ -265,7 +265,10 @@
                         )
                     });
                     let members: Vec<_> = members.collect();
-                    if !members.iter().any(|(task, _)| self.is_delayed(now, *task)) {
+                    let waits = |(task, _): &StartableTask| {
+                        self.is_delayed(now, *task) || self.is_rejected(now, *task)
+                    };
+                    if !members.iter().any(waits) {
                         gangs.push(members);
                     }
                 }
@@ -277,7 +280,10 @@
     /// Returns the tasks of a job, other than those of gangs, that are ready to start, with the
     /// number of their latest run; first those that may crash their executor.
     fn startable_tasks(&self, now: Moment, id: JobId) -> (Vec<StartableTask>, Vec<StartableTask>) {
-        let found = self.waiting_tasks(now, id);
+        let mut found = self.waiting_tasks(now, id);
+        if !self.rejected_starts.is_empty() {
+            found.retain(|(task, _)| !self.is_rejected(now, *task));
+        }
         if self.lapsed.is_empty() && !self.state.has_crashes(id) {
             return (Vec::new(), found);
         }
--- a/crates/masticfield-jobs/src/leader/quarantine.rs
+++ b/crates/masticfield-jobs/src/leader/quarantine.rs
@@ -82,8 +82,14 @@
             step,
             near_rack: None,
         };
+        let avoids = |(task, _): &(TaskId, u32), slot: &Slot| {
+            let rejected = self.rejected_starts.get(task);
+            rejected.is_some_and(|rejected| rejected.avoids(now.monotonic, slot.key))
+        };
         let free = pool.slots.iter().filter(|slot| {
-            slot.quarantine.is_none() && fits(request, &self.candidate(slot, step, &[]))
+            slot.quarantine.is_none()
+                && fits(request, &self.candidate(slot, step, &[]))
+                && !tasks.iter().all(|task| avoids(task, slot))
         });
         let runs = |key| self.executors.get(&key).map_or(0, |view| view.runs.len());
         let best = free.min_by_key(|slot| {
--- a/crates/masticfield-jobs/src/leader/track.rs
+++ b/crates/masticfield-jobs/src/leader/track.rs
@@ -40,13 +40,14 @@
             EndKind::Done => {
                 executor.reliability.record_success(now.monotonic);
                 self.last_failures.remove(&run.task);
+                self.rejected_starts.remove(&run.task);
             }
             EndKind::Failed if early => self.record_task_failure(now, key, run),
             _ => {}
         }
     }
 
-    fn record_task_failure(&mut self, now: Moment, key: ExecutorKey, run: RunId) {
+    pub(super) fn record_task_failure(&mut self, now: Moment, key: ExecutorKey, run: RunId) {
         let previous = self.last_failures.insert(run.task, (key, now.monotonic));
         let other = previous.filter(|(other, _)| *other != key);
         if let Some((other, _)) = other
@@ -136,4 +137,10 @@
         let (key, failed) = self.last_failures.get(&task)?;
         (now.monotonic < *failed + AVOID_AFTER_FAILURE).then_some(*key)
     }
+
+    /// Returns whether a task starts nowhere for now, as executors have rejected it as malformed.
+    pub(super) fn is_rejected(&self, now: Moment, task: TaskId) -> bool {
+        let rejected = self.rejected_starts.get(&task);
+        rejected.is_some_and(|rejected| rejected.is_delayed(now.monotonic))
+    }
 }
