--- a/crates/masticfield-jobs/src/queue/config.rs
+++ b/crates/masticfield-jobs/src/queue/config.rs
@@ -45,7 +45,8 @@
     /// Priority among the queues of the pool; 0 comes first.
     pub priority: u32,
     /// Number of failed runs of a task, or of all tasks of a gang together, after which the job
-    /// fails; 0 counts as 1. Long-running tasks have no limit.
+    /// fails; 0 counts as 1, and [`NO_ATTEMPT_LIMIT`](Self::NO_ATTEMPT_LIMIT) sets none. Long-running
+    /// tasks have no limit.
     pub max_attempts: u32,
     /// Factor on a job's estimated critical path within which the job is on time; below 1 counts
     /// as 1.
@@ -57,6 +58,11 @@
     pub public: bool,
 }
 
+impl QueueConfig {
+    /// Value of [`max_attempts`](Self::max_attempts) for a queue that sets no limit.
+    pub const NO_ATTEMPT_LIMIT: u32 = u32::MAX;
+}
+
 /// Timing of the advice service, which selects the executors that a step may run on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceConfig {
--- a/crates/masticfield-jobs/src/state/attempts.rs
+++ b/crates/masticfield-jobs/src/state/attempts.rs
@@ -7,6 +7,6 @@
     pub failures: u32,
     /// Number of failed runs with which the job fails.
     pub limit: u32,
-    /// Whether the limit is of the job's queue, not the one for queues without a configuration.
+    /// Whether the job's queue has a configuration; without one there is no limit.
     pub is_configured: bool,
 }
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -14,9 +14,6 @@
 use crate::job::{JobId, RunId, TaskId};
 use crate::queue::{ConfigContent, QueueConfig, QueueId, QueuesConfig, RouteTable, WorkspaceId};
 
-/// Maximum attempts of a task whose queue has no configuration.
-const DEFAULT_ATTEMPTS: u32 = 2;
-
 /// The replicated state; changes only by [`State::apply`].
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -206,9 +203,7 @@
         let queue = self.queues.get(&job.queue);
         Some(Attempts {
             failures: job.attempts(task)?,
-            limit: queue
-                .map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts)
-                .max(1),
+            limit: max_attempts(queue),
             is_configured: queue.is_some(),
         })
     }
@@ -510,8 +505,7 @@
             task.saved = Some(saved);
         }
         let queue = self.queues.get(&job.queue);
-        let attempts = queue.map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts);
-        job.apply_end(run, kind, attempts.max(1), at_ms);
+        job.apply_end(run, kind, max_attempts(queue), at_ms);
         job.release_spec();
         let open = job.phase == JobPhase::Open;
         if !open {
@@ -586,3 +580,11 @@
         self.jobs.len() < before
     }
 }
+
+/// Returns the number of failed runs of a task with which a job of a queue fails.
+///
+/// A queue that has no configuration sets no limit: only the queue's own limit may end its jobs.
+fn max_attempts(queue: Option<&QueueConfig>) -> u32 {
+    let limit = queue.map_or(QueueConfig::NO_ATTEMPT_LIMIT, |queue| queue.max_attempts);
+    limit.max(1)
+}
--- a/crates/masticfield-jobs/tests/state.rs
+++ b/crates/masticfield-jobs/tests/state.rs
@@ -1,6 +1,7 @@
 //! The replicated state: which commands change it, and which have no effect.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 
 use masticfield_jobs::job::{JobId, JobSpec, Resources, StepSpec, TaskId};
 use masticfield_jobs::queue::{InvalidConfig, PoolConfig, QueueConfig, QueueId, QueuesConfig};
@@ -73,6 +74,11 @@
 }
 
 fn state(steps: Vec<StepSpec>) -> State {
+    state_of_queue(QueueId(0), steps)
+}
+
+/// Creates a state with a job of a queue, which need not be configured.
+fn state_of_queue(queue: QueueId, steps: Vec<StepSpec>) -> State {
     let mut state = State::default();
     let incarnation = ExecutorIncarnation {
         id: "e".into(),
@@ -92,7 +98,7 @@
         },
         Command::Submit {
             job: JOB,
-            queue: QueueId(0),
+            queue,
             spec: spec(steps),
             at_ms: 1,
         },
@@ -102,6 +108,31 @@
     state
 }
 
+/// Configures the queue with a limit of failed runs, or removes its route.
+fn limits(version: u64, max_attempts: Option<u32>) -> Command {
+    let mut config = config(version);
+    config.queues = max_attempts
+        .map(|max_attempts| QueueConfig {
+            max_attempts,
+            ..queue("q", "/q/", "p")
+        })
+        .into_iter()
+        .collect();
+    Command::Configure {
+        config,
+        content: version.to_string().as_bytes().into(),
+    }
+}
+
+/// Starts a task once for each number, and ends each run as failed.
+fn fail(state: &mut State, numbers: RangeInclusive<u32>) {
+    for number in numbers {
+        assert!(start(state, task(0, 0), number));
+        begun(state);
+        end(state, task(0, 0), number, EndKind::Failed);
+    }
+}
+
 fn task(step: u16, index: u32) -> TaskId {
     TaskId::new(JOB, 0, step, index)
 }
@@ -204,6 +235,51 @@
     assert_eq!(status(&state), Some(expected));
 }
 
+/// A default of two failed runs ended jobs for fewer than their queue may have set. The leader plans no
+/// job of such a queue, so that this is about the state alone.
+#[rstest]
+#[case::known_queue(0, 2, JobStatus::Failed)]
+#[case::unknown_queue(9, 5, JobStatus::Running)]
+fn a_job_does_not_fail_by_a_limit_that_no_queue_sets(
+    #[case] queue: u32,
+    #[case] failures: u32,
+    #[case] expected: JobStatus,
+) {
+    let mut state = state_of_queue(QueueId(queue), vec![step(1)]);
+    fail(&mut state, 1..=failures);
+    assert_eq!(status(&state), Some(expected));
+}
+
+/// The limits of jobs come with the configuration, which may change while they run.
+#[test]
+fn a_job_keeps_its_limit_when_its_route_is_removed() {
+    let mut state = state(vec![step(1)]);
+    assert!(state.apply(limits(4, Some(4))));
+    fail(&mut state, 1..=2);
+    assert!(state.apply(limits(5, None)));
+    fail(&mut state, 3..=3);
+    assert_eq!(status(&state), Some(JobStatus::Running));
+    fail(&mut state, 4..=4);
+    assert_eq!(status(&state), Some(JobStatus::Failed));
+}
+
+/// A task has failed more often than a newer configuration allows. Only a further failed run ends its
+/// job.
+#[rstest]
+#[case::done(EndKind::Done, JobStatus::Completed)]
+#[case::stopped(EndKind::Stopped, JobStatus::Running)]
+#[case::failed(EndKind::Failed, JobStatus::Failed)]
+fn a_job_does_not_fail_by_a_lower_limit_alone(#[case] kind: EndKind, #[case] expected: JobStatus) {
+    let mut state = state(vec![step(1)]);
+    assert!(state.apply(limits(4, Some(4))));
+    fail(&mut state, 1..=3);
+    assert!(state.apply(limits(5, Some(2))));
+    assert_eq!(status(&state), Some(JobStatus::Running));
+    assert!(start(&mut state, task(0, 0), 4));
+    end(&mut state, task(0, 0), 4, kind);
+    assert_eq!(status(&state), Some(expected));
+}
+
 #[test]
 fn a_long_running_task_never_fails_its_job() {
     let mut state = state(vec![StepSpec {
