fix(jobs): remove a host only from the wave that the platform refuses

Found by reading; no record shows it. Cause: the refusal "not of that wave" (409, reason wave) of one upkeep removed the host from all waves, and a host that is removed from a wave is never added again. Change: the host is removed from the wave of the refused upkeep. That there is no such host (400) still concerns all. Test, on the code before: a_host_is_not_removed_from_every_wave_when_the_platform_refuses_one printed "left: [], right: [2]" (the waves that have the host). Measured: all tests of masticfield-jobs pass.

--- a/crates/masticfield-jobs/src/leader/hosts.rs
+++ b/crates/masticfield-jobs/src/leader/hosts.rs
@@ -587,7 +587,11 @@
             },
             Err(HostError::OtherWave) => {
                 self.abandon_operation(name);
-                self.remove_from_waves(name);
+                // The host may belong to other waves, which the refusal does not concern.
+                if let HostClaim::Upkeep { wave } = claim {
+                    let (wave, host) = (*wave, Arc::clone(name));
+                    self.propose(Command::UpkeepBegun { wave, host });
+                }
             }
             Err(HostError::Unsuitable) => {
                 if let HostClaim::Move { pool } = claim {
--- a/crates/masticfield-jobs/tests/leader/upkeep.rs
+++ b/crates/masticfield-jobs/tests/leader/upkeep.rs
@@ -134,3 +134,48 @@
     assert_ne!(other.0, taken);
     assert!(other.1 >= ms + 2_000, "{} ms after the first", other.1 - ms);
 }
+
+/// The platform refuses the upkeep of a host, as it does not belong to a wave that is over. The host was
+/// taken out of the next wave as well, which would be shown as completed without its upkeep.
+#[rstest]
+#[case::not_of_the_wave(HostError::OtherWave, &[2])]
+#[case::no_such_host(HostError::Unsuitable, &[])]
+fn a_host_is_not_removed_from_every_wave_when_the_platform_refuses_one(
+    #[case] refusal: HostError,
+    #[case] expected: &[u64],
+) {
+    let mut state = state();
+    for number in [1, 2] {
+        let order = WaveOrder {
+            number,
+            hosts: vec!["h1".into()],
+            duration_ms: 20_000,
+            cap: 1,
+        };
+        state.apply(Command::Wave {
+            order,
+            at_ms: moment(0).wall_ms,
+        });
+    }
+    let watch = ClaimWatch::new(Duration::ZERO);
+    let mut leader = Leader::new(state, options(), watch, moment(0));
+    let hosts = Some(vec![host("h1", "p", Some("e1"))]);
+    leader.handle(moment(0), Event::HostList { hosts });
+    let upkeep = HostClaim::Upkeep { wave: 1 };
+    let ordered = (0..60).map(|tick| tick * 100).find(|ms| {
+        let effects = leader.decide(moment(*ms)).after_commit;
+        effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::OrderHost { claim, .. } if *claim == upkeep))
+    });
+    let answer = Event::HostOrderResult {
+        host: "h1".into(),
+        claim: upkeep,
+        result: Err(refusal),
+    };
+    leader.handle(moment(ordered.expect("the wave begins") + 10), answer);
+    let waves = leader.state().waves().iter();
+    let remaining = waves.filter(|(_, wave)| wave.remaining.contains("h1"));
+    let remaining: Vec<_> = remaining.map(|(number, _)| *number).collect();
+    assert_eq!(remaining, expected);
+}
