fix(jobs): count a failed run of a gang once

A job is failed if a gang has failed maxAttempts times, and a gang works only as a whole. Cause: the failed ends of all members were added up, also those of one run. An executor that fails what it starts has all members of a gang, as tasks are packed. The class of fault is a count of reports that is compared with a limit of events, where one event has many reports. Members that failed after another one had completed the gang counted as well. Change: leaders record EndKind::MemberFailed for a member of a gang with a limit. The state keeps how many members have failed in each run of a gang, by number, as the members share it. Only the first one is an attempt, whenever it is reported; none is once the gang is done. Compatibility: EndKind::Failed keeps its effect, also on gangs. So what was counted before stays counted, and a run whose ends are recorded by leaders of both versions may count once more. A replica of the version before cannot read the new kind, which is in the log once a member of a gang has failed under a new leader; leaders are upgraded last. Why this works: the count is a function of the numbers of the failed runs.

--- a/crates/masticfield-jobs/src/leader/orders.rs
+++ b/crates/masticfield-jobs/src/leader/orders.rs
@@ -378,10 +378,14 @@
     ) {
         let was_open = self.is_open(run.task.job);
         let attempts = self.state.attempts(run.task);
+        let shares_attempts = self.state.shares_attempts(run.task);
         let recorded = self.propose(Command::End {
             run,
             executor,
-            kind,
+            kind: match kind {
+                EndKind::Failed if shares_attempts => EndKind::MemberFailed,
+                kind => kind,
+            },
             saved,
             at_ms: now.wall_ms,
         });
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -312,6 +312,10 @@
     Gone,
     /// The run was never started and never will be.
     NotRun,
+    /// [`Failed`](Self::Failed) for a member of a gang that is not long-running: each failed run of
+    /// the gang counts as one attempt. Logs of earlier versions have `Failed` for members as well,
+    /// which counts each time.
+    MemberFailed,
 }
 
 impl EndKind {
@@ -319,7 +323,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Done => "done",
-            Self::Failed => "failed",
+            Self::Failed | Self::MemberFailed => "failed",
             Self::Stopped => "stopped",
             Self::Lapsed => "lapsed",
             Self::Broken => "broken",
--- a/crates/masticfield-jobs/src/state/job.rs
+++ b/crates/masticfield-jobs/src/state/job.rs
@@ -2,8 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::gang_failures::GangFailures;
 use super::{EndKind, OccurrenceRecord, TaskRecord};
-use crate::job::{JobSpec, RunId, TaskId};
+use crate::job::{JobSpec, RunId, StepSpec, TaskId};
 use crate::queue::{QueueId, WorkspaceId};
 
 /// Record of a job.
@@ -33,6 +34,9 @@
     /// state.
     #[serde(skip)]
     pub begun: bool,
+    /// Failed runs of gangs; see [`EndKind::MemberFailed`]. Encoded after the rest of the state.
+    #[serde(skip)]
+    pub(super) gang_failures: GangFailures,
 }
 
 /// Whether a job is open, and how it ended otherwise.
@@ -42,7 +46,7 @@
     Open,
     /// All tasks are done.
     Completed,
-    /// A task used up its attempts.
+    /// A task, or a gang, used up its attempts.
     Failed,
     /// A caller cancelled the job.
     Cancelled,
@@ -57,7 +61,7 @@
     Running,
     /// All tasks are done.
     Completed,
-    /// A task used up its attempts.
+    /// A task, or a gang, used up its attempts.
     Failed,
     /// A caller cancelled the job.
     Cancelled,
@@ -91,6 +95,7 @@
             ended_ms: None,
             workspace: None,
             begun: false,
+            gang_failures: GangFailures::default(),
         }
     }
 
@@ -120,9 +125,18 @@
 
     /// Returns whether a task runs until its job is cancelled.
     pub(super) fn is_long_running(&self, task: TaskId) -> bool {
-        let spec = self.spec.as_ref();
-        let step = spec.and_then(|spec| spec.steps.get(usize::from(task.step)));
-        step.is_some_and(|step| step.long_running)
+        self.step_of(task).is_some_and(|step| step.long_running)
+    }
+
+    /// Returns whether a task is a member of a gang whose attempts are limited, as those of a
+    /// long-running one are not.
+    pub(super) fn shares_attempts(&self, task: TaskId) -> bool {
+        let step = self.step_of(task);
+        step.is_some_and(|step| step.gang && !step.long_running)
+    }
+
+    fn step_of(&self, task: TaskId) -> Option<&StepSpec> {
+        self.spec.as_ref()?.steps.get(usize::from(task.step))
     }
 
     /// Returns whether a run is still needed: the job is open and the run's task is not done.
@@ -158,17 +172,10 @@
         match kind {
             EndKind::Done if long_running => {}
             EndKind::Done => self.mark_done(run.task, gang, at_ms),
-            EndKind::Failed => {
-                let Some(task) = self.task_mut(run.task) else {
-                    return;
-                };
-                task.failures += 1;
-                let failures = if gang {
-                    self.gang_failures(run.task)
-                } else {
-                    task.failures
-                };
-                if !long_running && failures >= max_attempts {
+            EndKind::Failed | EndKind::MemberFailed => {
+                let counts = self.record_failure(run, kind);
+                let failures = self.attempts(run.task).filter(|_| counts && !long_running);
+                if failures.is_some_and(|failures| failures >= max_attempts) {
                     self.end(JobPhase::Failed, at_ms);
                 }
             }
@@ -176,20 +183,34 @@
         }
     }
 
+    /// Records a failed end; returns whether it counts as an attempt.
+    ///
+    /// Members of a gang may still fail after another one has completed it.
+    fn record_failure(&mut self, run: RunId, kind: EndKind) -> bool {
+        let is_member = kind == EndKind::MemberFailed;
+        let task = self.task_mut(run.task);
+        let Some(task) = task.filter(|task| !is_member || !task.done) else {
+            return false;
+        };
+        task.failures += 1;
+        !is_member || self.gang_failures.record(run)
+    }
+
     /// Returns the number of failed attempts of a task, or of its gang, or `None` if the job has no
     /// such task any more.
     pub(super) fn attempts(&self, task: TaskId) -> Option<u32> {
-        let step = self.spec.as_ref()?.steps.get(usize::from(task.step))?;
+        let step = self.step_of(task)?;
         let record = self.task(task)?;
         Some(if step.gang {
-            self.gang_failures(task)
+            let repeated = self.gang_failures.repeated(task);
+            self.failed_ends_of_gang(task).saturating_sub(repeated)
         } else {
             record.failures
         })
     }
 
-    /// Returns the number of failed runs of all members of a task's gang.
-    fn gang_failures(&self, task: TaskId) -> u32 {
+    /// Returns the number of failed ends of all members of a task's gang.
+    fn failed_ends_of_gang(&self, task: TaskId) -> u32 {
         let occurrence = self.occurrences.get(task.occurrence as usize);
         let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(task.step)));
         let tasks = step.into_iter().flat_map(|step| &step.tasks);
@@ -233,6 +254,7 @@
         if self.phase != JobPhase::Open && self.active_runs == 0 {
             self.spec = None;
             self.occurrences = Vec::new();
+            self.gang_failures = GangFailures::default();
         }
     }
 }
--- a/crates/masticfield-jobs/src/state/mod.rs
+++ b/crates/masticfield-jobs/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod entries;
 mod executor;
+mod gang_failures;
 mod host_claim;
 mod job;
 mod snapshot;
--- a/crates/masticfield-jobs/src/state/snapshot.rs
+++ b/crates/masticfield-jobs/src/state/snapshot.rs
@@ -1,6 +1,7 @@
 //! Encoding of the state as a snapshot.
 
 use super::State;
+use super::gang_failures::GangFailures;
 use crate::job::JobId;
 
 impl State {
@@ -20,7 +21,13 @@
         let supplement = (begun, &self.located, &self.former_leases);
         let encoded = postcard::to_extend(&supplement, encoded).expect("the state is plain data");
         let encoded = postcard::to_extend(&self.removed, encoded).expect("the state is plain data");
-        postcard::to_extend(&self.crashes.latest_ms, encoded).expect("the state is plain data")
+        let latest_ms = &self.crashes.latest_ms;
+        let encoded = postcard::to_extend(latest_ms, encoded).expect("the state is plain data");
+        let jobs = self.jobs.iter();
+        let gang_failures = jobs.map(|(id, job)| (*id, &job.gang_failures));
+        let gang_failures = gang_failures.filter(|(_, failures)| !failures.is_empty());
+        let gang_failures: Vec<_> = gang_failures.collect();
+        postcard::to_extend(&gang_failures, encoded).expect("the state is plain data")
     }
 
     /// Decodes a snapshot.
@@ -60,7 +67,15 @@
             (state.removed, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            state.crashes.latest_ms = postcard::from_bytes(rest)?;
+            (state.crashes.latest_ms, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            let gang_failures: Vec<(JobId, GangFailures)> = postcard::from_bytes(rest)?;
+            for (id, failures) in gang_failures {
+                if let Some(job) = state.jobs.get_mut(&id) {
+                    job.gang_failures = failures;
+                }
+            }
         }
         Ok(state)
     }
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -213,6 +213,13 @@
         })
     }
 
+    /// Returns whether the failed ends of a task are recorded as those of a member of its gang; see
+    /// [`EndKind::MemberFailed`].
+    pub fn shares_attempts(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|job| job.shares_attempts(task))
+    }
+
     /// Returns whether announcements of an executor are overdue.
     pub fn is_overdue(&self, executor: ExecutorKey) -> bool {
         self.overdue.contains(&executor)
