fix(jobs): delay a task also by lapsed runs that a former leader left

Cause: a new leader did not count runs whose leases had expired under the former one towards the delay of their task, as nothing was known of their start. A task that crashes executors which are away for longer than a lease started seven times in a minute through changes of the leader. Change: runs with an unknown start count towards the delay until their executors answer. Unit tests of what does not convict a task, of runs that are reported again, and of delays under a new leader, also one whose predecessor had a clock that was ahead.

--- a/crates/masticfield-jobs/src/leader/lapsed.rs
+++ b/crates/masticfield-jobs/src/leader/lapsed.rs
@@ -46,7 +46,8 @@
     /// after the start, and when the latest of their leases expired.
     pub(super) fn at_start(&self, task: TaskId) -> (u32, Option<Duration>) {
         let runs = self.of_task(task);
-        let at_start = runs.filter(|(_, lapsed, _)| lapsed.start.is_recent());
+        let at_start = runs
+            .filter(|(_, lapsed, _)| lapsed.start.is_recent() || lapsed.start == RunStart::Unknown);
         at_start.fold((0, None), |(count, last), (_, _, at)| {
             (count + 1, last.max(Some(*at)))
         })
--- a/crates/masticfield-jobs/tests/crashes.rs
+++ b/crates/masticfield-jobs/tests/crashes.rs
@@ -246,6 +246,73 @@
     assert_eq!(delays.len(), 16, "{delays:?}");
 }
 
+/// Guards against a job that is given up although no executor may have begun its task.
+#[test]
+fn starts_without_an_answer_do_not_prove_that_a_task_crashes_executors() {
+    let mut state = state(1, false);
+    crash(&mut state, &[(1, RunStart::Recent)]);
+    crash(&mut state, &[(1, RunStart::Isolated)]);
+    for _ in 0..20 {
+        crash(&mut state, &[(1, RunStart::Unanswered)]);
+        crash(&mut state, &[(1, RunStart::Unknown)]);
+    }
+    assert!(!has_failed(&state, 1));
+}
+
+/// Leaders and incarnations that follow each other report the end of one run again and again.
+#[test]
+fn a_run_counts_once_towards_the_delay_of_its_task() {
+    let mut state = state(1, false);
+    crash(&mut state, &[(1, RunStart::Recent)]);
+    let run = task(1).run(2);
+    let start = RunStart::Unknown;
+    for _ in 0..10 {
+        let runs = vec![CrashedRun { run, start }];
+        state.apply(Command::ExecutorCrash { runs, at_ms: 9 });
+    }
+    assert_eq!(state.crashes(task(1)), (2, 2));
+}
+
+/// Lets a new leader start the task of job 1, whose executors have crashed at a wall-clock time.
+fn first_start_after_crashes(gang: bool, crashed_ms: u64) -> Option<u64> {
+    let mut state = state(0, false);
+    let mut spec = spec(false);
+    spec.steps[0].gang = gang;
+    let (job, queue) = (JobId::new(1), QueueId(0));
+    state.apply(Command::Submit {
+        job,
+        queue,
+        spec,
+        at_ms: 1,
+    });
+    for number in 1..=2 {
+        let (run, start) = (task(1).run(number), RunStart::Recent);
+        state.apply(Command::ExecutorCrash {
+            runs: vec![CrashedRun { run, start }],
+            at_ms: crashed_ms,
+        });
+    }
+    let options = LeaderOptions::new(Duration::from_secs(5));
+    let mut leader = Leader::new(state, options, ClaimWatch::default(), moment(0));
+    let start = next_start(&mut leader, 0);
+    start.map(|(ms, _)| ms)
+}
+
+/// A clock that is ahead must not hold up a task for longer than the delay.
+#[rstest]
+#[case::just_before(false, moment(0).wall_ms, 10_000..=15_200)]
+#[case::of_a_gang(true, moment(0).wall_ms, 10_000..=15_200)]
+#[case::by_a_clock_that_was_an_hour_ahead(false, moment(3_600_000).wall_ms, 10_000..=15_200)]
+#[case::long_ago(false, 1_600_000_000_000, 0..=300)]
+fn a_new_leader_delays_the_next_start_after_crashes(
+    #[case] gang: bool,
+    #[case] crashed_ms: u64,
+    #[case] expected: RangeInclusive<u64>,
+) {
+    let first = first_start_after_crashes(gang, crashed_ms);
+    assert!(first.is_some_and(|ms| expected.contains(&ms)), "{first:?}");
+}
+
 #[test]
 fn a_task_that_has_crashed_an_executor_in_quarantine_waits_before_its_next_start() {
     let mut leader = leader_with(&["e1", "e2", "e3", "e4"]);
