test(soak): let executors crash in series under one task

Change: Fault::CrashSeries, in basic and all plans. 6 to 9 executors crash one after the other, each while it runs the task that the one before took with it, 125 to 500 ms after that is seen to run, and are back after 1 to 4 s under the same identifier or a new one. The series are drawn from a stream of their own, so that the other faults of a seed stay as they were. Tests: plans have such series beside other faults, a short one too; the checker finds a job that is shown as failed after five crashes and one failed run, and nothing wrong if it goes on.

--- a/crates/masticfield-soak/src/faults/fault.rs
+++ b/crates/masticfield-soak/src/faults/fault.rs
@@ -69,6 +69,14 @@
         /// Whether it keeps its identifier.
         same_id: bool,
     },
+    /// Executors crash one after the other, each while it runs a task that another one took with it,
+    /// if there is one; each is then born again, with the same identifier or a new one.
+    CrashSeries {
+        /// Number of crashes.
+        crashes: u8,
+        /// Whether they keep their identifiers.
+        same_id: bool,
+    },
     /// The executor drains, leaves, and is then born again.
     DrainExecutor(usize),
 }
@@ -92,6 +100,7 @@
             Self::Silence(_) => "silence",
             Self::SilenceOpen(_) => "silence-open",
             Self::CrashExecutor { .. } => "crash-executor",
+            Self::CrashSeries { .. } => "crash-series",
             Self::DrainExecutor(_) => "drain-executor",
         }
     }
--- a/crates/masticfield-soak/src/faults/plan.rs
+++ b/crates/masticfield-soak/src/faults/plan.rs
@@ -39,6 +39,15 @@
 /// Interval between the faults of a series, in milliseconds.
 const SERIES_INTERVAL_MS: Range<u64> = 50..1_500;
 
+/// Interval between the beginnings of two series of crashes, in milliseconds.
+const CRASH_SERIES_INTERVAL_MS: Range<u64> = 5_000..25_000;
+
+/// Number of crashes in such a series.
+const CRASHES: Range<u8> = 6..10;
+
+/// Time until an executor of such a series is back, in milliseconds.
+const CRASH_DURATION_MS: Range<u64> = 1_000..4_000;
+
 /// The faults that a plan may have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum FaultSet {
@@ -118,6 +127,7 @@
             }
             at_ms += rng.random_range(options.interval_ms / 4..=options.interval_ms * 7 / 4);
         }
+        faults.extend(draw_crash_series(options));
         faults.sort_by_key(|planned| planned.at_ms);
         let last = draw_last(&mut rng, options, &losses);
         Self { faults, last }
@@ -159,6 +169,26 @@
     losses
 }
 
+/// Draws series of crashes, from numbers of their own: the other faults of a seed do not depend on them.
+fn draw_crash_series(options: &PlanOptions) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    rng.set_stream(1);
+    let mut series = Vec::new();
+    let mut at_ms = FIRST_AT_MS;
+    while options.faults != FaultSet::None && at_ms < options.length_ms {
+        series.push(PlannedFault {
+            at_ms,
+            duration_ms: rng.random_range(CRASH_DURATION_MS),
+            fault: Fault::CrashSeries {
+                crashes: rng.random_range(CRASHES),
+                same_id: rng.random_bool(0.5),
+            },
+        });
+        at_ms += rng.random_range(CRASH_SERIES_INTERVAL_MS);
+    }
+    series
+}
+
 /// Draws the faults at the end: all programs are killed, and one of the disks may be lost as well.
 fn draw_last(
     rng: &mut ChaCha8Rng,
--- a/crates/masticfield-soak/src/soak/injector.rs
+++ b/crates/masticfield-soak/src/soak/injector.rs
@@ -1,9 +1,10 @@
 //! Carries out faults.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use tokio::task::JoinSet;
 
 use crate::SoakError;
 use crate::checker::Observation;
@@ -16,6 +17,9 @@
 /// Interval at which the end of a process is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time limit for a task to start again after its executor has crashed.
+const RESTART_LIMIT: Duration = Duration::from_secs(5);
+
 /// The proxies of an installation.
 #[derive(Debug, Default)]
 pub(super) struct Links {
@@ -108,6 +112,10 @@
                 self.crash(executor, same_id, time).await;
                 Ok(())
             }
+            Fault::CrashSeries { crashes, same_id } => {
+                self.crash_series(crashes, same_id, time).await;
+                Ok(())
+            }
             Fault::DrainExecutor(executor) => {
                 if self.executors.is_up(executor) {
                     self.executors.drain(executor).await;
@@ -196,9 +204,37 @@
         proxy.change(|state| each(&mut state.cut, u32::wrapping_sub));
     }
 
+    /// Lets executors crash one after the other, each while it runs the task that the one before took
+    /// with it, or another one if that has not started again in time.
+    async fn crash_series(&self, crashes: u8, same_id: bool, time: Duration) {
+        let (mut number, mut back) = (0, JoinSet::new());
+        for _ in 0..crashes {
+            let until = Instant::now() + RESTART_LIMIT;
+            let busy = loop {
+                let busy = self.executors.busy_with_latest_run();
+                let again = busy.is_some_and(|(latest, _)| latest > number);
+                if again || Instant::now() >= until {
+                    break busy;
+                }
+                tokio::time::sleep(POLL_INTERVAL).await;
+            };
+            if let Some((latest, executor)) = busy {
+                number = latest;
+                // The crash has nothing to do with the start.
+                tokio::time::sleep(time / 8).await;
+                let crashing = self.clone();
+                back.spawn(async move { crashing.crash(executor, same_id, time).await });
+            }
+        }
+        while let Some(ended) = back.join_next().await {
+            ended.unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()));
+        }
+    }
+
     /// Ends an executor if it lives, and lets it be born again after a time.
     async fn crash(&self, executor: usize, same_id: bool, time: Duration) {
         let proxy = &self.links.executors[executor];
+        self.recorder.note(format_args!("executor {executor} ends"));
         self.executors.crash(executor);
         proxy.change(|state| state.closed = true);
         tokio::time::sleep(time).await;
--- a/crates/masticfield-soak/src/stand_ins/executor_life.rs
+++ b/crates/masticfield-soak/src/stand_ins/executor_life.rs
@@ -84,6 +84,11 @@
         !self.ends.is_empty()
     }
 
+    /// The highest number of the runs in progress.
+    pub(super) fn latest_run(&self) -> Option<u32> {
+        self.running.keys().map(|run| run.number).max()
+    }
+
     /// The next announcement.
     pub(super) fn announce(&mut self, now: Instant) -> Announcement {
         self.sequence += 1;
--- a/crates/masticfield-soak/src/stand_ins/executors.rs
+++ b/crates/masticfield-soak/src/stand_ins/executors.rs
@@ -169,6 +169,16 @@
         }
     }
 
+    /// The highest number of the runs in progress, and the executor that has this run.
+    pub(crate) fn busy_with_latest_run(&self) -> Option<(u32, usize)> {
+        let world = self.world.lock();
+        let runs = world.lives.iter().enumerate().filter_map(|(index, life)| {
+            let latest = life.as_ref()?.latest_run()?;
+            Some((latest, index))
+        });
+        runs.max()
+    }
+
     /// Whether an executor lives.
     pub(crate) fn is_up(&self, index: usize) -> bool {
         self.world.lock().lives[index].is_some()
--- a/crates/masticfield-soak/tests/checker.rs
+++ b/crates/masticfield-soak/tests/checker.rs
@@ -159,6 +159,28 @@
     history
 }
 
+/// A job of which every run so far ended by a crash of its executor, and one run failed.
+fn crashed_five_times() -> History {
+    let mut history = accepted();
+    for number in 1..=5 {
+        let (at, executor) = (
+            10_000 + 200 * u64::from(number),
+            ExecutorNumber(10 + number),
+        );
+        history.extend([
+            (at, up(executor)),
+            (at + 50, started(executor, run(0, 0, number))),
+            (at + 150, Observation::ExecutorGone { executor }),
+        ]);
+    }
+    history.extend([
+        (11_300, started(SECOND, run(0, 0, 6))),
+        (11_400, ended(SECOND, run(0, 0, 6), 1, EndKind::Failed)),
+        (11_450, acknowledged(SECOND, 1)),
+    ]);
+    history
+}
+
 /// Returns the promises that a history breaks.
 fn check(history: History) -> Vec<Promise> {
     let mut checker = Checker::new(Bounds::new(1));
@@ -202,6 +224,10 @@
     (10_200, Observation::ExecutorGone { executor: FIRST }),
     (10_300, started(SECOND, run(0, 0, 2))),
 ]))]
+#[case::a_job_whose_executors_crash_often(with(crashed_five_times(), [
+    (11_500, started(SECOND, run(0, 0, 7))),
+    (11_600, seen(JobStatus::Running)),
+]))]
 #[case::a_start_after_an_end_that_was_lost_in_a_crash(with(first_step_done(), [
     (10_750, Observation::ExecutorGone { executor: FIRST }),
     (10_800, started(SECOND, run(0, 0, 2))),
@@ -403,6 +429,10 @@
     with(first_step_done(), [(10_800, seen(JobStatus::Failed))]),
     Promise::StatusIsTrue
 )]
+#[case::failed_by_crashes_of_executors(
+    with(crashed_five_times(), [(11_500, seen(JobStatus::Failed))]),
+    Promise::StatusIsTrue
+)]
 #[case::cancelled_by_nobody(
     with(accepted(), [(10_800, seen(JobStatus::Cancelled))]),
     Promise::StatusIsTrue
--- a/crates/masticfield-soak/tests/plan.rs
+++ b/crates/masticfield-soak/tests/plan.rs
@@ -46,7 +46,46 @@
     let faults: Vec<_> = plans.flat_map(|plan| plan.faults).collect();
     let kinds: std::collections::BTreeSet<_> =
         faults.iter().map(|planned| planned.fault.kind()).collect();
-    assert_eq!(kinds.len(), 16, "{kinds:?}");
+    assert_eq!(kinds.len(), 17, "{kinds:?}");
+}
+
+/// Executors crash one after the other, often enough under one task, and are back soon, while other
+/// faults begin.
+#[rstest]
+fn executors_crash_in_series(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    #[values(FaultSet::Basic, FaultSet::All)] faults: FaultSet,
+) {
+    let plan = Plan::draw(&options(seed, faults));
+    let series = plan.faults.iter().filter_map(|planned| {
+        let Fault::CrashSeries { crashes, same_id } = planned.fault else {
+            return None;
+        };
+        let during = planned.at_ms..planned.at_ms + 10_000;
+        let others = plan.faults.iter().filter(|other| *other != planned);
+        let beside = others.filter(|other| during.contains(&other.at_ms)).count();
+        Some((crashes, same_id, planned.duration_ms, beside))
+    });
+    let series: Vec<_> = series.collect();
+    assert!(series.len() >= 10, "{series:?}");
+    for (crashes, _, duration_ms, beside) in &series {
+        assert!((6..10).contains(crashes), "{series:?}");
+        assert!((1_000..4_000).contains(duration_ms), "{series:?}");
+        assert!(*beside > 0, "{series:?}");
+    }
+    let with_same_id = series.iter().filter(|(_, same_id, ..)| *same_id).count();
+    assert!((1..series.len()).contains(&with_same_id), "{series:?}");
+}
+
+/// A short plan, such as that of the tests, has a series as well.
+#[test]
+fn a_short_plan_has_a_series_of_crashes() {
+    let plan = Plan::draw(&PlanOptions {
+        length_ms: 15_000,
+        ..options(2, FaultSet::Basic)
+    });
+    let mut faults = plan.faults.iter();
+    assert!(faults.any(|planned| planned.fault.kind() == "crash-series"));
 }
 
 #[test]
