--- a/crates/masticfield-jobs/tests/crash_sequences.rs
+++ b/crates/masticfield-jobs/tests/crash_sequences.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 
 /// Interval of decisions, in milliseconds.
-const TICK_MS: u64 = 20;
+const TICK_MS: usize = 20;
 
 /// Interval of announcements, in milliseconds.
 const ANNOUNCE_MS: u64 = 200;
@@ -22,6 +22,7 @@
 
 /// What happens around the starts of the task.
 #[derive(Debug, Clone, Copy)]
+#[expect(clippy::struct_excessive_bools, reason = "independent settings")]
 struct Play {
     /// Whether an executor answers an order before it ends.
     answered: bool,
@@ -216,7 +217,7 @@
     let mut leader = new_leader(configured_state(), 0);
     let mut executors = [Executor::default(); 6];
     let mut starts = 0;
-    for ms in (0..PLAY_MS).step_by(TICK_MS as usize) {
+    for ms in (0..PLAY_MS).step_by(TICK_MS) {
         if play.change_every > 0 && ms > 0 && ms % play.change_every == 0 {
             leader = new_leader(leader.state().clone(), ms);
         }
