fix(jobs): count a lapsed run that has been counted as crashed only once

A task whose run may have been carried out by the next incarnation of its executor started 13.5 s later than its longest lease had expired. Change: a lapsed run is left out of the delay if it is the latest that was counted as crashed, as Crashes::count leaves it out already. Measured: all tests of masticfield-jobs pass, crash_sequences included.

--- a/crates/masticfield-jobs/src/leader/crashes.rs
+++ b/crates/masticfield-jobs/src/leader/crashes.rs
@@ -155,7 +155,8 @@
         if self.options.defect == Some(Defect::RestartAtOnce) {
             return false;
         }
-        let (silent, silent_since) = self.lapsed.at_start(task);
+        let is_counted = |run| self.state.is_latest_crash(run);
+        let (silent, silent_since) = self.lapsed.at_start(task, is_counted);
         let crashed = self.crash_times.get(&task).copied();
         let Some(latest) = crashed.max(silent_since) else {
             return false;
--- a/crates/masticfield-jobs/src/leader/lapsed.rs
+++ b/crates/masticfield-jobs/src/leader/lapsed.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::job::{JobId, TaskId};
+use crate::job::{JobId, RunId, TaskId};
 use crate::state::{CrashedRun, ExecutorKey, RunStart};
 
 /// Runs whose leases have expired on executors that have not answered since.
@@ -42,12 +42,18 @@
         runs
     }
 
-    /// Returns the number of runs of the task whose executors are not known to have lived on for long
-    /// after the start, and when the latest of their leases expired.
-    pub(super) fn at_start(&self, task: TaskId) -> (u32, Option<Duration>) {
-        let runs = self.of_task(task);
-        let at_start = runs
-            .filter(|(_, lapsed, _)| lapsed.start.is_recent() || lapsed.start == RunStart::Unknown);
+    /// Returns the number of runs of the task, less those that were counted as crashed, whose executors
+    /// are not known to have lived on for long after the start, and when the latest of their leases
+    /// expired.
+    pub(super) fn at_start(
+        &self,
+        task: TaskId,
+        is_counted: impl Fn(RunId) -> bool,
+    ) -> (u32, Option<Duration>) {
+        let at_start = self.of_task(task).filter(|(_, lapsed, _)| {
+            let may_crash = lapsed.start.is_recent() || lapsed.start == RunStart::Unknown;
+            may_crash && !is_counted(lapsed.run)
+        });
         at_start.fold((0, None), |(count, last), (_, _, at)| {
             (count + 1, last.max(Some(*at)))
         })
--- a/crates/masticfield-jobs/src/state/crashes.rs
+++ b/crates/masticfield-jobs/src/state/crashes.rs
@@ -326,6 +326,12 @@
         crashes.map_or((0, 0), |crashes| (crashes.total, crashes.at_start))
     }
 
+    /// Returns whether a run is the latest of its task that was counted.
+    pub(super) fn is_latest(&self, run: RunId) -> bool {
+        let latest = self.latest.get(&run.task);
+        latest.is_some_and(|latest| latest.run == run.number)
+    }
+
     pub(super) fn has_suspects(&self, job: JobId) -> bool {
         self.tasks_of(job).any(|(_, crashes)| crashes.suspected)
     }
--- a/crates/masticfield-jobs/src/state/state.rs
+++ b/crates/masticfield-jobs/src/state/state.rs
@@ -169,6 +169,11 @@
         self.crashes.of_task(task)
     }
 
+    /// Returns whether a run is the latest that was counted as one of an executor that crashed.
+    pub fn is_latest_crash(&self, run: RunId) -> bool {
+        self.crashes.is_latest(run)
+    }
+
     /// Returns whether any task of a job is suspected; see [`is_suspected`](Self::is_suspected).
     pub fn has_suspects(&self, job: JobId) -> bool {
         self.crashes.has_suspects(job)
