--- a/crates/masticfield-emulator/tests/properties.rs
+++ b/crates/masticfield-emulator/tests/properties.rs
@@ -157,7 +157,7 @@
     }
 }
 
-/// A task that crashes executors starts seldom, and where no other job is blamed.
+/// A task that crashes executors starts seldom, and no other job fails by its crashes.
 #[rstest]
 #[case::alone(no_faults())]
 #[case::crashes_and_partitions(crashes_and_partitions())]
--- a/crates/masticfield-jobs/src/state/command.rs
+++ b/crates/masticfield-jobs/src/state/command.rs
@@ -212,8 +212,8 @@
         ids: Vec<Arc<str>>,
     },
     /// Counts the crash of an executor against the tasks that it ran, and gives up jobs with a task
-    /// that has crashed one executor after the other, each right after its start. Precedes the
-    /// removal of the executor.
+    /// under which five have crashed, the last four when it was suspected. Precedes the removal of
+    /// the executor.
     ExecutorCrash {
         /// Runs that the executor had.
         runs: Vec<CrashedRun>,
--- a/crates/masticfield-jobs/src/state/crashes.rs
+++ b/crates/masticfield-jobs/src/state/crashes.rs
@@ -160,7 +160,7 @@
     /// Returns the time by which the next start is delayed, in milliseconds, with `further` crashes
     /// right after a start that are not certain.
     ///
-    /// A long-running task, which its callers miss at once, is started twice in quarantine first.
+    /// A long-running task is started twice in quarantine before its first delay.
     fn delay_ms(self, further: u32, long_running: bool) -> u64 {
         let at_start = self.at_start.saturating_add(further);
         let in_quarantine = at_start.saturating_sub(1 + u32::from(long_running));
@@ -202,7 +202,7 @@
         let isolated = crashed.start == RunStart::Isolated && suspects.sole_job;
         latest.isolated += u32::from(isolated);
         let task = self.tasks.entry(crashed.run.task).or_default();
-        // A run that is passed over for others, again and again, is a suspect as well.
+        // After an earlier crash, a run that may have started is suspected beside recent ones too.
         let may_have_started = matches!(crashed.start, RunStart::Unanswered | RunStart::Unknown);
         let again = may_have_started && task.total > 0 && !latest.outlived;
         let suspected = again || suspects.includes(crashed.start);
--- a/crates/masticfield-jobs/tests/crash_sequences.rs
+++ b/crates/masticfield-jobs/tests/crash_sequences.rs
@@ -282,3 +282,14 @@
     let starts = starts(play);
     assert!((2..=5).contains(&starts), "{starts} starts");
 }
+
+/// Guards against a long-running task that crashes executors under one leader after the other.
+#[test]
+fn a_long_running_task_that_ends_its_executors_starts_seldom_through_leader_changes() {
+    let starts = starts(Play {
+        long_running: true,
+        change_every: 2_500,
+        ..PLAY
+    });
+    assert!((2..=5).contains(&starts), "{starts} starts");
+}
--- a/crates/masticfield-jobs/tests/crashes.rs
+++ b/crates/masticfield-jobs/tests/crashes.rs
@@ -273,6 +273,35 @@
     assert_eq!(state.crashes(task(1)), (2, 2));
 }
 
+/// Guards against a job that is given up by a run that no executor is known to have begun.
+#[rstest]
+fn a_job_is_not_given_up_by_a_start_without_an_answer(
+    #[values(RunStart::Unanswered, RunStart::Unknown)] start: RunStart,
+) {
+    let mut state = state(1, false);
+    crash(&mut state, &[(1, RunStart::Recent)]);
+    for _ in 0..2 {
+        crash(&mut state, &[(1, RunStart::Isolated)]);
+    }
+    for _ in 0..2 {
+        crash(&mut state, &[(1, start)]);
+    }
+    assert!(!has_failed(&state, 1));
+}
+
+/// Guards against a run that counts again once a later run of its task has been counted.
+#[test]
+fn runs_that_are_reported_in_turns_count_once_each() {
+    let mut state = state(1, false);
+    for number in [1, 2, 1, 2] {
+        let (run, start) = (task(1).run(number), RunStart::Unknown);
+        let runs = vec![CrashedRun { run, start }];
+        state.apply(Command::ExecutorCrash { runs, at_ms: 9 });
+    }
+    let (crashes, _) = state.crashes(task(1));
+    assert_eq!(crashes, 2);
+}
+
 /// Lets a new leader start the task of job 1, whose executors have crashed at a wall-clock time.
 fn first_start_after_crashes(gang: bool, crashed_ms: u64) -> Option<u64> {
     let mut state = state(0, false);
--- a/crates/masticfield-jobs/tests/leader/upkeep.rs
+++ b/crates/masticfield-jobs/tests/leader/upkeep.rs
@@ -135,8 +135,7 @@
     assert!(other.1 >= ms + 2_000, "{} ms after the first", other.1 - ms);
 }
 
-/// The platform refuses the upkeep of a host, as it does not belong to a wave that is over. The host was
-/// taken out of the next wave as well, which would be shown as completed without its upkeep.
+/// Guards against a wave that is shown as completed without the upkeep of one of its hosts.
 #[rstest]
 #[case::not_of_the_wave(HostError::OtherWave, &[2])]
 #[case::no_such_host(HostError::Unsuitable, &[])]
--- a/crates/masticfield-jobs/tests/state.rs
+++ b/crates/masticfield-jobs/tests/state.rs
@@ -235,8 +235,7 @@
     assert_eq!(status(&state), Some(expected));
 }
 
-/// A default of two failed runs ended jobs for fewer than their queue may have set. The leader plans no
-/// job of such a queue, so that this is about the state alone.
+/// Guards against a job that is shown as failed by a default limit.
 #[rstest]
 #[case::known_queue(0, 2, JobStatus::Failed)]
 #[case::unknown_queue(9, 5, JobStatus::Running)]
