test(jobs): share the configuration of three test files

Cause: crashes, crash_sequences and gang_attempts, the last two new, had the same configuration word for word. Change: tests/common has it. No check changes.

--- a/crates/masticfield-jobs/tests/crash_sequences.rs
+++ b/crates/masticfield-jobs/tests/crash_sequences.rs
@@ -7,10 +7,13 @@
     Announcement, Call, CallError, ClaimWatch, Effect, Event, HoldReport, JobRequest,
     JobRequestKind, Leader, LeaderOptions, Moment, ReplyId,
 };
-use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueuesConfig};
-use masticfield_jobs::state::{Command, ExecutorIncarnation, ExecutorKey, State};
+use masticfield_jobs::state::{ExecutorIncarnation, ExecutorKey, State};
 use rstest::rstest;
 
+use common::configure;
+
+mod common;
+
 /// Interval of decisions, in milliseconds.
 const TICK_MS: usize = 20;
 
@@ -76,33 +79,8 @@
 }
 
 fn configured_state() -> State {
-    let config = QueuesConfig {
-        version: 1,
-        queues: vec![QueueConfig {
-            name: "q".into(),
-            authority: "a.example".into(),
-            prefix: "/q/".into(),
-            pool: "p".into(),
-            timeout_ms: 3_000,
-            target_ms: 600,
-            priority: 0,
-            max_attempts: 2,
-            stretch: 1.6,
-            advice: None,
-            public: false,
-        }],
-        pools: vec![PoolConfig {
-            name: "p".into(),
-            max_connections: 64,
-            rejects_overload: false,
-            standby: false,
-        }],
-        limits: None,
-        workspaces: None,
-    };
     let mut state = State::default();
-    let content = b"config"[..].into();
-    state.apply(Command::Configure { config, content });
+    state.apply(configure(2));
     state
 }
 
--- a/crates/masticfield-jobs/tests/crashes.rs
+++ b/crates/masticfield-jobs/tests/crashes.rs
@@ -9,44 +9,17 @@
     Announcement, CallError, ClaimWatch, Event, HoldReport, JobRequest, JobRequestKind, Leader,
     LeaderOptions, ListedEnd, ListedRun, Moment, ReplyId,
 };
-use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueueId, QueuesConfig};
+use masticfield_jobs::queue::QueueId;
 use masticfield_jobs::state::{
     Command, CrashedRun, EndKind, ExecutorIncarnation, ExecutorKey, JobStatus, RunStart, State,
 };
 use rstest::rstest;
 
-const EXECUTOR: ExecutorKey = ExecutorKey(1);
+use common::configure;
 
-fn configure() -> Command {
-    let config = QueuesConfig {
-        version: 1,
-        queues: vec![QueueConfig {
-            name: "q".into(),
-            authority: "a.example".into(),
-            prefix: "/q/".into(),
-            pool: "p".into(),
-            timeout_ms: 3_000,
-            target_ms: 600,
-            priority: 0,
-            max_attempts: 2,
-            stretch: 1.6,
-            advice: None,
-            public: false,
-        }],
-        pools: vec![PoolConfig {
-            name: "p".into(),
-            max_connections: 64,
-            rejects_overload: false,
-            standby: false,
-        }],
-        limits: None,
-        workspaces: None,
-    };
-    Command::Configure {
-        config,
-        content: b"config"[..].into(),
-    }
-}
+mod common;
+
+const EXECUTOR: ExecutorKey = ExecutorKey(1);
 
 fn incarnation(id: &str) -> ExecutorIncarnation {
     ExecutorIncarnation {
@@ -85,7 +58,7 @@
 
 fn state(jobs: u64, long_running: bool) -> State {
     let mut state = State::default();
-    state.apply(configure());
+    state.apply(configure(2));
     state.apply(Command::Enlist {
         executor: EXECUTOR,
         incarnation: incarnation("e1"),
@@ -542,7 +515,7 @@
 
 fn leader_with(executors: &[&str]) -> Leader {
     let mut state = State::default();
-    state.apply(configure());
+    state.apply(configure(2));
     let options = LeaderOptions::new(Duration::from_secs(5));
     let mut leader = Leader::new(state, options, ClaimWatch::default(), moment(0));
     for id in executors {
--- a/crates/masticfield-jobs/tests/gang_attempts.rs
+++ b/crates/masticfield-jobs/tests/gang_attempts.rs
@@ -7,13 +7,16 @@
     ClaimWatch, Event, HoldReport, JobRequest, JobRequestKind, Leader, LeaderOptions, ListedEnd,
     Moment, ReplyId,
 };
-use masticfield_jobs::queue::{PoolConfig, QueueConfig, QueueId, QueuesConfig};
+use masticfield_jobs::queue::QueueId;
 use masticfield_jobs::state::{
     Command, EndKind, ExecutorIncarnation, ExecutorKey, JobRecord, JobStatus, State,
 };
 use rstest::rstest;
 
 use Action::{End, Retire, Start};
+use common::configure;
+
+mod common;
 
 const JOB: JobId = JobId::new(7);
 
@@ -43,37 +46,6 @@
     Retire(u32),
 }
 
-fn configure(max_attempts: u32) -> Command {
-    let config = QueuesConfig {
-        version: 1,
-        queues: vec![QueueConfig {
-            name: "q".into(),
-            authority: "a.example".into(),
-            prefix: "/q/".into(),
-            pool: "p".into(),
-            timeout_ms: 3_000,
-            target_ms: 600,
-            priority: 0,
-            max_attempts,
-            stretch: 1.6,
-            advice: None,
-            public: false,
-        }],
-        pools: vec![PoolConfig {
-            name: "p".into(),
-            max_connections: 64,
-            rejects_overload: false,
-            standby: false,
-        }],
-        limits: None,
-        workspaces: None,
-    };
-    Command::Configure {
-        config,
-        content: b"config"[..].into(),
-    }
-}
-
 fn incarnation(id: &str) -> ExecutorIncarnation {
     ExecutorIncarnation {
         id: id.into(),
